--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Installs the dependencies, builds the release preset and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/install.sh
+cmake --preset release >/dev/null
+cmake --build --preset release
+ctest --preset release
--- /dev/null
+++ b/src/sapphirestream/base/clock.h
@@ -0,0 +1,26 @@
+// Time types and the clock interface. The decision library reads no clock; the
+// caller passes the time with every event.
+#ifndef SAPPHIRESTREAM_BASE_CLOCK_H_
+#define SAPPHIRESTREAM_BASE_CLOCK_H_
+
+#include <chrono>
+
+namespace sapphirestream {
+
+using Duration = std::chrono::nanoseconds;
+// Monotonic time with an arbitrary origin.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+// Time of day, only for announcements and logs.
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+
+// Source of time, injected so that tests run in virtual time.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  [[nodiscard]] virtual TimePoint Now() const noexcept = 0;
+  [[nodiscard]] virtual WallTime WallNow() const noexcept = 0;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_BASE_CLOCK_H_
--- /dev/null
+++ b/src/sapphirestream/contract/configuration.h
@@ -0,0 +1,55 @@
+// One accepted configuration, whole.
+#ifndef SAPPHIRESTREAM_CONTRACT_CONFIGURATION_H_
+#define SAPPHIRESTREAM_CONTRACT_CONFIGURATION_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/id.h"
+#include "sapphirestream/contract/announcement.h"
+#include "sapphirestream/contract/preset.h"
+#include "sapphirestream/contract/service.h"
+
+namespace sapphirestream {
+
+// Who changed what and when; kept for the most recent changes.
+struct ChangeRecord {
+  // Chosen by the caller, unique; finds out whether a change with a lost answer
+  // took effect.
+  std::string id;
+  ConfigVersion version{};
+  std::string author;
+  // The change in words, such as `target add orders 127.0.1.4:6081`.
+  std::string summary;
+  WallTime accepted;
+
+  bool operator==(const ChangeRecord&) const = default;
+};
+
+struct Configuration {
+  ConfigVersion version{};
+  // Name of the one preset in force; always one of `presets`.
+  std::string preset;
+  // Sorted by name; never empty.
+  std::vector<Preset> presets;
+  // Sorted by id.
+  std::vector<Service> services;
+  // Sorted by name.
+  std::vector<Announcement> announcements;
+  // Failure domains that flows are homed in, sorted; never empty.
+  std::vector<DomainId> domains;
+  // The id that the next target gets; grows only.
+  std::uint32_t next_target_id = 1;
+  // Newest last; at most kMaxRecentChanges.
+  std::vector<ChangeRecord> recent_changes;
+
+  bool operator==(const Configuration&) const = default;
+};
+
+inline constexpr std::size_t kMaxRecentChanges = 256;
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_CONTRACT_CONFIGURATION_H_
--- /dev/null
+++ b/src/sapphirestream/contract/fwd.h
@@ -0,0 +1,16 @@
+// Forward declarations of module contract.
+#ifndef SAPPHIRESTREAM_CONTRACT_FWD_H_
+#define SAPPHIRESTREAM_CONTRACT_FWD_H_
+
+namespace sapphirestream {
+
+struct Announcement;
+struct ChangeRecord;
+struct Configuration;
+struct Preset;
+struct Service;
+struct Target;
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_CONTRACT_FWD_H_
--- /dev/null
+++ b/src/sapphirestream/domain/fwd.h
@@ -0,0 +1,15 @@
+// Forward declarations of module domain.
+#ifndef SAPPHIRESTREAM_DOMAIN_FWD_H_
+#define SAPPHIRESTREAM_DOMAIN_FWD_H_
+
+#include <cstdint>
+
+namespace sapphirestream {
+
+enum class MemberState : std::uint8_t;
+struct Member;
+class MemberView;
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_DOMAIN_FWD_H_
--- /dev/null
+++ b/src/sapphirestream/flow/snapshot.h
@@ -0,0 +1,61 @@
+// The immutable state that the control thread publishes to the traffic threads.
+#ifndef SAPPHIRESTREAM_FLOW_SNAPSHOT_H_
+#define SAPPHIRESTREAM_FLOW_SNAPSHOT_H_
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/id.h"
+#include "sapphirestream/contract/preset.h"
+#include "sapphirestream/contract/service.h"
+#include "sapphirestream/domain/member_view.h"
+#include "sapphirestream/target/lookup_table.h"
+
+namespace sapphirestream {
+
+// What steering needs of one version of a service.
+struct ServiceVersion {
+  ConfigVersion version{};
+  std::shared_ptr<const LookupTable> table;
+  // Share of load-placed flows in thousandths; 1,000 if not idempotent.
+  std::uint32_t load_share_permille = 0;
+};
+
+// All versions of a service that may own flows.
+struct ServiceView {
+  Service service;
+  // The version in use for new flows.
+  ServiceVersion active;
+  // Versions before `active`, oldest first.
+  std::vector<ServiceVersion> retained;
+  // Versions accepted but not active yet, oldest first.
+  std::vector<ServiceVersion> prepared;
+  // Targets of any version above, by id.
+  std::unordered_map<TargetId, Target> targets;
+};
+
+struct Snapshot {
+  ConfigVersion version{};
+  InstanceId self = kNoInstance;
+  DomainId own_domain{};
+  // The preset in force.
+  Preset preset;
+  std::unordered_map<ServiceId, ServiceView> services;
+  // Failure domains that flows are homed in.
+  std::vector<DomainId> domains;
+  MemberView members;
+  // The view before `members`.
+  MemberView previous_members;
+  // False while the instance has lost contact with its peers.
+  bool confirmed = true;
+  // Until when this instance may decide first packets of services that are not
+  // idempotent; the traffic thread compares it with the time before sending.
+  TimePoint authority_until;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_FLOW_SNAPSHOT_H_
--- /dev/null
+++ b/src/sapphirestream/link/peer_message.h
@@ -0,0 +1,32 @@
+// The closed set of messages between instances, and their codec.
+#ifndef SAPPHIRESTREAM_LINK_PEER_MESSAGE_H_
+#define SAPPHIRESTREAM_LINK_PEER_MESSAGE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <variant>
+#include <vector>
+
+#include "sapphirestream/base/error.h"
+#include "sapphirestream/domain/message.h"
+#include "sapphirestream/flow/message.h"
+
+namespace sapphirestream {
+
+using PeerMessage =
+    std::variant<Heartbeat, Probe, ProbeAck, Leave, ConfigDelta, ConfigPull,
+                 ConfigChunk, ConfigConfirm, Redirect, Learn, RecordBatch,
+                 RecordAck, RecordPull, RecordPage, FlowEnd, PlacementCounts>;
+
+// Appends the Cap'n Proto form (packed) of a message to `out`.
+void EncodePeerMessage(const PeerMessage& message, std::vector<std::byte>& out);
+
+// Decodes a message. Errors: kMalformedMessage. Never allocates more than a
+// small multiple of the input's size.
+[[nodiscard]] leaf::result<PeerMessage> DecodePeerMessage(
+    std::span<const std::byte> bytes);
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_LINK_PEER_MESSAGE_H_
--- /dev/null
+++ b/test/base/error_test.cc
@@ -0,0 +1,22 @@
+// Guards against two error kinds that share a name: sapphirectl and the
+// counters tell kinds apart by name only.
+#include "sapphirestream/base/error.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace sapphirestream {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(error)
+
+BOOST_AUTO_TEST_CASE(every_name_leads_back_to_its_kind) {
+  for (std::size_t i = 0; i < kErrorKindCount; ++i) {
+    const auto kind = static_cast<ErrorKind>(i);
+    BOOST_TEST((ErrorKindFromName(AnswerFor(kind).name) == kind));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
