--- a/src/sapphirestream/flow/steering.h
+++ b/src/sapphirestream/flow/steering.h
@@ -31,20 +31,6 @@
   virtual void Forgotten(const FlowKey& key) = 0;
 };
 
-// Makes the placer of a service; called again when the service changes.
-class PlacerFactory {
- public:
-  virtual ~PlacerFactory() = default;
-  // Returns the placer of the service for an instance in `own_domain`.
-  [[nodiscard]] virtual std::unique_ptr<Placer> Make(const Service& service,
-                                                     const Preset& preset,
-                                                     DomainId own_domain) = 0;
-  // Updates a placer after its service or the preset changed; flows already
-  // counted stay counted.
-  virtual void Update(Placer& placer, const Service& service,
-                      const Preset& preset) = 0;
-};
-
 // Used by the control thread only.
 class Steering {
  public:
--- a/src/sapphirestream/target/fwd.h
+++ b/src/sapphirestream/target/fwd.h
@@ -6,6 +6,7 @@
 
 class LookupTable;
 class Placer;
+class PlacerFactory;
 struct LoadReport;
 struct Placement;
 struct PlacementRequest;
--- a/src/sapphirestream/target/placer.h
+++ b/src/sapphirestream/target/placer.h
@@ -3,12 +3,15 @@
 #define SAPPHIRESTREAM_TARGET_PLACER_H_
 
 #include <cstdint>
+#include <memory>
 #include <span>
 #include <vector>
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/base/id.h"
+#include "sapphirestream/contract/preset.h"
+#include "sapphirestream/contract/service.h"
 
 namespace sapphirestream {
 
@@ -69,6 +72,26 @@
                              TimePoint now) = 0;
   // Returns this placer's own open flows by target, sorted by target.
   [[nodiscard]] virtual std::vector<PlacementCount> OwnCounts() const = 0;
+  // Tells that a flow on the target made progress: its client went on to new
+  // data.
+  virtual void Progressed(TargetId /*target*/, TimePoint /*now*/) {}
+  // Tells that a flow on the target stalled: its client repeats its first
+  // packet, which the target has not answered.
+  virtual void Stalled(TargetId /*target*/, TimePoint /*now*/) {}
+};
+
+// Makes the placer of a service; called again when the service changes.
+class PlacerFactory {
+ public:
+  virtual ~PlacerFactory() = default;
+  // Returns the placer of the service for an instance in `own_domain`.
+  [[nodiscard]] virtual std::unique_ptr<Placer> Make(const Service& service,
+                                                     const Preset& preset,
+                                                     DomainId own_domain) = 0;
+  // Updates a placer after its service or the preset changed; flows already
+  // counted stay counted.
+  virtual void Update(Placer& placer, const Service& service,
+                      const Preset& preset) = 0;
 };
 
 }  // namespace sapphirestream
--- /dev/null
+++ b/test/target/lookup_table_test.cc
@@ -0,0 +1,89 @@
+// Guards against tables that are unbalanced, that ignore weights or drains, or
+// that move buckets which a change does not concern.
+#include "sapphirestream/target/lookup_table.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <unordered_map>
+
+namespace sapphirestream {
+namespace {
+
+Service MakeService(std::uint32_t targets) {
+  Service service;
+  for (std::uint32_t i = 1; i <= targets; ++i) {
+    service.targets.emplace_back().id = TargetId{i};
+  }
+  return service;
+}
+
+std::unordered_map<TargetId, double> Shares(const LookupTable& table) {
+  std::unordered_map<TargetId, double> shares;
+  for (const TargetId id : table.buckets()) {
+    shares[id] += 1.0 / static_cast<double>(table.size());
+  }
+  return shares;
+}
+
+// Share of flows that moved although neither their old nor their new target
+// changed.
+double MovedBeyond(const LookupTable& before, const LookupTable& after,
+                   TargetId changed) {
+  const std::size_t size = std::max(before.size(), after.size());
+  std::size_t moved = 0;
+  for (std::size_t i = 0; i < size; ++i) {
+    const std::uint64_t hash = ((i << 32) / size + 1) << 32;
+    const TargetId a = before.At(hash);
+    const TargetId b = after.At(hash);
+    if (a != b && a != changed && b != changed) ++moved;
+  }
+  return static_cast<double>(moved) / static_cast<double>(size);
+}
+
+BOOST_AUTO_TEST_SUITE(lookup_table)
+
+BOOST_AUTO_TEST_CASE(no_active_target_gives_an_empty_table) {
+  Service service = MakeService(1);
+  service.targets[0].draining = true;
+  BOOST_TEST(LookupTable::Build(service).empty());
+  BOOST_TEST((LookupTable::Build({}).At(1) == kNoTarget));
+}
+
+BOOST_AUTO_TEST_CASE(shares_follow_weights) {
+  for (const std::uint32_t n : {2U, 5U, 14U, 33U, 1000U}) {
+    Service service = MakeService(n);
+    service.targets[1].weight = 50;
+    const auto shares = Shares(LookupTable::Build(service));
+    const double unit = 1.0 / (n - 0.5);
+    BOOST_TEST(shares.size() == n);
+    for (const auto& [id, share] : shares) {
+      const double fair = id == TargetId{2} ? unit / 2 : unit;
+      BOOST_TEST(share < fair * 1.10);
+    }
+  }
+}
+
+// 4 to 5, 8 to 9 and 64 to 65 targets double the table's size.
+BOOST_AUTO_TEST_CASE(adding_one_target_moves_few_other_buckets) {
+  for (const std::uint32_t n : {4U, 8U, 14U, 64U, 1000U}) {
+    const auto before = LookupTable::Build(MakeService(n));
+    const auto after = LookupTable::Build(MakeService(n + 1));
+    BOOST_TEST(MovedBeyond(before, after, TargetId{n + 1}) < 0.1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(draining_equals_removing) {
+  Service drained = MakeService(14);
+  drained.targets[6].draining = true;
+  Service removed = MakeService(14);
+  removed.targets.erase(removed.targets.begin() + 6);
+  const auto table = LookupTable::Build(drained);
+  BOOST_TEST((table.buckets() == LookupTable::Build(removed).buckets()));
+  const auto full = LookupTable::Build(MakeService(14));
+  BOOST_TEST(MovedBeyond(full, table, TargetId{7}) < 0.1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
