Keep target and load share history in the configuration

Cause: a restarted instance knew no retained versions, and a retained version dropped after the idle timeout would have sent recorded long-lived flows back to their hash target. Change: targets carry the versions that added and drained them, removed targets stay as tombstones for 24 h, former load shares are listed. Measured: nothing yet; design change before the code exists. Conclusion: former lookup tables are a function of the configuration alone.

--- a/src/sapphirestream/contract/configuration.h
+++ b/src/sapphirestream/contract/configuration.h
@@ -28,12 +28,25 @@
   bool operator==(const ChangeRecord&) const = default;
 };
 
+// Share of load-placed flows that was in force before a version.
+struct FormerLoadShare {
+  // The version that replaced it.
+  ConfigVersion until{};
+  WallTime until_at;
+  std::uint32_t load_share_permille = 0;
+
+  bool operator==(const FormerLoadShare&) const = default;
+};
+
 struct Configuration {
   ConfigVersion version{};
   // Name of the one preset in force; always one of `presets`.
   std::string preset;
   // Sorted by name; never empty.
   std::vector<Preset> presets;
+  // Load shares in force within the last kMaxFlowLifetime, oldest first: flows
+  // placed by load under them still have records.
+  std::vector<FormerLoadShare> former_load_shares;
   // Sorted by id.
   std::vector<Service> services;
   // Sorted by name.
--- a/src/sapphirestream/contract/target.h
+++ b/src/sapphirestream/contract/target.h
@@ -2,8 +2,10 @@
 #ifndef SAPPHIRESTREAM_CONTRACT_TARGET_H_
 #define SAPPHIRESTREAM_CONTRACT_TARGET_H_
 
+#include <chrono>
 #include <cstdint>
 
+#include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/endpoint.h"
 #include "sapphirestream/base/id.h"
 
@@ -21,12 +23,31 @@
   std::uint32_t max_connections = 2000;
   // Share of hash-placed flows relative to other targets; 1 to 1,000.
   std::uint32_t weight = 100;
-  // A draining target keeps its flows and gets no new ones.
-  bool draining = false;
+  // Version that added the target, and when it was accepted.
+  ConfigVersion added{};
+  WallTime added_at;
+  // Version that took the target out of the lookup table, zero if none did. A
+  // drained target keeps its flows and gets no new ones.
+  ConfigVersion drained{};
+  WallTime drained_at;
+  // A removed target is hidden from operators, but stays here until
+  // kMaxFlowLifetime after it was drained: from the targets and their versions
+  // every instance, a restarted one too, derives the former lookup tables.
+  bool removed = false;
+
+  // Whether the target was in the lookup table of a version.
+  [[nodiscard]] bool IsInTableOf(ConfigVersion version) const noexcept {
+    return added <= version &&
+           (drained == ConfigVersion{} || drained > version);
+  }
 
   bool operator==(const Target&) const = default;
 };
 
+// Flows that live longer may break after a change; covers a shift and a
+// concert.
+inline constexpr std::chrono::hours kMaxFlowLifetime{24};
+
 }  // namespace sapphirestream
 
 #endif  // SAPPHIRESTREAM_CONTRACT_TARGET_H_
--- a/src/sapphirestream/flow/snapshot.h
+++ b/src/sapphirestream/flow/snapshot.h
@@ -22,6 +22,17 @@
   std::shared_ptr<const LookupTable> table;
   // Share of load-placed flows in thousandths; 1,000 if not idempotent.
   std::uint32_t load_share_permille = 0;
+  // Of a retained version: whether the idle timeout has passed since it was
+  // replaced, so that every flow begun under it has a record or is idle.
+  bool recorded = false;
+};
+
+// The instances of a domain that rank first and second for a service.
+struct DomainSchedulers {
+  InstanceId first = kNoInstance;
+  InstanceId second = kNoInstance;
+
+  bool operator==(const DomainSchedulers&) const = default;
 };
 
 // All versions of a service that may own flows.
@@ -35,6 +46,10 @@
   std::vector<ServiceVersion> prepared;
   // Targets of any version above, by id.
   std::unordered_map<TargetId, Target> targets;
+  // By position in Snapshot::domains, under the present and the previous member
+  // view; filled by AssignSchedulers.
+  std::vector<DomainSchedulers> schedulers;
+  std::vector<DomainSchedulers> previous_schedulers;
 };
 
 struct Snapshot {
--- a/src/sapphirestream/target/lookup_table.h
+++ b/src/sapphirestream/target/lookup_table.h
@@ -14,9 +14,10 @@
 // Immutable. Equal services give equal tables on every instance.
 class LookupTable {
  public:
-  // Builds the table of a service. Draining targets own no bucket. Without any
-  // other target the table is empty.
-  [[nodiscard]] static LookupTable Build(const Service& service);
+  // Builds the table that a service had at `version`, from the targets for
+  // which Target::IsInTableOf holds. Without any the table is empty.
+  [[nodiscard]] static LookupTable Build(const Service& service,
+                                         ConfigVersion version);
 
   // Returns the target of a flow hash, or kNoTarget if the table is empty.
   [[nodiscard]] TargetId At(std::uint64_t flow_hash) const noexcept {
