Silence a false -Wshadow report on ErrorKind

Cause: GCC 12 reports ErrorKind::kNoTarget as shadowing the constant kNoTarget when id.h is included before error.h, which -Werror turns into a failed build.

Change: the warning is off for this one enumeration, whose scoped enumerators cannot shadow anything.

Measured: target builds with base/id.h included first; it failed before.

Conclusion: no other check is affected.

--- a/src/sapphirestream/base/error.h
+++ b/src/sapphirestream/base/error.h
@@ -14,6 +14,9 @@
 
 namespace leaf = boost::leaf;
 
+// GCC 12 reports scoped enumerators as shadowing constants of the namespace.
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wshadow"
 enum class ErrorKind : std::uint8_t {
   kNone,
   // Packets. None of these is answered; each is counted by its name.
@@ -57,6 +60,7 @@
   kBadSetting,
   kInternal,
 };
+#pragma GCC diagnostic pop
 
 inline constexpr std::size_t kErrorKindCount =
     static_cast<std::size_t>(ErrorKind::kInternal) + 1;
