--- a/src/sapphirestream/target/lookup_table.cc
+++ b/src/sapphirestream/target/lookup_table.cc
@@ -4,11 +4,12 @@
 
 namespace sapphirestream {
 
-LookupTable LookupTable::Build(const Service& service) {
+LookupTable LookupTable::Build(const Service& service, ConfigVersion version) {
   std::vector<internal::WeightedTarget> targets;
   targets.reserve(service.targets.size());
   for (const Target& target : service.targets) {
-    if (!target.draining) targets.push_back({target.id, target.weight});
+    if (target.IsInTableOf(version))
+      targets.push_back({target.id, target.weight});
   }
   LookupTable table;
   if (!targets.empty()) {
--- /dev/null
+++ b/src/sapphirestream/target/target_load.cc
@@ -0,0 +1,91 @@
+#include "sapphirestream/target/target_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sapphirestream {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Age at which a report counts half. Requests end within about a second;
+// streams last for hours.
+constexpr Duration kRequestHalfLife = seconds(1);
+constexpr Duration kStreamHalfLife = seconds(600);
+// A target that sheds repeats its report at least this often.
+constexpr Duration kSheddingLifetime = seconds(5);
+// Eight samples cover two seconds of report delay.
+constexpr Duration kSampleInterval = milliseconds(250);
+
+// Whether the report shows clearly fewer flows than are counted. Counts may be
+// ahead by flows whose end or first packet is still under way.
+bool Contradicts(FlowKind kind, std::uint32_t reported, std::uint32_t counted) {
+  const std::uint32_t tolerance =
+      kind == FlowKind::kRequest ? 1 : std::max(2U, counted / 10);
+  return reported + tolerance < counted;
+}
+
+}  // namespace
+
+void TargetLoad::Remember(TimePoint now) {
+  const std::size_t newest =
+      (next_sample_ + samples_.size() - 1) % samples_.size();
+  if (now - samples_[newest].time < kSampleInterval) return;
+  samples_[next_sample_] = {now, counted()};
+  next_sample_ = (next_sample_ + 1) % samples_.size();
+}
+
+std::uint32_t TargetLoad::CountedAt(TimePoint time) const noexcept {
+  for (std::size_t i = 0; i < samples_.size(); ++i) {
+    const Sample& sample = samples_[(next_sample_ + i) % samples_.size()];
+    if (sample.time >= time) return sample.counted;
+  }
+  return counted();
+}
+
+void TargetLoad::AddOwn(TimePoint now) {
+  Remember(now);
+  ++own_;
+}
+
+void TargetLoad::RemoveOwn(TimePoint now) {
+  Remember(now);
+  if (own_ > 0) --own_;
+}
+
+void TargetLoad::SetPeers(std::uint32_t open, TimePoint now) {
+  Remember(now);
+  peers_ = open;
+}
+
+void TargetLoad::Report(const LoadReport& report, TimePoint now) {
+  const TimePoint taken = std::min(report.taken, now);
+  if (has_report_ && taken < taken_) return;
+  has_report_ = true;
+  taken_ = taken;
+  shedding_ = report.shedding;
+  reported_connections_ = report.open_connections;
+  const std::uint32_t reported =
+      kind_ == FlowKind::kRequest ? report.busy_slots : report.open_connections;
+  const std::uint32_t counted_then = CountedAt(taken);
+  uncounted_ = reported > counted_then ? reported - counted_then : 0;
+  // Trust is lost faster than it is regained.
+  trust_ = Contradicts(kind_, reported, counted_then)
+               ? trust_ / 2
+               : std::min(1.0, trust_ + 0.1);
+}
+
+double TargetLoad::ReportWeight(TimePoint now) const noexcept {
+  if (!has_report_) return 0.0;
+  const Duration half_life =
+      kind_ == FlowKind::kRequest ? kRequestHalfLife : kStreamHalfLife;
+  return trust_ * std::exp2(-static_cast<double>((now - taken_).count()) /
+                            static_cast<double>(half_life.count()));
+}
+
+bool TargetLoad::IsShedding(TimePoint now) const noexcept {
+  return shedding_ && now - taken_ < kSheddingLifetime;
+}
+
+}  // namespace sapphirestream
--- /dev/null
+++ b/src/sapphirestream/target/target_load.h
@@ -0,0 +1,72 @@
+// What a scheduler knows of the load of one target.
+#ifndef SAPPHIRESTREAM_TARGET_TARGET_LOAD_H_
+#define SAPPHIRESTREAM_TARGET_TARGET_LOAD_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/contract/service.h"
+#include "sapphirestream/target/placer.h"
+
+namespace sapphirestream {
+
+// Combines exact counts (the scheduler's own flows and those of its peers) with
+// the target's reports. A report tells how many flows the schedulers do not
+// count, such as hash-placed ones: the reported number minus the flows counted
+// when the report was taken.
+class TargetLoad {
+ public:
+  explicit TargetLoad(FlowKind kind) : kind_(kind) {}
+
+  void AddOwn(TimePoint now);
+  // Does nothing if no own flow is open.
+  void RemoveOwn(TimePoint now);
+  void SetPeers(std::uint32_t open, TimePoint now);
+  // Ignores a report older than the last one.
+  void Report(const LoadReport& report, TimePoint now);
+
+  [[nodiscard]] std::uint32_t own() const noexcept { return own_; }
+  [[nodiscard]] std::uint32_t peers() const noexcept { return peers_; }
+  [[nodiscard]] std::uint32_t counted() const noexcept { return own_ + peers_; }
+  // Flows that the last report shows beyond the counted ones.
+  [[nodiscard]] std::uint32_t uncounted() const noexcept { return uncounted_; }
+  [[nodiscard]] std::uint32_t reported_connections() const noexcept {
+    return reported_connections_;
+  }
+  // How far reports agree with the counts: 0 (never) to 1.
+  [[nodiscard]] double trust() const noexcept { return trust_; }
+  [[nodiscard]] bool has_report() const noexcept { return has_report_; }
+  // Weight of the last report: trust, discounted by age; 0 without a report.
+  [[nodiscard]] double ReportWeight(TimePoint now) const noexcept;
+  // Whether the target asked lately for no new flows.
+  [[nodiscard]] bool IsShedding(TimePoint now) const noexcept;
+
+ private:
+  struct Sample {
+    TimePoint time;
+    std::uint32_t counted = 0;
+  };
+
+  // Call before the counted number changes.
+  void Remember(TimePoint now);
+  [[nodiscard]] std::uint32_t CountedAt(TimePoint time) const noexcept;
+
+  FlowKind kind_;
+  bool has_report_ = false;
+  bool shedding_ = false;
+  std::uint32_t own_ = 0;
+  std::uint32_t peers_ = 0;
+  std::uint32_t uncounted_ = 0;
+  std::uint32_t reported_connections_ = 0;
+  double trust_ = 1.0;
+  TimePoint taken_;
+  // Ring of past counts; each holds until its time.
+  std::array<Sample, 8> samples_{};
+  std::size_t next_sample_ = 0;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_TARGET_TARGET_LOAD_H_
--- a/test/target/lookup_table_test.cc
+++ b/test/target/lookup_table_test.cc
@@ -9,6 +9,8 @@
 namespace sapphirestream {
 namespace {
 
+constexpr ConfigVersion kVersion{7};
+
 Service MakeService(std::uint32_t targets) {
   Service service;
   for (std::uint32_t i = 1; i <= targets; ++i) {
@@ -44,16 +46,16 @@
 
 BOOST_AUTO_TEST_CASE(no_active_target_gives_an_empty_table) {
   Service service = MakeService(1);
-  service.targets[0].draining = true;
-  BOOST_TEST(LookupTable::Build(service).empty());
-  BOOST_TEST((LookupTable::Build({}).At(1) == kNoTarget));
+  service.targets[0].drained = kVersion;
+  BOOST_TEST(LookupTable::Build(service, kVersion).empty());
+  BOOST_TEST((LookupTable::Build({}, {}).At(1) == kNoTarget));
 }
 
 BOOST_AUTO_TEST_CASE(shares_follow_weights) {
   for (const std::uint32_t n : {2U, 5U, 14U, 33U, 1000U}) {
     Service service = MakeService(n);
     service.targets[1].weight = 50;
-    const auto shares = Shares(LookupTable::Build(service));
+    const auto shares = Shares(LookupTable::Build(service, kVersion));
     const double unit = 1.0 / (n - 0.5);
     BOOST_TEST(shares.size() == n);
     for (const auto& [id, share] : shares) {
@@ -66,20 +68,21 @@
 // 4 to 5, 8 to 9 and 64 to 65 targets double the table's size.
 BOOST_AUTO_TEST_CASE(adding_one_target_moves_few_other_buckets) {
   for (const std::uint32_t n : {4U, 8U, 14U, 64U, 1000U}) {
-    const auto before = LookupTable::Build(MakeService(n));
-    const auto after = LookupTable::Build(MakeService(n + 1));
+    const auto before = LookupTable::Build(MakeService(n), kVersion);
+    const auto after = LookupTable::Build(MakeService(n + 1), kVersion);
     BOOST_TEST(MovedBeyond(before, after, TargetId{n + 1}) < 0.1);
   }
 }
 
 BOOST_AUTO_TEST_CASE(draining_equals_removing) {
   Service drained = MakeService(14);
-  drained.targets[6].draining = true;
+  drained.targets[6].drained = kVersion;
   Service removed = MakeService(14);
   removed.targets.erase(removed.targets.begin() + 6);
-  const auto table = LookupTable::Build(drained);
-  BOOST_TEST((table.buckets() == LookupTable::Build(removed).buckets()));
-  const auto full = LookupTable::Build(MakeService(14));
+  const auto table = LookupTable::Build(drained, kVersion);
+  BOOST_TEST(
+      (table.buckets() == LookupTable::Build(removed, kVersion).buckets()));
+  const auto full = LookupTable::Build(MakeService(14), kVersion);
   BOOST_TEST(MovedBeyond(full, table, TargetId{7}) < 0.1);
 }
 
