Add flow module: fast path, steering, replication and recovery

Cause: packets of a flow may reach any instance, so one owner per flow decides. Change: FastPath steers flows without record or with a learned target; Steering owns records, places first packets, replicates, hands over and recovers them.

--- a/src/sapphirestream/base/error.cc
+++ b/src/sapphirestream/base/error.cc
@@ -32,7 +32,7 @@
      "sender is not a known instance"},
     {kMalformedMessage, "malformed_message", 0, 0, kSilence,
      "peer message cannot be decoded"},
-    {kNoTarget, "no_target", 503, 20, kNotRun,
+    {kNoTargetAvailable, "no_target", 503, 20, kNotRun,
      "the service has no target for new flows"},
     {kCapacityExceeded, "capacity_exceeded", 409, 21, kNotRun,
      "the remaining capacity is too small"},
--- a/src/sapphirestream/base/error.h
+++ b/src/sapphirestream/base/error.h
@@ -33,7 +33,7 @@
   kUnknownPeer,
   kMalformedMessage,
   // First packets and flows.
-  kNoTarget,
+  kNoTargetAvailable,
   kCapacityExceeded,
   kDeadlineExceeded,
   kNoAuthority,
--- /dev/null
+++ b/src/sapphirestream/flow/fast_path.cc
@@ -0,0 +1,84 @@
+// Steering of packets on a traffic thread.
+#include "sapphirestream/flow/fast_path.h"
+
+#include "sapphirestream/flow/ownership.h"
+#include "sapphirestream/flow/stateless_rule.h"
+
+namespace sapphirestream {
+namespace {
+
+Verdict Forward(TargetId target) noexcept {
+  return {.kind = VerdictKind::kForward, .target = target};
+}
+
+Verdict Drop(ErrorKind reason) noexcept {
+  return {.kind = VerdictKind::kDrop, .reason = reason};
+}
+
+// Steers a packet that needs the flow's owner.
+Verdict ToOwner(const Packet& packet, const Snapshot& snapshot,
+                const ServiceView& view) noexcept {
+  const Owners owners = OwnersOf(snapshot, view, packet.hash);
+  if (owners.owner == snapshot.self) return {.kind = VerdictKind::kEscalate};
+  InstanceId next = owners.owner;
+  if (next == kNoInstance && !packet.opens()) {
+    // Records of flows whose home domain is gone are at the replica, which
+    // decides no first packet of a service that is not idempotent.
+    next = owners.replica;
+    if (next == snapshot.self) return {.kind = VerdictKind::kEscalate};
+  }
+  if (next == kNoInstance) {
+    if (!view.service.idempotent) return Drop(ErrorKind::kOwnerUnreachable);
+    const TargetId target = UnrecordedTarget(view, packet.hash);
+    return target == kNoTarget ? Drop(ErrorKind::kNoTargetAvailable)
+                               : Forward(target);
+  }
+  return {.kind = VerdictKind::kRedirect,
+          .instance = next,
+          .hop_limit = kRedirectHopLimit};
+}
+
+}  // namespace
+
+FastPath::FastPath(const Options& options)
+    : learned_(options.learned_capacity),
+      learned_lifetime_(options.learned_lifetime) {}
+
+Verdict FastPath::OnPacket(const Packet& packet, const Snapshot& snapshot,
+                           TimePoint now, bool& repeated) {
+  const auto it = snapshot.services.find(packet.key.service);
+  if (it == snapshot.services.end()) return Drop(ErrorKind::kUnknownService);
+  const ServiceView& view = it->second;
+  repeated = repeats_.IsRepeat(packet) && view.service.idempotent;
+  // The owner counts repeats, since the copies reach many instances.
+  if (repeated) return ToOwner(packet, snapshot, view);
+  if (snapshot.confirmed && IsStateless(view, packet.hash)) {
+    return Forward(view.active.table->At(packet.hash));
+  }
+  const LearnedTable::Entry* entry = learned_.Find(packet.key, packet.hash);
+  const bool is_usable = entry != nullptr && !packet.opens() &&
+                         now - entry->learned < learned_lifetime_;
+  if (!is_usable) return ToOwner(packet, snapshot, view);
+  const TargetId target = entry->target;
+  if (packet.fin || packet.rst) {
+    // The owner must hear of the end: the entry goes and the packet with it.
+    ended_ = packet.key;
+    if (packet.rst) learned_.Erase(packet.key, packet.hash);
+  }
+  return Forward(target);
+}
+
+void FastPath::Learn(const FlowKey& key, std::uint64_t hash, TargetId target,
+                     TimePoint now) {
+  learned_.Emplace(key, hash, target, now);
+}
+
+void FastPath::Forget(const FlowKey& key, std::uint64_t hash) {
+  learned_.Erase(key, hash);
+}
+
+std::optional<FlowKey> FastPath::TakeEnded() {
+  return std::exchange(ended_, std::nullopt);
+}
+
+}  // namespace sapphirestream
--- a/src/sapphirestream/flow/fast_path.h
+++ b/src/sapphirestream/flow/fast_path.h
@@ -5,7 +5,9 @@
 #define SAPPHIRESTREAM_FLOW_FAST_PATH_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
+#include <utility>
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/flow/learned_table.h"
@@ -16,6 +18,9 @@
 
 namespace sapphirestream {
 
+// Redirects that a packet may take between instances.
+inline constexpr std::uint8_t kRedirectHopLimit = 3;
+
 // Used by one thread.
 class FastPath {
  public:
@@ -47,6 +52,7 @@
 
  private:
   LearnedTable learned_;
+  Duration learned_lifetime_;
   RepeatDetector repeats_;
   std::optional<FlowKey> ended_;
 };
--- a/src/sapphirestream/flow/snapshot.h
+++ b/src/sapphirestream/flow/snapshot.h
@@ -46,6 +46,8 @@
   std::vector<ServiceVersion> prepared;
   // Targets of any version above, by id.
   std::unordered_map<TargetId, Target> targets;
+  // Whether an announcement for the service is in force.
+  bool slowdown_announced = false;
   // By position in Snapshot::domains, under the present and the previous member
   // view; filled by AssignSchedulers.
   std::vector<DomainSchedulers> schedulers;
--- /dev/null
+++ b/src/sapphirestream/flow/stateless_rule.h
@@ -0,0 +1,66 @@
+// The stateless rule: which flows every instance steers alike without a record.
+#ifndef SAPPHIRESTREAM_FLOW_STATELESS_RULE_H_
+#define SAPPHIRESTREAM_FLOW_STATELESS_RULE_H_
+
+#include <cstdint>
+
+#include "sapphirestream/base/id.h"
+#include "sapphirestream/flow/snapshot.h"
+
+namespace sapphirestream {
+
+// Whether a flow is placed by load under a load share. Uses the low bits, which
+// don't take part in the choice of the bucket.
+[[nodiscard]] constexpr bool IsLoadPlaced(std::uint64_t hash,
+                                          std::uint32_t share_permille) {
+  return (((hash & 0xffffffffU) * 1000) >> 32) < share_permille;
+}
+
+// Whether a flow's bucket has the same target in all versions.
+[[nodiscard]] inline bool IsBucketStable(const ServiceView& view,
+                                         std::uint64_t hash) noexcept {
+  const TargetId target = view.active.table->At(hash);
+  for (const ServiceVersion& version : view.retained) {
+    if (version.table->At(hash) != target) return false;
+  }
+  for (const ServiceVersion& version : view.prepared) {
+    if (version.table->At(hash) != target) return false;
+  }
+  return target != kNoTarget;
+}
+
+// Whether a flow is placed by hash in all versions.
+[[nodiscard]] inline bool IsHashPlaced(const ServiceView& view,
+                                       std::uint64_t hash) noexcept {
+  if (IsLoadPlaced(hash, view.active.load_share_permille)) return false;
+  for (const ServiceVersion& version : view.retained) {
+    if (IsLoadPlaced(hash, version.load_share_permille)) return false;
+  }
+  for (const ServiceVersion& version : view.prepared) {
+    if (IsLoadPlaced(hash, version.load_share_permille)) return false;
+  }
+  return true;
+}
+
+// Whether a flow is steered by its hash, without a record.
+[[nodiscard]] inline bool IsStateless(const ServiceView& view,
+                                      std::uint64_t hash) noexcept {
+  return IsHashPlaced(view, hash) && IsBucketStable(view, hash);
+}
+
+// Returns the target of an established flow that nobody has a record of: the
+// one of the oldest version under which it may have begun.
+[[nodiscard]] inline TargetId UnrecordedTarget(const ServiceView& view,
+                                               std::uint64_t hash) noexcept {
+  for (const ServiceVersion& version : view.retained) {
+    if (version.recorded) continue;
+    if (const TargetId target = version.table->At(hash); target != kNoTarget) {
+      return target;
+    }
+  }
+  return view.active.table->At(hash);
+}
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_FLOW_STATELESS_RULE_H_
--- /dev/null
+++ b/src/sapphirestream/flow/steering.cc
@@ -0,0 +1,285 @@
+// Life cycle, timers and bookkeeping of records.
+#include "sapphirestream/flow/steering.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sapphirestream/flow/steering_impl.h"
+
+namespace sapphirestream {
+namespace {
+
+// Closed and refused flows are remembered for as long as copies of their first
+// packet may come.
+constexpr Duration kClosedLifetime = kFirstPacketLifetime;
+// A learned entry elsewhere lives up to 300 s, so that the tuple must keep its
+// target for longer than that.
+constexpr Duration kLearnedClosedLifetime = std::chrono::seconds(305);
+// A flow that was opened and never continued.
+constexpr Duration kOpeningLifetime = std::chrono::seconds(64);
+// Replicas get no packets, only refreshed copies.
+constexpr int kReplicaLifetimeFactor = 3;
+// An opening flow this old may be evicted when the table is full.
+constexpr Duration kEvictableOpening = std::chrono::seconds(5);
+// Records that Expire looks at per state and call.
+constexpr int kExpireSteps = 256;
+constexpr double kResetsPerSecond = 10;
+constexpr double kResetBurst = 20;
+
+}  // namespace
+
+Steering::Impl::Counters::Counters(CounterSet& set)
+    : placed(set.Emplace("flows_placed_total")),
+      placed_elsewhere(set.Emplace("flows_placed_off_hash_total")),
+      exceptions(set.Emplace("flows_awaiting_replica_total")),
+      spilled(set.Emplace("flows_spilled_total")),
+      refused(set.Emplace("flows_refused_total")),
+      waited(set.Emplace("flows_waited_total")),
+      unannounced_slowdowns(
+          set.Emplace("slowdowns_total{announced=\"false\"}")),
+      announced_slowdowns(set.Emplace("slowdowns_total{announced=\"true\"}")),
+      silent_resets(set.Emplace("silent_flow_resets_total")),
+      table_full(set.Emplace("record_table_full_total")),
+      moved(set.Emplace("records_moved_total")),
+      consulted(set.Emplace("replica_lookups_total")) {}
+
+Steering::Impl::Impl(const Options& options, PlacerFactory& placers,
+                     SteeringSink& sink, CounterSet& counters)
+    : options_(options),
+      placers_(placers),
+      sink_(sink),
+      snapshot_(std::make_shared<Snapshot>()),
+      table_(options.record_capacity),
+      replicator_(options.batch_interval, sink),
+      recovery_(sink),
+      counts_(options.count_interval, sink),
+      reset_budget_(kResetsPerSecond, kResetBurst),
+      counters_(new Counters(counters), [](Counters* c) { delete c; }) {}
+
+void Steering::Impl::SetSnapshot(std::shared_ptr<const Snapshot> snapshot,
+                                 TimePoint now) {
+  const std::shared_ptr<const Snapshot> previous =
+      std::exchange(snapshot_, std::move(snapshot));
+  for (const Member& member : previous->members.members()) {
+    if (!IsAlive(member.id)) {
+      for (const DeliveredBatch& lost : replicator_.Abandon(member.id)) {
+        OnDelivered(lost, now);
+      }
+      for (auto& [service, placer] : service_placers_) {
+        placer->SetPeerCounts(member.id, {}, now);
+      }
+    }
+  }
+  std::erase_if(service_placers_, [&](const auto& entry) {
+    if (snapshot_->services.contains(entry.first)) return false;
+    counts_.Erase(entry.first);
+    return true;
+  });
+  for (auto& [service, placer] : service_placers_) {
+    placers_.Update(*placer, snapshot_->services.at(service).service,
+                    snapshot_->preset);
+  }
+  recovery_.OnSnapshot(*snapshot_, now);
+  // Owners and replicas may have changed for any record.
+  move_left_ = table_.slots();
+}
+
+void Steering::Impl::OnTimer(TimePoint now) {
+  for (const DeliveredBatch& given_up : replicator_.OnTimer(now)) {
+    OnDelivered(given_up, now);
+  }
+  recovery_.OnTimer(now);
+  for (const auto& [service, placer] : service_placers_) {
+    counts_.OnTimer(*snapshot_, snapshot_->services.at(service), *placer, now);
+  }
+  MoveRecords(now);
+  ServeRecovered(now);
+  ServeWaiting(now);
+  ExpireHeld(now);
+  Expire(now);
+}
+
+bool Steering::Impl::handed_over() const noexcept {
+  return is_leaving_ && move_left_ == 0 && replicator_.idle() && held_ == 0;
+}
+
+Steering::Stats Steering::Impl::stats() const noexcept {
+  Stats stats;
+  auto& table = const_cast<FlowTable&>(table_);
+  for (std::size_t i = 0; i < table.slots(); ++i) {
+    const FlowRecord* record = table.At(i);
+    if (record == nullptr) continue;
+    ++(record->role == RecordRole::kOwner ? stats.owned : stats.replicas);
+  }
+  stats.held = held_;
+  stats.moving = move_left_;
+  stats.recovering_services = recovery_.recovering();
+  return stats;
+}
+
+const ServiceView* Steering::Impl::ViewOf(ServiceId service) const noexcept {
+  const auto it = snapshot_->services.find(service);
+  return it == snapshot_->services.end() ? nullptr : &it->second;
+}
+
+bool Steering::Impl::IsAlive(InstanceId id) const noexcept {
+  const Member* member = snapshot_->members.Find(id);
+  return member != nullptr && member->state != MemberState::kDead &&
+         member->state != MemberState::kLeft;
+}
+
+Placer& Steering::Impl::PlacerOf(const ServiceView& view) {
+  auto& placer = service_placers_[view.service.id];
+  if (placer == nullptr) {
+    placer =
+        placers_.Make(view.service, snapshot_->preset, snapshot_->own_domain);
+  }
+  return *placer;
+}
+
+FlowRecord* Steering::Impl::EmplaceRecord(const Packet& packet,
+                                          RecordState state, TimePoint now) {
+  // A packet that waited has its record already.
+  if (FlowRecord* record = table_.Find(packet.key, packet.hash)) {
+    table_.Touch(*record, state, now);
+    return record;
+  }
+  if (table_.full() && !EvictOne(now)) {
+    counters_->table_full.Add();
+    return nullptr;
+  }
+  FlowRecord* record = table_.Emplace(packet.key, packet.hash, state, now);
+  record->initial_sequence = packet.sequence;
+  return record;
+}
+
+bool Steering::Impl::EvictOne(TimePoint now) {
+  FlowRecord* record = table_.Oldest(RecordState::kClosing);
+  if (record == nullptr) record = table_.Oldest(RecordState::kRefused);
+  if (record == nullptr) record = table_.Oldest(RecordState::kOpening);
+  if (record == nullptr || record->is_pending) return false;
+  const ServiceView* view = ViewOf(record->key.service);
+  const bool must_stay = view != nullptr && !view->service.idempotent &&
+                         now - record->last_seen < kFirstPacketLifetime;
+  // Without the record a copy of the first packet would run a second time.
+  if (must_stay) return false;
+  if (record->state == RecordState::kOpening &&
+      now - record->last_seen < kEvictableOpening) {
+    return false;
+  }
+  EraseRecord(*record, now);
+  return true;
+}
+
+void Steering::Impl::EraseRecord(FlowRecord& record, TimePoint now) {
+  StopCounting(record, now);
+  table_.Erase(record);
+}
+
+void Steering::Impl::StopCounting(FlowRecord& record, TimePoint now) {
+  if (!record.is_counted) return;
+  record.is_counted = false;
+  const auto it = service_placers_.find(record.key.service);
+  if (it != service_placers_.end()) it->second->End(record.target, now);
+}
+
+void Steering::Impl::Close(FlowRecord& record, TimePoint now) {
+  if (record.state == RecordState::kClosing) return;
+  StopCounting(record, now);
+  table_.Touch(record, RecordState::kClosing, now);
+  const ServiceView* view = ViewOf(record.key.service);
+  if (view == nullptr || record.role != RecordRole::kOwner) return;
+  Replicate(record, OwnersOf(*snapshot_, *view, record.hash), now);
+}
+
+void Steering::Impl::Replicate(FlowRecord& record, const Owners& owners,
+                               TimePoint now) {
+  if (owners.replica == kNoInstance || owners.replica == snapshot_->self) {
+    return;
+  }
+  record.replica = owners.replica;
+  replicator_.Add(owners.replica, {record.key, record.target, record.state},
+                  false, now);
+}
+
+Duration Steering::Impl::LifetimeOf(const FlowRecord& record) const noexcept {
+  switch (record.state) {
+    case RecordState::kClosing:
+      return record.was_learned ? kLearnedClosedLifetime : kClosedLifetime;
+    case RecordState::kRefused:
+      return kClosedLifetime;
+    case RecordState::kOpening:
+    case RecordState::kEstablished:
+      break;
+  }
+  if (record.role == RecordRole::kReplica) {
+    return options_.idle_timeout * kReplicaLifetimeFactor;
+  }
+  return record.state == RecordState::kOpening ? kOpeningLifetime
+                                               : options_.idle_timeout;
+}
+
+void Steering::Impl::Expire(TimePoint now) {
+  for (const RecordState state :
+       {RecordState::kOpening, RecordState::kEstablished, RecordState::kClosing,
+        RecordState::kRefused}) {
+    for (int i = 0; i < kExpireSteps; ++i) {
+      FlowRecord* record = table_.Oldest(state);
+      if (record == nullptr || now - record->last_seen < kClosedLifetime) break;
+      if (now - record->last_seen >= LifetimeOf(*record)) {
+        EraseRecord(*record, now);
+        continue;
+      }
+      // The oldest record has the longer lifetime of two kinds; let others
+      // past.
+      const TimePoint seen = record->last_seen;
+      table_.Touch(*record, state, seen);
+    }
+  }
+}
+
+Steering::Steering(const Options& options, PlacerFactory& placers,
+                   SteeringSink& sink, CounterSet& counters)
+    : impl_(std::make_unique<Impl>(options, placers, sink, counters)) {}
+
+Steering::~Steering() = default;
+
+void Steering::SetSnapshot(std::shared_ptr<const Snapshot> snapshot,
+                           TimePoint now) {
+  impl_->SetSnapshot(std::move(snapshot), now);
+}
+
+Verdict Steering::OnPacket(const Packet& packet, bool repeated, TimePoint now) {
+  // Two redirects: the fast path spends the first.
+  constexpr std::uint8_t kHops = 2;
+  return impl_->Decide(packet, repeated, kNoInstance, kNoInstance, kHops, now);
+}
+
+Verdict Steering::OnRedirect(const Packet& packet, bool repeated,
+                             InstanceId asker, InstanceId from,
+                             std::uint8_t hop_limit, TimePoint now) {
+  return impl_->Decide(packet, repeated, asker, from, hop_limit, now);
+}
+
+void Steering::OnMessage(InstanceId from, const FlowMessage& message,
+                         TimePoint now) {
+  impl_->OnMessage(from, message, now);
+}
+
+void Steering::OnLocalEnd(const FlowKey& key, TimePoint now) {
+  impl_->OnLocalEnd(key, now);
+}
+
+void Steering::OnReport(const LoadReport& report, TimePoint now) {
+  impl_->OnReport(report, now);
+}
+
+void Steering::OnTimer(TimePoint now) { impl_->OnTimer(now); }
+
+void Steering::BeginLeave(TimePoint /*now*/) { impl_->BeginLeave(); }
+
+bool Steering::handed_over() const noexcept { return impl_->handed_over(); }
+
+Steering::Stats Steering::stats() const noexcept { return impl_->stats(); }
+
+}  // namespace sapphirestream
--- a/src/sapphirestream/flow/steering.h
+++ b/src/sapphirestream/flow/steering.h
@@ -56,9 +56,9 @@
     // Records without a packet for this long are dropped.
     Duration idle_timeout = std::chrono::seconds(900);
     // Records moved per second to a new owner or replica.
-    std::uint32_t move_rate = 2'000;
+    std::uint32_t move_rate = 1'000;
     Duration batch_interval = std::chrono::milliseconds(50);
-    Duration count_interval = std::chrono::milliseconds(100);
+    Duration count_interval = std::chrono::milliseconds(200);
   };
 
   Steering(const Options& options, PlacerFactory& placers, SteeringSink& sink,
@@ -72,10 +72,11 @@
   // Decides about a packet that FastPath escalated.
   [[nodiscard]] Verdict OnPacket(const Packet& packet, bool repeated,
                                  TimePoint now);
-  // Decides about a packet that `from` redirected on behalf of `asker`.
+  // Decides about a packet that `from` redirected on behalf of `asker`, the
+  // instance that got it from the fabric.
   [[nodiscard]] Verdict OnRedirect(const Packet& packet, bool repeated,
-                                   InstanceId asker, std::uint8_t hop_limit,
-                                   TimePoint now);
+                                   InstanceId asker, InstanceId from,
+                                   std::uint8_t hop_limit, TimePoint now);
   void OnMessage(InstanceId from, const FlowMessage& message, TimePoint now);
   // A flow known to FastPath was closed by its client.
   void OnLocalEnd(const FlowKey& key, TimePoint now);
--- /dev/null
+++ b/src/sapphirestream/flow/steering_packet.cc
@@ -0,0 +1,385 @@
+// Decisions about single packets.
+#include "sapphirestream/flow/stateless_rule.h"
+#include "sapphirestream/flow/steering_impl.h"
+
+namespace sapphirestream {
+namespace {
+
+// Marked copies of the same bytes after which a flow counts as silent, and the
+// least time between the first and the last of them. Retransmissions back off
+// exponentially, so that several copies over 10 s mean repeated loss.
+constexpr std::uint8_t kSilentRepeats = 3;
+constexpr Duration kSilentSpan = std::chrono::seconds(10);
+// A target that made progress with another flow within this time is well.
+constexpr Duration kProgressWindow = std::chrono::seconds(30);
+// How long the replica's acknowledgement or the end of a recovery is awaited.
+constexpr Duration kRecordDeadline = std::chrono::seconds(3);
+constexpr Duration kUdpRefusalLifetime = std::chrono::seconds(1);
+
+Verdict Forward(TargetId target) noexcept {
+  return {.kind = VerdictKind::kForward, .target = target};
+}
+
+Verdict Drop(ErrorKind reason) noexcept {
+  return {.kind = VerdictKind::kDrop, .reason = reason};
+}
+
+Verdict Answer(ErrorKind reason) noexcept {
+  return {.kind = VerdictKind::kAnswer, .reason = reason};
+}
+
+// Whether the packet may be the first of a flow.
+bool MayBeFirst(const Packet& packet) noexcept {
+  return packet.opens() || packet.key.protocol == Protocol::kUdp;
+}
+
+std::uint32_t AskerBit(InstanceId asker) noexcept {
+  return 1U << (Value(asker) % 32);
+}
+
+}  // namespace
+
+Verdict Steering::Impl::Decide(const Packet& packet, bool repeated,
+                               InstanceId asker, InstanceId from,
+                               std::uint8_t hop_limit, TimePoint now) {
+  const ServiceView* view = ViewOf(packet.key.service);
+  if (view == nullptr) return Drop(ErrorKind::kUnknownService);
+  const Event event{.packet = packet,
+                    .view = *view,
+                    .owners = OwnersOf(*snapshot_, *view, packet.hash),
+                    .repeated = repeated,
+                    .asker = asker,
+                    .from = from,
+                    .hop_limit = hop_limit,
+                    .now = now};
+  FlowRecord* record = table_.Find(packet.key, packet.hash);
+  return record != nullptr ? OnKnown(*record, event) : OnUnknown(event);
+}
+
+Verdict Steering::Impl::OnKnown(FlowRecord& record, const Event& event) {
+  const Packet& packet = event.packet;
+  if (record.state == RecordState::kRefused) return OnRefused(record, event);
+  // A copy of a held packet: the held one will be forwarded.
+  if (record.is_pending) return Drop(ErrorKind::kNone);
+  if (!event.view.targets.contains(record.target)) {
+    return Drop(ErrorKind::kNoTargetAvailable);
+  }
+  if (packet.opens() && MayReuse(record, event)) {
+    Event reuse = event;
+    // Other instances may still send the tuple to its former target.
+    if (record.was_learned && TakesNewFlows(event.view, record.target)) {
+      reuse.preferred = record.target;
+    }
+    EraseRecord(record, event.now);
+    return OnUnknown(reuse);
+  }
+  if (record.needs_ack) return HoldException(record, event);
+  if (event.repeated && record.role == RecordRole::kOwner) {
+    return OnRepeated(record, event);
+  }
+  return ForwardRecorded(record, event);
+}
+
+bool Steering::Impl::MayReuse(const FlowRecord& record,
+                              const Event& event) const noexcept {
+  return record.role == RecordRole::kOwner &&
+         record.state == RecordState::kClosing &&
+         record.initial_sequence != event.packet.sequence;
+}
+
+bool Steering::Impl::TakesNewFlows(const ServiceView& view,
+                                   TargetId target) const noexcept {
+  const auto it = view.targets.find(target);
+  return it != view.targets.end() &&
+         it->second.IsInTableOf(view.active.version);
+}
+
+Verdict Steering::Impl::OnRefused(FlowRecord& record, const Event& event) {
+  const ErrorKind reason = record.reason;
+  if (!MayBeFirst(event.packet)) return Drop(reason);
+  if (event.packet.key.protocol == Protocol::kUdp &&
+      event.view.service.idempotent &&
+      event.now - record.last_seen > kUdpRefusalLifetime) {
+    EraseRecord(record, event.now);
+    return OnUnknown(event);
+  }
+  return Answer(reason);
+}
+
+Verdict Steering::Impl::OnRepeated(FlowRecord& record, const Event& event) {
+  if (record.repeats == 0) record.first_repeat = event.now;
+  if (record.repeats < UINT8_MAX) ++record.repeats;
+  const bool is_silent = record.repeats >= kSilentRepeats &&
+                         event.now - record.first_repeat >= kSilentSpan;
+  const auto progress = progress_.find(record.target);
+  const bool target_is_well = progress != progress_.end() &&
+                              event.now - progress->second < kProgressWindow;
+  if (!is_silent || !target_is_well || !event.view.service.idempotent ||
+      !reset_budget_.Take(event.now)) {
+    return ForwardRecorded(record, event);
+  }
+  counters_->silent_resets.Add();
+  sink_.Forgotten(record.key);
+  Close(record, event.now);
+  return Answer(ErrorKind::kSilentFlow);
+}
+
+Verdict Steering::Impl::ForwardRecorded(FlowRecord& record,
+                                        const Event& event) {
+  const Packet& packet = event.packet;
+  const TargetId target = record.target;
+  if (record.role == RecordRole::kReplica) {
+    // The owner asks because it has no record; tell it for the next time.
+    if (event.owners.owner == event.from && event.from != kNoInstance) {
+      counters_->consulted.Add();
+      replicator_.Add(event.from, {record.key, target, record.state}, true,
+                      event.now);
+    }
+    table_.Touch(record, record.state, event.now);
+    return Forward(target);
+  }
+  if (!event.repeated) {
+    record.repeats = 0;
+    if (!packet.opens()) progress_[target] = event.now;
+  }
+  RecordState state = record.state;
+  if (state == RecordState::kOpening && !packet.opens()) {
+    state = RecordState::kEstablished;
+  }
+  table_.Touch(record, state, event.now);
+  if (packet.fin || packet.rst) {
+    Close(record, event.now);
+  } else if (event.asker == kNoInstance) {
+    record.was_learned = true;
+    sink_.Learned(record.key, target);
+  } else if (!packet.opens()) {
+    // Short flows send few packets to the same instance, so that learning from
+    // the first would cost more than it saves.
+    if ((record.askers & AskerBit(event.asker)) != 0) {
+      record.was_learned = true;
+      sink_.Send(event.asker, Learn{record.key, target});
+    }
+    record.askers |= AskerBit(event.asker);
+  }
+  return Forward(target);
+}
+
+Verdict Steering::Impl::OnUnknown(const Event& event) {
+  const InstanceId self = snapshot_->self;
+  if (event.owners.owner == self) return OnUnknownAsOwner(event);
+  if (event.owners.owner == kNoInstance ||
+      (event.from == event.owners.owner && event.from != kNoInstance)) {
+    return OnConsulted(event);
+  }
+  return RedirectTo(event.owners.owner, event);
+}
+
+Verdict Steering::Impl::RedirectTo(InstanceId to, const Event& event) {
+  if (event.hop_limit == 0) return Drop(ErrorKind::kHopLimitExceeded);
+  return {.kind = VerdictKind::kRedirect,
+          .instance = to,
+          .hop_limit = static_cast<std::uint8_t>(event.hop_limit - 1)};
+}
+
+Verdict Steering::Impl::OnConsulted(const Event& event) {
+  if (event.owners.owner == kNoInstance && MayBeFirst(event.packet)) {
+    return Drop(ErrorKind::kOwnerUnreachable);
+  }
+  const Owners previous =
+      OwnersOf(*snapshot_, event.view, event.packet.hash, ViewAge::kPrevious);
+  const bool was_owner = previous.owner == snapshot_->self;
+  if (was_owner && event.owners.replica != snapshot_->self &&
+      event.owners.replica != kNoInstance && event.hop_limit > 0) {
+    return RedirectTo(event.owners.replica, event);
+  }
+  const TargetId target = UnrecordedTarget(event.view, event.packet.hash);
+  if (target == kNoTarget) return Drop(ErrorKind::kNoTargetAvailable);
+  if (event.owners.owner != kNoInstance) {
+    replicator_.Add(event.from,
+                    {event.packet.key, target, RecordState::kOpening}, true,
+                    event.now);
+  }
+  return Forward(target);
+}
+
+Verdict Steering::Impl::OnUnknownAsOwner(const Event& event) {
+  const bool is_recovering =
+      recovery_.StateOf(event.view.service.id) == OwnershipState::kRecovering;
+  if (event.packet.opens()) return OnFirst(event);
+  if (event.packet.key.protocol == Protocol::kUdp &&
+      !(is_recovering && event.view.service.idempotent)) {
+    return OnFirst(event);
+  }
+  // An established flow: its record may be at the owner by the previous view or
+  // at the replica. The one that redirected the packet was asked already.
+  const Owners previous =
+      OwnersOf(*snapshot_, event.view, event.packet.hash, ViewAge::kPrevious);
+  for (const InstanceId other : {previous.owner, event.owners.replica}) {
+    if (other == kNoInstance || other == snapshot_->self) continue;
+    if (other == event.from || other == event.asker || !IsAlive(other)) {
+      continue;
+    }
+    if (event.hop_limit > 0) return RedirectTo(other, event);
+  }
+  return OnUnrecorded(event);
+}
+
+Verdict Steering::Impl::OnUnrecorded(const Event& event) {
+  const TargetId target = UnrecordedTarget(event.view, event.packet.hash);
+  if (target == kNoTarget) return Drop(ErrorKind::kNoTargetAvailable);
+  FlowRecord* record =
+      EmplaceRecord(event.packet, RecordState::kOpening, event.now);
+  if (record == nullptr) return Forward(target);
+  record->target = target;
+  Replicate(*record, event.owners, event.now);
+  return ForwardRecorded(*record, event);
+}
+
+Verdict Steering::Impl::OnFirst(const Event& event) {
+  const ServiceView& view = event.view;
+  if (view.service.idempotent) return PlaceFirst(event);
+  // Silence is the only truthful answer of an instance that doesn't know
+  // whether another one forwarded a copy of the packet.
+  if (event.now >= snapshot_->authority_until || is_leaving_) {
+    return Drop(ErrorKind::kNoAuthority);
+  }
+  if (!recovery_.MayDecideOnce(view.service.id, event.now)) {
+    return Hold(recovering_, event, event.now + kRecordDeadline);
+  }
+  return PlaceFirst(event);
+}
+
+Verdict Steering::Impl::PlaceFirst(const Event& event) {
+  const ServiceView& view = event.view;
+  const TargetId hash_target = view.active.table->At(event.packet.hash);
+  const bool is_load_placed =
+      IsLoadPlaced(event.packet.hash, view.active.load_share_permille);
+  if (event.preferred != kNoTarget) {
+    if (is_load_placed) PlacerOf(view).Adopt(event.preferred, event.now);
+    return OnPlaced(
+        event, {.kind = PlacementKind::kPlaced, .target = event.preferred});
+  }
+  if (is_load_placed) {
+    const Placement placement = PlacerOf(view).Place(
+        {.flow_hash = event.packet.hash, .hash_target = hash_target},
+        event.now);
+    return OnPlaced(event, placement);
+  }
+  if (hash_target == kNoTarget)
+    return Refuse(event, ErrorKind::kNoTargetAvailable);
+  return OnPlaced(event,
+                  {.kind = PlacementKind::kPlaced, .target = hash_target});
+}
+
+Verdict Steering::Impl::OnPlaced(const Event& event,
+                                 const Placement& placement) {
+  if (placement.kind == PlacementKind::kRefused) {
+    return Refuse(event, placement.reason);
+  }
+  if (placement.kind == PlacementKind::kWait) {
+    CountSlowdown(event.view);
+    counters_->waited.Add();
+    FlowRecord* record =
+        EmplaceRecord(event.packet, RecordState::kOpening, event.now);
+    if (record == nullptr) return Answer(ErrorKind::kQueueFull);
+    record->is_pending = true;
+    return Hold(waiting_[event.view.service.id], event,
+                event.now + snapshot_->preset.max_wait);
+  }
+  const bool was_counted =
+      IsLoadPlaced(event.packet.hash, event.view.active.load_share_permille);
+  FlowRecord* record =
+      EmplaceRecord(event.packet, RecordState::kOpening, event.now);
+  if (record == nullptr) {
+    if (was_counted) PlacerOf(event.view).End(placement.target, event.now);
+    const bool is_safe = event.view.service.idempotent &&
+                         IsBucketStable(event.view, event.packet.hash);
+    if (!is_safe) return Answer(ErrorKind::kQueueFull);
+    return Forward(event.view.active.table->At(event.packet.hash));
+  }
+  record->target = placement.target;
+  record->is_counted = was_counted;
+  counters_->placed.Add();
+  if (placement.spilled) counters_->spilled.Add();
+  const bool is_implied =
+      placement.target == event.view.active.table->At(event.packet.hash) &&
+      IsBucketStable(event.view, event.packet.hash);
+  if (!is_implied) counters_->placed_elsewhere.Add();
+  if (event.view.service.idempotent || is_implied) {
+    Replicate(*record, event.owners, event.now);
+    return ForwardRecorded(*record, event);
+  }
+  return HoldException(*record, event);
+}
+
+Verdict Steering::Impl::HoldException(FlowRecord& record, const Event& event) {
+  const ServiceView& view = event.view;
+  record.needs_ack = true;
+  if (event.owners.replica == kNoInstance) {
+    // A copy that was sent before may have arrived, and names this target.
+    if (record.replica != kNoInstance ||
+        !IsBucketStable(view, event.packet.hash)) {
+      return Drop(ErrorKind::kOwnerUnreachable);
+    }
+    // Nobody can keep a copy. A new owner would choose the hash target, so that
+    // only it is safe.
+    StopCounting(record, event.now);
+    record.needs_ack = false;
+    record.target = view.active.table->At(event.packet.hash);
+    PlacerOf(view).Adopt(record.target, event.now);
+    record.is_counted = true;
+    return ForwardRecorded(record, event);
+  }
+  if (held_ >= options_.hold_capacity) return Drop(ErrorKind::kQueueFull);
+  counters_->exceptions.Add();
+  record.is_pending = true;
+  record.replica = event.owners.replica;
+  const std::uint64_t sequence = replicator_.SendNow(
+      record.replica, {record.key, record.target, RecordState::kOpening},
+      event.now);
+  const std::uint64_t token = next_token_++;
+  ++held_;
+  unacknowledged_.emplace(sequence,
+                          Held{.token = token,
+                               .packet = event.packet,
+                               .asker = event.asker,
+                               .deadline = event.now + kRecordDeadline});
+  return {.kind = VerdictKind::kHold, .token = token};
+}
+
+Verdict Steering::Impl::Hold(std::deque<Held>& queue, const Event& event,
+                             TimePoint deadline) {
+  if (held_ >= options_.hold_capacity) {
+    FlowRecord* record = table_.Find(event.packet.key, event.packet.hash);
+    if (record == nullptr) return Drop(ErrorKind::kQueueFull);
+    EraseRecord(*record, event.now);
+    return Refuse(event, ErrorKind::kQueueFull);
+  }
+  const std::uint64_t token = next_token_++;
+  ++held_;
+  queue.push_back({.token = token,
+                   .packet = event.packet,
+                   .asker = event.asker,
+                   .deadline = deadline});
+  return {.kind = VerdictKind::kHold, .token = token};
+}
+
+Verdict Steering::Impl::Refuse(const Event& event, ErrorKind reason) {
+  CountSlowdown(event.view);
+  counters_->refused.Add();
+  FlowRecord* record =
+      EmplaceRecord(event.packet, RecordState::kRefused, event.now);
+  // Without a record, a later copy could run after the client was told "not
+  // run", so the client is told nothing.
+  if (record == nullptr) return Drop(reason);
+  record->reason = reason;
+  return Answer(reason);
+}
+
+void Steering::Impl::CountSlowdown(const ServiceView& view) {
+  (view.slowdown_announced ? counters_->announced_slowdowns
+                           : counters_->unannounced_slowdowns)
+      .Add();
+}
+
+}  // namespace sapphirestream
--- /dev/null
+++ b/src/sapphirestream/flow/steering_records.cc
@@ -0,0 +1,378 @@
+// Messages between owners, moves of records and held packets.
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "sapphirestream/flow/stateless_rule.h"
+#include "sapphirestream/flow/steering_impl.h"
+
+namespace sapphirestream {
+namespace {
+
+// Positions of the table that one RecordPull may look at.
+constexpr std::size_t kPullSteps = 4'096;
+
+template <typename... Handlers>
+struct Overloaded : Handlers... {
+  using Handlers::operator()...;
+};
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+}  // namespace
+
+void Steering::Impl::OnMessage(InstanceId from, const FlowMessage& message,
+                               TimePoint now) {
+  std::visit(
+      Overloaded{
+          [&](const Learn& learn) { sink_.Learned(learn.key, learn.target); },
+          [&](const RecordBatch& batch) { OnBatch(from, batch, now); },
+          [&](const RecordAck& ack) {
+            if (auto delivered = replicator_.OnAck(from, ack)) {
+              OnDelivered(*delivered, now);
+            }
+          },
+          [&](const RecordPull& pull) { OnPull(from, pull, now); },
+          [&](const RecordPage& page) { OnPage(from, page, now); },
+          [&](const FlowEnd& end) {
+            for (const FlowKey& key : end.flows) OnLocalEnd(key, now);
+          },
+          [&](const PlacementCounts& counts) {
+            if (const ServiceView* view = ViewOf(counts.service)) {
+              counts_.OnCounts(from, counts, PlacerOf(*view), now);
+            }
+          },
+      },
+      message);
+}
+
+void Steering::Impl::OnLocalEnd(const FlowKey& key, TimePoint now) {
+  const std::uint64_t hash = HashFlow(key);
+  if (FlowRecord* record = table_.Find(key, hash);
+      record != nullptr && record->role == RecordRole::kOwner) {
+    Close(*record, now);
+    return;
+  }
+  const ServiceView* view = ViewOf(key.service);
+  if (view == nullptr) return;
+  const Owners owners = OwnersOf(*snapshot_, *view, hash);
+  if (owners.owner == kNoInstance || owners.owner == snapshot_->self) return;
+  sink_.Send(owners.owner, FlowEnd{{key}});
+}
+
+void Steering::Impl::OnReport(const LoadReport& report, TimePoint now) {
+  for (const auto& [id, view] : snapshot_->services) {
+    if (view.targets.contains(report.target)) {
+      PlacerOf(view).Report(report, now);
+    }
+  }
+}
+
+void Steering::Impl::OnBatch(InstanceId from, const RecordBatch& batch,
+                             TimePoint now) {
+  bool accepted = true;
+  for (const RecordCopy& copy : batch.records) {
+    if (!OnCopy(from, copy, batch.handover, now)) accepted = false;
+  }
+  if (batch.sequence != 0) {
+    sink_.Send(from, RecordAck{batch.sequence, accepted});
+  }
+}
+
+bool Steering::Impl::OnCopy(InstanceId from, const RecordCopy& copy,
+                            bool handover, TimePoint now) {
+  const ServiceView* view = ViewOf(copy.key.service);
+  if (view == nullptr) return false;
+  const std::uint64_t hash = HashFlow(copy.key);
+  const Owners owners = OwnersOf(*snapshot_, *view, hash);
+  if (handover && owners.owner == snapshot_->self) {
+    Adopt(copy, now);
+    return true;
+  }
+  FlowRecord* record = table_.Find(copy.key, hash);
+  // An acknowledgement is a promise that no other instance decides about the
+  // flow, so that the sender must be the owner in this instance's view.
+  if (record == nullptr && !handover && owners.owner != from) return false;
+  if (record != nullptr && record->role == RecordRole::kOwner) return false;
+  if (record == nullptr) {
+    if (copy.state == RecordState::kClosing) return true;
+    Packet packet;
+    packet.key = copy.key;
+    packet.hash = hash;
+    record = EmplaceRecord(packet, copy.state, now);
+    if (record == nullptr) return false;
+    record->role = RecordRole::kReplica;
+    record->target = copy.target;
+    return true;
+  }
+  const bool is_reused = record->state == RecordState::kClosing &&
+                         copy.state != RecordState::kClosing;
+  if (record->target != copy.target && !is_reused) return false;
+  record->target = copy.target;
+  table_.Touch(*record, copy.state, now);
+  return true;
+}
+
+void Steering::Impl::Adopt(const RecordCopy& copy, TimePoint now) {
+  const std::uint64_t hash = HashFlow(copy.key);
+  FlowRecord* record = table_.Find(copy.key, hash);
+  if (record != nullptr && record->role == RecordRole::kOwner) return;
+  const ServiceView* view = ViewOf(copy.key.service);
+  if (view == nullptr) return;
+  if (record == nullptr) {
+    Packet packet;
+    packet.key = copy.key;
+    packet.hash = hash;
+    record = EmplaceRecord(packet, copy.state, now);
+    if (record == nullptr) return;
+  }
+  record->role = RecordRole::kOwner;
+  record->target = copy.target;
+  // Somebody may have learned it from the former owner.
+  record->was_learned = true;
+  table_.Touch(*record, copy.state, now);
+  const bool is_open = copy.state == RecordState::kOpening ||
+                       copy.state == RecordState::kEstablished;
+  if (is_open && IsLoadPlaced(hash, view->active.load_share_permille)) {
+    PlacerOf(*view).Adopt(copy.target, now);
+    record->is_counted = true;
+  }
+  counters_->moved.Add();
+  Replicate(*record, OwnersOf(*snapshot_, *view, hash), now);
+}
+
+void Steering::Impl::OnPull(InstanceId from, const RecordPull& pull,
+                            TimePoint /*now*/) {
+  const ServiceView* view = ViewOf(pull.service);
+  // An unknown service must not look like one without records.
+  if (view == nullptr) return;
+  RecordPage page;
+  page.service = pull.service;
+  page.domain = pull.domain;
+  std::size_t position = pull.cursor;
+  const std::size_t end = std::min(
+      table_.slots(), static_cast<std::size_t>(pull.cursor) + kPullSteps);
+  for (; position < end; ++position) {
+    if (page.records.size() == Replicator::kBatchRecords) break;
+    const FlowRecord* record = table_.At(position);
+    if (record == nullptr || record->key.service != pull.service) continue;
+    if (record->target == kNoTarget) continue;
+    const Owners owners = OwnersOf(*snapshot_, *view, record->hash);
+    if (owners.home != pull.domain) continue;
+    page.records.push_back({record->key, record->target, record->state});
+  }
+  if (position < table_.slots()) page.next_cursor = position;
+  sink_.Send(from, page);
+}
+
+void Steering::Impl::OnPage(InstanceId from, const RecordPage& page,
+                            TimePoint now) {
+  const ServiceView* view = ViewOf(page.service);
+  if (view == nullptr) return;
+  for (const RecordCopy& copy : page.records) {
+    const Owners owners = OwnersOf(*snapshot_, *view, HashFlow(copy.key));
+    if (owners.owner == snapshot_->self) Adopt(copy, now);
+  }
+  recovery_.OnPage(from, page, now);
+}
+
+void Steering::Impl::OnDelivered(const DeliveredBatch& delivered,
+                                 TimePoint now) {
+  for (const RecordCopy& copy : delivered.batch.records) {
+    FlowRecord* record = table_.Find(copy.key, HashFlow(copy.key));
+    if (record != nullptr) OnAcknowledged(*record, delivered, now);
+  }
+  const auto it = unacknowledged_.find(delivered.batch.sequence);
+  if (it == unacknowledged_.end()) return;
+  const Held held = std::move(it->second);
+  unacknowledged_.erase(it);
+  --held_;
+  FlowRecord* record = table_.Find(held.packet.key, held.packet.hash);
+  // Authority may have lapsed while the acknowledgement was on its way.
+  const bool may_forward = delivered.accepted && record != nullptr &&
+                           now < snapshot_->authority_until;
+  if (may_forward) {
+    sink_.Release(held.token,
+                  {.kind = VerdictKind::kForward, .target = record->target});
+    return;
+  }
+  sink_.Release(held.token, {.kind = VerdictKind::kDrop,
+                             .reason = ErrorKind::kOwnerUnreachable});
+}
+
+void Steering::Impl::OnAcknowledged(FlowRecord& record,
+                                    const DeliveredBatch& delivered,
+                                    TimePoint now) {
+  if (delivered.batch.handover) {
+    if (!delivered.accepted || record.role != RecordRole::kOwner) return;
+    const ServiceView* view = ViewOf(record.key.service);
+    if (view == nullptr) return;
+    if (OwnersOf(*snapshot_, *view, record.hash).owner != delivered.to) return;
+    StopCounting(record, now);
+    record.role = RecordRole::kReplica;
+    return;
+  }
+  if (record.needs_ack && record.is_pending) {
+    record.is_pending = false;
+    if (delivered.accepted) record.needs_ack = false;
+  }
+  // A copy that didn't arrive is sent again by the next round of MoveRecords.
+  if (!delivered.accepted && record.replica == delivered.to &&
+      !record.needs_ack) {
+    record.replica = kNoInstance;
+    move_left_ = table_.slots();
+  }
+}
+
+void Steering::Impl::MoveRecords(TimePoint now) {
+  if (move_left_ == 0) {
+    last_move_ = now;
+    return;
+  }
+  const std::chrono::duration<double> elapsed = now - last_move_;
+  auto budget = static_cast<std::int64_t>(elapsed.count() * options_.move_rate);
+  if (budget == 0) return;
+  last_move_ = now;
+  while (budget > 0 && move_left_ > 0) {
+    if (move_position_ >= table_.slots()) move_position_ = 0;
+    FlowRecord* record = table_.At(move_position_++);
+    --move_left_;
+    if (record != nullptr && MoveRecord(*record, now)) --budget;
+  }
+}
+
+bool Steering::Impl::MoveRecord(FlowRecord& record, TimePoint now) {
+  if (record.role != RecordRole::kOwner || record.target == kNoTarget) {
+    return false;
+  }
+  if (record.state == RecordState::kRefused || record.is_pending) return false;
+  const ServiceView* view = ViewOf(record.key.service);
+  if (view == nullptr) return false;
+  const Owners owners = OwnersOf(*snapshot_, *view, record.hash);
+  const RecordCopy copy{record.key, record.target, record.state};
+  if (owners.owner != snapshot_->self && owners.owner != kNoInstance) {
+    replicator_.Add(owners.owner, copy, true, now);
+    return true;
+  }
+  if (record.state == RecordState::kClosing || record.needs_ack) return false;
+  if (owners.replica == kNoInstance || owners.replica == record.replica) {
+    return false;
+  }
+  Replicate(record, owners, now);
+  return true;
+}
+
+void Steering::Impl::ServeWaiting(TimePoint now) {
+  for (auto& [service, queue] : waiting_) {
+    if (queue.empty()) continue;
+    if (const ServiceView* view = ViewOf(service)) {
+      ServeWaiting(*view, queue, now);
+    }
+  }
+}
+
+void Steering::Impl::ServeWaiting(const ServiceView& view,
+                                  std::deque<Held>& queue, TimePoint now) {
+  while (!queue.empty()) {
+    const Held held = queue.front();
+    FlowRecord* record = table_.Find(held.packet.key, held.packet.hash);
+    const bool may_decide =
+        view.service.idempotent || now < snapshot_->authority_until;
+    const bool is_over = record == nullptr || now >= held.deadline;
+    if (!is_over && !may_decide) return;
+    Verdict verdict{.kind = VerdictKind::kDrop,
+                    .reason = ErrorKind::kDeadlineExceeded};
+    if (is_over) {
+      queue.pop_front();
+      --held_;
+      if (record != nullptr && may_decide) {
+        record->is_pending = false;
+        record->reason = ErrorKind::kDeadlineExceeded;
+        table_.Touch(*record, RecordState::kRefused, now);
+        counters_->refused.Add();
+        verdict.kind = VerdictKind::kAnswer;
+      } else if (record != nullptr) {
+        EraseRecord(*record, now);
+      }
+      sink_.Release(held.token, verdict);
+      continue;
+    }
+    const Placement placement = PlacerOf(view).Place(
+        {.flow_hash = held.packet.hash,
+         .hash_target = view.active.table->At(held.packet.hash)},
+        now);
+    if (placement.kind == PlacementKind::kWait) return;
+    queue.pop_front();
+    --held_;
+    record->is_pending = false;
+    const Event event{.packet = held.packet,
+                      .view = view,
+                      .owners = OwnersOf(*snapshot_, view, held.packet.hash),
+                      .repeated = false,
+                      .asker = held.asker,
+                      .from = held.asker,
+                      .hop_limit = 0,
+                      .now = now};
+    verdict = OnPlaced(event, placement);
+    if (verdict.kind == VerdictKind::kHold) {
+      // The packet goes on under the token that its holder knows.
+      for (auto& [sequence, waiting] : unacknowledged_) {
+        if (waiting.token == verdict.token) waiting.token = held.token;
+      }
+      continue;
+    }
+    sink_.Release(held.token, verdict);
+  }
+}
+
+void Steering::Impl::ServeRecovered(TimePoint now) {
+  std::deque<Held> later;
+  while (!recovering_.empty()) {
+    Held held = std::move(recovering_.front());
+    recovering_.pop_front();
+    const ServiceView* view = ViewOf(held.packet.key.service);
+    if (view == nullptr || now >= held.deadline) {
+      --held_;
+      sink_.Release(held.token, {.kind = VerdictKind::kDrop,
+                                 .reason = ErrorKind::kOwnerUnreachable});
+      continue;
+    }
+    if (!recovery_.MayDecideOnce(held.packet.key.service, now)) {
+      later.push_back(std::move(held));
+      continue;
+    }
+    --held_;
+    const Verdict verdict =
+        Decide(held.packet, false, held.asker, held.asker, 0, now);
+    if (verdict.kind != VerdictKind::kHold) {
+      sink_.Release(held.token, verdict);
+      continue;
+    }
+    for (auto& [sequence, waiting] : unacknowledged_) {
+      if (waiting.token == verdict.token) waiting.token = held.token;
+    }
+    for (Held& waiting : waiting_[held.packet.key.service]) {
+      if (waiting.token == verdict.token) waiting.token = held.token;
+    }
+  }
+  recovering_.insert(recovering_.end(), later.begin(), later.end());
+}
+
+void Steering::Impl::ExpireHeld(TimePoint now) {
+  for (auto it = unacknowledged_.begin(); it != unacknowledged_.end();) {
+    if (now < it->second.deadline) {
+      ++it;
+      continue;
+    }
+    sink_.Release(it->second.token, {.kind = VerdictKind::kDrop,
+                                     .reason = ErrorKind::kOwnerUnreachable});
+    if (FlowRecord* record =
+            table_.Find(it->second.packet.key, it->second.packet.hash)) {
+      record->is_pending = false;
+    }
+    it = unacknowledged_.erase(it);
+    --held_;
+  }
+}
+
+}  // namespace sapphirestream
--- a/src/sapphirestream/target/placer.h
+++ b/src/sapphirestream/target/placer.h
@@ -27,7 +27,7 @@
 struct Placement {
   PlacementKind kind = PlacementKind::kRefused;
   TargetId target = kNoTarget;
-  ErrorKind reason = ErrorKind::kNoTarget;
+  ErrorKind reason = ErrorKind::kNoTargetAvailable;
   // Whether the target is outside the decider's failure domain.
   bool spilled = false;
 };
