--- a/src/sapphirestream/flow/snapshot_builder.cc
+++ b/src/sapphirestream/flow/snapshot_builder.cc
@@ -2,6 +2,7 @@
 #include "sapphirestream/flow/snapshot_builder.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "sapphirestream/flow/ownership.h"
@@ -101,18 +102,25 @@
         .load_share_permille = LoadShareAt(*inputs.newest, service, version)};
   };
   const std::vector<VersionTime> versions = VersionsOf(*inputs.newest, service);
-  view.active = make(inputs.active->version);
-  for (std::size_t i = 0; i < versions.size(); ++i) {
-    if (versions[i].version > inputs.active->version) {
-      view.prepared.push_back(make(versions[i].version));
-      continue;
-    }
-    const bool is_current = i + 1 == versions.size() ||
-                            versions[i + 1].version > inputs.active->version;
-    if (is_current) continue;
-    const auto age = inputs.now - versions[i + 1].accepted;
+  // The first version that is not active yet.
+  const auto next = std::find_if(
+      versions.begin(), versions.end(),
+      [&](const VersionTime& v) { return v.version > inputs.active->version; });
+  for (auto it = next; it != versions.end(); ++it) {
+    view.prepared.push_back(make(it->version));
+  }
+  if (next == versions.begin()) {
+    view.active = make(ConfigVersion{});
+    return view;
+  }
+  // Not the configuration's version: the table would be built again with every
+  // change to another service.
+  const auto current = std::prev(next);
+  view.active = make(current->version);
+  for (auto it = versions.begin(); it != current; ++it) {
+    const auto age = inputs.now - std::next(it)->accepted;
     if (age >= kMaxFlowLifetime) continue;
-    ServiceVersion retained = make(versions[i].version);
+    ServiceVersion retained = make(it->version);
     retained.recorded = age >= idle_timeout_;
     view.retained.push_back(std::move(retained));
   }
--- a/src/sapphirestream/flow/stateless_rule.h
+++ b/src/sapphirestream/flow/stateless_rule.h
@@ -16,15 +16,19 @@
   return (((hash & 0xffffffffU) * 1000) >> 32) < share_permille;
 }
 
-// Whether a flow's bucket has the same target in all versions.
+// Whether a flow's bucket has the same target in all versions that have any.
 [[nodiscard]] inline bool IsBucketStable(const ServiceView& view,
                                          std::uint64_t hash) noexcept {
   const TargetId target = view.active.table->At(hash);
+  const auto differs = [&](const ServiceVersion& version) {
+    const TargetId other = version.table->At(hash);
+    return other != kNoTarget && other != target;
+  };
   for (const ServiceVersion& version : view.retained) {
-    if (version.table->At(hash) != target) return false;
+    if (differs(version)) return false;
   }
   for (const ServiceVersion& version : view.prepared) {
-    if (version.table->At(hash) != target) return false;
+    if (differs(version)) return false;
   }
   return target != kNoTarget;
 }
--- a/src/sapphirestream/flow/steering_impl.h
+++ b/src/sapphirestream/flow/steering_impl.h
@@ -50,6 +50,8 @@
     TimePoint now;
     // Where a new flow on a reused tuple goes if it can.
     TargetId preferred = kNoTarget;
+    // A first packet of a flow that has a record already.
+    bool is_copy = false;
   };
   // A first packet that is held until a slot is free, the replica has
   // acknowledged its record, or recovery is over.
@@ -74,6 +76,7 @@
   Verdict OnPlaced(const Event& event, const Placement& placement);
   Verdict HoldException(FlowRecord& record, const Event& event);
   Verdict Refuse(const Event& event, ErrorKind reason);
+  void NoteProgress(const Event& event, TargetId target);
   Verdict ForwardRecorded(FlowRecord& record, const Event& event);
   Verdict Hold(std::deque<Held>& queue, const Event& event, TimePoint deadline);
   Verdict RedirectTo(InstanceId to, const Event& event);
--- a/src/sapphirestream/flow/steering_packet.cc
+++ b/src/sapphirestream/flow/steering_packet.cc
@@ -44,16 +44,18 @@
                                std::uint8_t hop_limit, TimePoint now) {
   const ServiceView* view = ViewOf(packet.key.service);
   if (view == nullptr) return Drop(ErrorKind::kUnknownService);
-  const Event event{.packet = packet,
-                    .view = *view,
-                    .owners = OwnersOf(*snapshot_, *view, packet.hash),
-                    .repeated = repeated,
-                    .asker = asker,
-                    .from = from,
-                    .hop_limit = hop_limit,
-                    .now = now};
+  Event event{.packet = packet,
+              .view = *view,
+              .owners = OwnersOf(*snapshot_, *view, packet.hash),
+              .repeated = repeated,
+              .asker = asker,
+              .from = from,
+              .hop_limit = hop_limit,
+              .now = now};
   FlowRecord* record = table_.Find(packet.key, packet.hash);
-  return record != nullptr ? OnKnown(*record, event) : OnUnknown(event);
+  if (record == nullptr) return OnUnknown(event);
+  event.is_copy = packet.opens();
+  return OnKnown(*record, event);
 }
 
 Verdict Steering::Impl::OnKnown(FlowRecord& record, const Event& event) {
@@ -124,6 +126,18 @@
   return Answer(ErrorKind::kSilentFlow);
 }
 
+void Steering::Impl::NoteProgress(const Event& event, TargetId target) {
+  const auto it = service_placers_.find(event.view.service.id);
+  Placer* placer = it == service_placers_.end() ? nullptr : it->second.get();
+  if (event.packet.opens()) {
+    // A second copy of the first packet: the target has not answered.
+    if (event.is_copy && placer != nullptr) placer->Stalled(target, event.now);
+    return;
+  }
+  progress_[target] = event.now;
+  if (placer != nullptr) placer->Progressed(target, event.now);
+}
+
 Verdict Steering::Impl::ForwardRecorded(FlowRecord& record,
                                         const Event& event) {
   const Packet& packet = event.packet;
@@ -140,7 +154,7 @@
   }
   if (!event.repeated) {
     record.repeats = 0;
-    if (!packet.opens()) progress_[target] = event.now;
+    NoteProgress(event, target);
   }
   RecordState state = record.state;
   if (state == RecordState::kOpening && !packet.opens()) {
