Add peer message codec and authenticated datagram

Cause: instances exchange datagrams over costly, lossy links that others may write to. Change: Cap'n Proto codec of every peer message with bounds on memory, keyed BLAKE2b tag, replay window per sender, channel and incarnation. The receiver's id is part of the tag's input, since a datagram recorded on its way to one instance must not open at another. Conclusion: unknown senders, bad tags, replays and stale incarnations are refused with their kind.

--- a/src/sapphirestream/link/peer_message.h
+++ b/src/sapphirestream/link/peer_message.h
@@ -22,8 +22,8 @@
 // Appends the Cap'n Proto form (packed) of a message to `out`.
 void EncodePeerMessage(const PeerMessage& message, std::vector<std::byte>& out);
 
-// Decodes a message. Errors: kMalformedMessage. Never allocates more than a
-// small multiple of the input's size.
+// Decodes a message. Errors: kMalformedMessage. The unpacked form is limited to
+// 64 KiB and each list to 2,048 elements, which bounds the memory.
 [[nodiscard]] leaf::result<PeerMessage> DecodePeerMessage(
     std::span<const std::byte> bytes);
 
