Move flows with their domain in a partition; add fleet for measurements

Change: TCP flows move to the next-ranked domain, since a request runs only after the handshake; streams get a copy of their record in the target's domain; load-placed flows without a record are not sent to a guessed target while a domain is missing or has just come back. Placement counts send zeros.

--- /dev/null
+++ b/bench/fleet/traffic.cc
@@ -0,0 +1,508 @@
+// Clients that retransmit, a fabric that sprays, targets with slots.
+#include "bench/fleet/traffic.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sapphirestream::fleet {
+namespace {
+
+constexpr Duration kFirstRto = std::chrono::seconds(1);
+constexpr Duration kDataRto = std::chrono::milliseconds(400);
+constexpr int kMaxTries = 7;
+constexpr Duration kSampleInterval = std::chrono::milliseconds(100);
+// A drained target may still get new flows for this long.
+constexpr Duration kDrainBound = std::chrono::seconds(3);
+
+}  // namespace
+
+double TrafficResult::WaitAt(double percentile) const noexcept {
+  if (waits.empty()) return 0;
+  const auto index = static_cast<std::size_t>(
+      percentile / 100 * static_cast<double>(waits.size() - 1));
+  return waits[index];
+}
+
+Traffic::Traffic(const TrafficOptions& options)
+    : options_(options), random_(options.seed) {}
+
+void Traffic::Attach(System& system) {
+  system_ = &system;
+  Reports();
+  Sample();
+}
+
+void Traffic::After(Duration delay, EventQueue::Action action) {
+  system_->queue().After(delay, std::move(action));
+}
+
+Duration Traffic::Exponential(Duration mean) {
+  return std::chrono::duration_cast<Duration>(mean *
+                                              -std::log(1.0 - random_.Unit()));
+}
+
+InstanceId Traffic::PickInstance(DomainId client) {
+  for (const InstanceId id : system_->live()) {
+    fabric_[id] = now() + options_.fabric_lag;
+  }
+  std::erase_if(fabric_, [&](const auto& e) { return e.second < now(); });
+  std::vector<InstanceId> reachable;
+  for (const auto& [id, until] : fabric_) {
+    if (!system_->IsCut(client, system_->DomainOf(id))) reachable.push_back(id);
+  }
+  if (reachable.empty()) return kNoInstance;
+  return reachable[random_.Below(reachable.size())];
+}
+
+Traffic::TargetState& Traffic::StateOf(TargetId target) {
+  const auto [it, is_new] = targets_.try_emplace(target);
+  if (is_new) {
+    for (const Service& service : system_->newest().services) {
+      for (const Target& t : service.targets) {
+        if (t.id != target) continue;
+        it->second.service = service.id;
+        it->second.slots = t.slots;
+        it->second.domain = t.domain;
+      }
+    }
+  }
+  return it->second;
+}
+
+std::uint64_t Traffic::Start(ServiceId service, Kind kind) {
+  const std::uint64_t id = next_flow_++;
+  Flow& flow = flows_[id];
+  flow.kind = kind;
+  flow.started = now();
+  Packet& packet = flow.first;
+  packet.key.service = service;
+  packet.key.client = MakeV4(10, static_cast<std::uint8_t>(id >> 32),
+                             static_cast<std::uint8_t>(id >> 24),
+                             static_cast<std::uint8_t>(id >> 16));
+  packet.key.client_port = static_cast<std::uint16_t>(id);
+  packet.key.protocol =
+      kind == Kind::kDatagram ? Protocol::kUdp : Protocol::kTcp;
+  packet.hash = HashFlow(packet.key);
+  packet.syn = kind != Kind::kDatagram;
+  packet.sequence = static_cast<std::uint32_t>(random_.Next());
+  flow.sequence = packet.sequence + 1;
+  if (kind == Kind::kDatagram) packet.payload_size = 100;
+  const bool is_stream = kind == Kind::kStream || kind == Kind::kShort;
+  ++(is_stream ? result_.streams : result_.requests);
+  SendFirst(id);
+  return id;
+}
+
+void Traffic::Send(std::uint64_t id, const Packet& packet) {
+  ++result_.packets;
+  const InstanceId to = PickInstance(ClientDomain(id));
+  if (to == kNoInstance) return;
+  After(options_.client_delay, [this, id, packet, to] {
+    system_->Deliver(to, {packet, id});
+  });
+}
+
+void Traffic::SendFirst(std::uint64_t id) {
+  Flow& flow = flows_.at(id);
+  Send(id, flow.first);
+  Retry(id, kFirstRto * (1 << std::min(flow.tries, 5)), &Traffic::RetryFirst);
+}
+
+void Traffic::Retry(std::uint64_t id, Duration wait,
+                    void (Traffic::*action)(std::uint64_t)) {
+  const std::uint32_t step = flows_.at(id).step;
+  After(wait, [this, id, step, action] {
+    const auto it = flows_.find(id);
+    if (it != flows_.end() && it->second.step == step) (this->*action)(id);
+  });
+}
+
+void Traffic::RetryFirst(std::uint64_t id) {
+  Flow& flow = flows_.at(id);
+  if (flow.phase != Phase::kOpening) return;
+  if (++flow.tries >= kMaxTries) {
+    flow.phase = Phase::kDone;
+    return;
+  }
+  SendFirst(id);
+}
+
+void Traffic::SendData(std::uint64_t id, bool is_repeat) {
+  Flow& flow = flows_.at(id);
+  if (!is_repeat) flow.sequence += 100;
+  Packet packet = flow.first;
+  packet.syn = false;
+  packet.ack = true;
+  packet.sequence = flow.sequence;
+  packet.payload_size = 100;
+  Send(id, packet);
+  Retry(id, kDataRto * (1 << std::min(flow.tries, 5)), &Traffic::RetryData);
+}
+
+void Traffic::RetryData(std::uint64_t id) {
+  Flow& flow = flows_.at(id);
+  if (flow.phase != Phase::kOpen) return;
+  if (++flow.tries >= kMaxTries) {
+    // Without an answer, but not reset: the path was cut.
+    flow.is_stalled = true;
+    flow.phase = Phase::kDone;
+    return;
+  }
+  SendData(id, true);
+}
+
+void Traffic::RetryEnd(std::uint64_t id) {
+  Flow& flow = flows_.at(id);
+  if (flow.phase != Phase::kClosing) return;
+  if (++flow.tries >= kMaxTries) {
+    flow.phase = Phase::kDone;
+    return;
+  }
+  SendEnd(id);
+}
+
+void Traffic::SendEnd(std::uint64_t id) {
+  Flow& flow = flows_.at(id);
+  if (flow.phase != Phase::kClosing) flow.tries = 0;
+  flow.phase = Phase::kClosing;
+  ++flow.step;
+  Retry(id, kDataRto * (1 << std::min(flow.tries, 5)), &Traffic::RetryEnd);
+  Packet packet = flow.first;
+  packet.syn = false;
+  packet.ack = true;
+  packet.fin = true;
+  packet.sequence = flow.sequence + 100;
+  Send(id, packet);
+}
+
+void Traffic::NextStreamPacket(std::uint64_t id) {
+  Flow& flow = flows_.at(id);
+  if (flow.phase != Phase::kOpen) return;
+  const bool is_over = (flow.ends != TimePoint{} && now() >= flow.ends) ||
+                       (flow.kind == Kind::kShort && flow.packets_left == 0);
+  if (is_over) {
+    SendEnd(id);
+    return;
+  }
+  --flow.packets_left;
+  flow.tries = 0;
+  SendData(id, false);
+}
+
+DomainId Traffic::ClientDomain(std::uint64_t id) const {
+  const auto& domains = system_->newest().domains;
+  return domains[id % domains.size()];
+}
+
+void Traffic::OnForwarded(const PacketInFlight& packet, TargetId target,
+                          InstanceId by) {
+  if (system_->IsCut(system_->DomainOf(by), StateOf(target).domain)) {
+    ++result_.unreachable;
+    return;
+  }
+  After(options_.target_delay,
+        [this, packet, target] { Arrive(packet.id, packet.packet, target); });
+}
+
+void Traffic::Arrive(std::uint64_t id, const Packet& packet, TargetId target) {
+  TargetState& state = StateOf(target);
+  if (state.service != packet.key.service) ++result_.wrong_service;
+  if (state.is_dead) return;
+  const auto it = flows_.find(id);
+  if (it == flows_.end()) return;
+  if (it->second.kind == Kind::kDatagram) {
+    Run(id, target);
+    return;
+  }
+  if (packet.opens()) {
+    ArriveFirst(id, packet, target);
+    return;
+  }
+  if (packet.fin) {
+    state.open.erase(id);
+    After(options_.client_delay, [this, id] { OnClosed(id); });
+    return;
+  }
+  if (!state.open.contains(id)) {
+    After(options_.client_delay, [this, id, target] { OnReset(id, target); });
+    return;
+  }
+  if (it->second.kind == Kind::kRequest) {
+    Run(id, target);
+  } else {
+    After(options_.client_delay, [this, id] { OnDataAnswered(id); });
+  }
+}
+
+void Traffic::ArriveFirst(std::uint64_t id, const Packet& packet,
+                          TargetId target) {
+  TargetState& state = StateOf(target);
+  if (state.open.insert(id).second) {
+    for (const Service& service : system_->newest().services) {
+      if (service.id != packet.key.service) continue;
+      for (const Target& t : service.targets) {
+        const bool is_late =
+            t.id == target && t.drained != ConfigVersion{} &&
+            now().time_since_epoch() - t.drained_at.time_since_epoch() >
+                kDrainBound;
+        if (is_late) ++result_.late_on_drained;
+      }
+    }
+  }
+  After(options_.client_delay, [this, id, target] { OnOpened(id, target); });
+}
+
+void Traffic::Run(std::uint64_t id, TargetId target) {
+  Flow& flow = flows_.at(id);
+  // The target's own TCP drops a second copy of the same bytes.
+  if (std::find(flow.ran.begin(), flow.ran.end(), target) != flow.ran.end()) {
+    return;
+  }
+  flow.ran.push_back(target);
+  StateOf(target).queue.push_back({id, now()});
+  StartJob(target);
+}
+
+void Traffic::StartJob(TargetId target) {
+  TargetState& state = StateOf(target);
+  if (state.queue.empty() || state.busy >= state.slots) return;
+  const Job job = state.queue.front();
+  state.queue.pop_front();
+  state.had_job = true;
+  ++state.busy;
+  const Flow& flow = flows_.at(job.flow);
+  if (is_measuring_ && flow.kind == Kind::kRequest) {
+    // From the first packet to the slot, less what an idle system takes: three
+    // trips from client to target.
+    const Duration least = 3 * (options_.client_delay + options_.target_delay);
+    const Duration waited =
+        std::max(Duration::zero(), now() - flow.started - least);
+    result_.waits.push_back(static_cast<double>(waited.count()) /
+                            static_cast<double>(options_.service_time.count()));
+  }
+  After(Exponential(options_.service_time), [this, target, id = job.flow] {
+    TargetState& done = StateOf(target);
+    --done.busy;
+    if (!done.is_dead) {
+      After(options_.client_delay, [this, id] { OnDataAnswered(id); });
+    }
+    StartJob(target);
+  });
+}
+
+void Traffic::OnOpened(std::uint64_t id, TargetId target) {
+  Flow& flow = flows_.at(id);
+  if (flow.phase != Phase::kOpening) return;
+  flow.phase = Phase::kOpen;
+  flow.target = target;
+  flow.tries = 0;
+  ++flow.step;
+  if (flow.kind == Kind::kStream) {
+    Retry(id, Exponential(options_.stream_interval),
+          &Traffic::NextStreamPacket);
+  } else if (flow.kind == Kind::kShort) {
+    NextStreamPacket(id);
+  } else {
+    SendData(id, false);
+  }
+}
+
+void Traffic::OnDataAnswered(std::uint64_t id) {
+  Flow& flow = flows_.at(id);
+  if (flow.kind == Kind::kDatagram && flow.phase == Phase::kOpening) {
+    flow.phase = Phase::kDone;
+    flow.is_answered = true;
+    return;
+  }
+  if (flow.phase != Phase::kOpen) return;
+  ++flow.step;
+  flow.is_answered = true;
+  if (flow.kind == Kind::kRequest) {
+    SendEnd(id);
+  } else if (flow.kind == Kind::kShort) {
+    NextStreamPacket(id);
+  } else {
+    Retry(id, Exponential(options_.stream_interval),
+          &Traffic::NextStreamPacket);
+  }
+}
+
+void Traffic::OnClosed(std::uint64_t id) {
+  Flow& flow = flows_.at(id);
+  if (flow.phase != Phase::kClosing) return;
+  flow.phase = Phase::kDone;
+  ++flow.step;
+}
+
+void Traffic::OnReset(std::uint64_t id, TargetId by) {
+  Flow& flow = flows_.at(id);
+  if (flow.phase == Phase::kOpen && by != flow.target) {
+    Break(flow);
+  }
+}
+
+void Traffic::Break(Flow& flow) {
+  flow.is_broken = true;
+  flow.phase = Phase::kDone;
+  ++flow.step;
+}
+
+void Traffic::OnAnswered(const PacketInFlight& packet, ErrorKind reason,
+                         InstanceId /*by*/) {
+  After(options_.client_delay, [this, id = packet.id, reason] {
+    Flow& flow = flows_.at(id);
+    if (AnswerFor(reason).packet == PacketAnswer::kReset) {
+      if (flow.phase != Phase::kOpen) return;
+      ++result_.reset_as_silent;
+      flow.phase = Phase::kDone;
+      ++flow.step;
+      return;
+    }
+    // A reset for the first packet doesn't concern an established connection,
+    // but a datagram's sender takes any "not run" for a promise.
+    if (flow.kind == Kind::kDatagram) flow.is_refused = true;
+    if (flow.phase != Phase::kOpening) return;
+    flow.is_refused = true;
+    flow.phase = Phase::kDone;
+    ++flow.step;
+  });
+}
+
+void Traffic::OnRedirected(const PacketInFlight& /*packet*/,
+                           InstanceId /*from*/, InstanceId /*to*/) {
+  ++result_.redirects;
+}
+
+void Traffic::OpenStreams(ServiceId service, std::size_t count, Duration over,
+                          Duration lifetime) {
+  for (std::size_t i = 0; i < count; ++i) {
+    const Duration at = over * static_cast<int>(i) / static_cast<int>(count);
+    After(at, [this, service, lifetime] {
+      const std::uint64_t id = Start(service, Kind::kStream);
+      if (lifetime == Duration::zero()) return;
+      flows_.at(id).ends = now() + Exponential(lifetime);
+    });
+  }
+}
+
+void Traffic::Arrivals(ServiceId service, Kind kind, double per_second,
+                       int packets, TimePoint until) {
+  const auto mean = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(1.0 / per_second));
+  After(Exponential(mean), [=, this] {
+    if (now() >= until) return;
+    const std::uint64_t id = Start(service, kind);
+    flows_.at(id).packets_left = packets;
+    Arrivals(service, kind, per_second, packets, until);
+  });
+}
+
+void Traffic::StartRequests(ServiceId service, double per_second,
+                            TimePoint until) {
+  Arrivals(service, Kind::kRequest, per_second, 0, until);
+}
+
+void Traffic::StartDatagrams(ServiceId service, double per_second,
+                             TimePoint until) {
+  Arrivals(service, Kind::kDatagram, per_second, 0, until);
+}
+
+void Traffic::StartShortFlows(ServiceId service, double per_second, int packets,
+                              TimePoint until) {
+  Arrivals(service, Kind::kShort, per_second, packets, until);
+}
+
+void Traffic::Reports() {
+  if (options_.report_interval == Duration::zero()) return;
+  for (const auto& [id, state] : targets_) {
+    LoadReport report{.target = id, .taken = now()};
+    if (!state.is_dead) {
+      report.busy_slots =
+          state.busy + static_cast<std::uint32_t>(state.queue.size());
+      report.open_connections = static_cast<std::uint32_t>(state.open.size());
+    }
+    After(options_.report_age, [this, report] { system_->Report(report); });
+  }
+  After(options_.report_interval, [this] { Reports(); });
+}
+
+void Traffic::StartMeasuring() {
+  is_measuring_ = true;
+  result_.waits.clear();
+  result_.packets = 0;
+  result_.redirects = 0;
+  busy_sum_ = 0;
+  busy_samples_ = 0;
+}
+
+void Traffic::Sample() {
+  std::uint32_t peak = 0;
+  std::uint32_t sum = 0;
+  std::uint32_t count = 0;
+  for (const auto& [id, state] : targets_) {
+    const auto load =
+        state.busy + static_cast<std::uint32_t>(state.queue.size());
+    peak = std::max(peak, load);
+    sum += load;
+    if (state.had_job) ++count;
+  }
+  if (is_measuring_ && sum > 0 && count > 0) {
+    busy_sum_ += static_cast<double>(peak) * count / sum;
+    ++busy_samples_;
+  }
+  After(kSampleInterval, [this] { Sample(); });
+}
+
+double Traffic::BusyImbalance() const noexcept {
+  return busy_samples_ == 0 ? 0
+                            : busy_sum_ / static_cast<double>(busy_samples_);
+}
+
+double Traffic::OpenImbalance(ServiceId service) const {
+  std::size_t peak = 0;
+  std::size_t sum = 0;
+  std::size_t count = 0;
+  for (const Service& s : system_->newest().services) {
+    if (s.id != service) continue;
+    for (const Target& target : s.targets) {
+      if (target.drained != ConfigVersion{}) continue;
+      const auto it = targets_.find(target.id);
+      const std::size_t open =
+          it == targets_.end() ? 0 : it->second.open.size();
+      peak = std::max(peak, open);
+      sum += open;
+      ++count;
+    }
+  }
+  return sum == 0 ? 0
+                  : static_cast<double>(peak) * static_cast<double>(count) /
+                        static_cast<double>(sum);
+}
+
+void Traffic::KillTarget(TargetId target) { StateOf(target).is_dead = true; }
+
+TrafficResult Traffic::Finish() {
+  for (const auto& [id, flow] : flows_) {
+    const bool is_stream =
+        flow.kind == Kind::kStream || flow.kind == Kind::kShort;
+    if (is_stream) {
+      if (flow.is_broken) ++result_.streams_broken;
+      if (flow.is_stalled) ++result_.stalled;
+      if (flow.target == kNoTarget && flow.phase == Phase::kDone) {
+        ++result_.streams_not_opened;
+      }
+      continue;
+    }
+    if (flow.is_broken) ++result_.requests_broken;
+    if (flow.is_stalled) ++result_.stalled;
+    if (flow.is_answered) ++result_.requests_answered;
+    if (flow.is_refused) ++result_.requests_refused;
+    if (flow.ran.size() > 1) ++result_.requests_doubled;
+    if (flow.is_refused && !flow.ran.empty()) ++result_.false_not_run;
+  }
+  std::sort(result_.waits.begin(), result_.waits.end());
+  return result_;
+}
+
+}  // namespace sapphirestream::fleet
--- a/src/sapphirestream/flow/count_exchange.cc
+++ b/src/sapphirestream/flow/count_exchange.cc
@@ -6,7 +6,8 @@
 namespace sapphirestream {
 namespace {
 
-constexpr Duration kFullInterval = std::chrono::seconds(5);
+// Shorter than the 3 s after which a silent peer's counts are dropped.
+constexpr Duration kFullInterval = std::chrono::seconds(2);
 // Counts that fit one datagram; the rest follows with the next message.
 constexpr std::size_t kMaxCounts = 128;
 
@@ -21,18 +22,21 @@
   if (now < state.next_changes) return;
   state.next_changes = now + interval_;
   const bool is_full = now >= state.next_full;
-  if (is_full) {
-    state.next_full = now + kFullInterval;
-    state.sent.clear();
+  if (is_full) state.next_full = now + kFullInterval;
+  // A target without open flows is missing from OwnCounts, so that its zero
+  // must be sent once.
+  Counts open;
+  for (const PlacementCount& count : placer.OwnCounts()) {
+    open[count.target] = count.open;
   }
+  for (const auto& [target, count] : state.sent) open.try_emplace(target, 0);
   PlacementCounts message{.service = view.service.id, .counts = {}};
-  for (const PlacementCount& count : placer.OwnCounts()) {
+  for (const auto& [target, count] : open) {
     if (message.counts.size() == kMaxCounts) break;
-    const auto [it, is_new] = state.sent.try_emplace(count.target, 0);
-    if (!is_new && it->second == count.open) continue;
-    if (is_new && count.open == 0 && !is_full) continue;
-    it->second = count.open;
-    message.counts.push_back(count);
+    const auto [it, is_new] = state.sent.try_emplace(target, 0);
+    if (!is_full && it->second == count) continue;
+    it->second = count;
+    message.counts.push_back({target, count});
   }
   if (message.counts.empty()) return;
   for (const DomainSchedulers& schedulers : view.schedulers) {
@@ -58,6 +62,11 @@
   placer.SetPeerCounts(from, all, now);
 }
 
+void CountExchange::ErasePeer(ServiceId service, InstanceId peer) {
+  const auto it = services_.find(service);
+  if (it != services_.end()) it->second.received.erase(peer);
+}
+
 void CountExchange::Erase(ServiceId service) { services_.erase(service); }
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/flow/count_exchange.h
+++ b/src/sapphirestream/flow/count_exchange.h
@@ -28,6 +28,8 @@
   // Merges a message into what is known of its sender and passes it on.
   void OnCounts(InstanceId from, const PlacementCounts& message, Placer& placer,
                 TimePoint now);
+  // Forgets the counts of an instance that is gone.
+  void ErasePeer(ServiceId service, InstanceId peer);
   // Forgets a service.
   void Erase(ServiceId service);
 
--- a/src/sapphirestream/flow/fast_path.cc
+++ b/src/sapphirestream/flow/fast_path.cc
@@ -18,7 +18,7 @@
 // Steers a packet that needs the flow's owner.
 Verdict ToOwner(const Packet& packet, const Snapshot& snapshot,
                 const ServiceView& view) noexcept {
-  const Owners owners = OwnersOf(snapshot, view, packet.hash);
+  const Owners owners = OwnersOf(snapshot, view, packet.key, packet.hash);
   if (owners.owner == snapshot.self) return {.kind = VerdictKind::kEscalate};
   InstanceId next = owners.owner;
   if (next == kNoInstance && !packet.opens()) {
@@ -28,7 +28,9 @@
     if (next == snapshot.self) return {.kind = VerdictKind::kEscalate};
   }
   if (next == kNoInstance) {
-    if (!view.service.idempotent) return Drop(ErrorKind::kOwnerUnreachable);
+    if (RunsOnFirstPacket(view, packet.key)) {
+      return Drop(ErrorKind::kOwnerUnreachable);
+    }
     const TargetId target = UnrecordedTarget(view, packet.hash);
     return target == kNoTarget ? Drop(ErrorKind::kNoTargetAvailable)
                                : Forward(target);
--- a/src/sapphirestream/flow/ownership.cc
+++ b/src/sapphirestream/flow/ownership.cc
@@ -54,22 +54,23 @@
 }
 
 Owners OwnersOf(const Snapshot& snapshot, const ServiceView& view,
-                std::uint64_t hash, ViewAge age) noexcept {
+                const FlowKey& key, std::uint64_t hash, ViewAge age) noexcept {
   const auto& schedulers =
       age == ViewAge::kPresent ? view.schedulers : view.previous_schedulers;
   // The low bits don't take part in the choice of the bucket.
-  const std::uint64_t key =
+  const std::uint64_t rank_key =
       HashPair(hash & 0xffffffffU, Value(view.service.id));
+  const bool may_move = !RunsOnFirstPacket(view, key);
   Owners owners;
   std::uint64_t weight = 0;
-  const std::size_t home = NextDomain(snapshot, schedulers, key, ~0ULL,
-                                      view.service.idempotent, weight);
+  const std::size_t home =
+      NextDomain(snapshot, schedulers, rank_key, ~0ULL, may_move, weight);
   if (home == schedulers.size()) return owners;
   owners.home = snapshot.domains[home];
   owners.owner = schedulers[home].first;
   std::uint64_t replica_weight = 0;
   const std::size_t other =
-      NextDomain(snapshot, schedulers, key, weight, true, replica_weight);
+      NextDomain(snapshot, schedulers, rank_key, weight, true, replica_weight);
   if (other != schedulers.size()) {
     owners.replica = schedulers[other].first;
     return owners;
@@ -77,7 +78,7 @@
   // The home domain may rank last among the eligible ones.
   std::uint64_t any_weight = 0;
   const std::size_t any =
-      NextDomain(snapshot, schedulers, key, ~0ULL, true, any_weight);
+      NextDomain(snapshot, schedulers, rank_key, ~0ULL, true, any_weight);
   if (any != schedulers.size() && any != home) {
     owners.replica = schedulers[any].first;
   } else {
@@ -86,4 +87,16 @@
   return owners;
 }
 
+InstanceId SchedulerNear(const Snapshot& snapshot, const ServiceView& view,
+                         TargetId target) noexcept {
+  const auto it = view.targets.find(target);
+  if (it == view.targets.end()) return kNoInstance;
+  for (std::size_t i = 0; i < view.schedulers.size(); ++i) {
+    if (snapshot.domains[i] == it->second.domain) {
+      return view.schedulers[i].first;
+    }
+  }
+  return kNoInstance;
+}
+
 }  // namespace sapphirestream
--- a/src/sapphirestream/flow/ownership.h
+++ b/src/sapphirestream/flow/ownership.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "sapphirestream/base/id.h"
+#include "sapphirestream/flow/flow_key.h"
 #include "sapphirestream/flow/snapshot.h"
 
 namespace sapphirestream {
@@ -27,13 +28,29 @@
 // Call once, after the rest of the snapshot is filled.
 void AssignSchedulers(Snapshot& snapshot);
 
-// Returns the owners of a flow. A service that is not idempotent keeps its home
-// domain even if nobody there is eligible, so that two sides of a partition
-// never decide the same flow; other services move to the next-ranked domain.
+// Whether a first packet of the flow may run a request: a datagram of a service
+// that is not idempotent. A TCP request runs only after the handshake, which
+// binds the client to the one target whose answer it took; another target that
+// got a copy of the first packet refuses the rest.
+[[nodiscard]] inline bool RunsOnFirstPacket(const ServiceView& view,
+                                            const FlowKey& key) noexcept {
+  return !view.service.idempotent && key.protocol == Protocol::kUdp;
+}
+
+// Returns the owners of a flow. Where RunsOnFirstPacket holds, the home domain
+// stays even if nobody there is eligible, so that two sides of a partition
+// never decide the same flow; other flows move to the next-ranked domain.
 [[nodiscard]] Owners OwnersOf(const Snapshot& snapshot, const ServiceView& view,
-                              std::uint64_t hash,
+                              const FlowKey& key, std::uint64_t hash,
                               ViewAge age = ViewAge::kPresent) noexcept;
 
+// Returns the scheduler of a service in the failure domain of a target, or
+// kNoInstance. It keeps a copy of the records of streams on that target, since
+// nobody else can serve them while the domain is cut off.
+[[nodiscard]] InstanceId SchedulerNear(const Snapshot& snapshot,
+                                       const ServiceView& view,
+                                       TargetId target) noexcept;
+
 }  // namespace sapphirestream
 
 #endif  // SAPPHIRESTREAM_FLOW_OWNERSHIP_H_
--- a/src/sapphirestream/flow/recovery.cc
+++ b/src/sapphirestream/flow/recovery.cc
@@ -125,8 +125,9 @@
 }
 
 void Recovery::FinishIfDone(State& state, TimePoint now) {
-  const bool all_answered = state.sources.empty() && state.was_answered;
-  if (all_answered || now >= state.deadline) state.machine.OnRecordsPulled();
+  if (state.sources.empty() || now >= state.deadline) {
+    state.machine.OnRecordsPulled();
+  }
 }
 
 OwnershipState Recovery::StateOf(ServiceId service) const noexcept {
@@ -137,9 +138,13 @@
 
 bool Recovery::MayDecideOnce(ServiceId service, TimePoint now) const noexcept {
   const auto it = services_.find(service);
-  return it != services_.end() &&
-         it->second.machine.state() == OwnershipState::kDeciding &&
-         now >= it->second.uncertain_until;
+  if (it == services_.end()) return false;
+  const State& state = it->second;
+  // If nobody answered, the records of flows that a former owner placed may be
+  // on the other side of a partition.
+  return state.machine.state() == OwnershipState::kDeciding &&
+         (state.was_answered || now >= state.deadline) &&
+         now >= state.uncertain_until;
 }
 
 std::size_t Recovery::recovering() const noexcept {
--- a/src/sapphirestream/flow/recovery.h
+++ b/src/sapphirestream/flow/recovery.h
@@ -36,9 +36,9 @@
   void OnTimer(TimePoint now);
 
   [[nodiscard]] OwnershipState StateOf(ServiceId service) const noexcept;
-  // Whether first packets of services that are not idempotent may be decided:
-  // the records are here and none can have been lost within the lifetime of a
-  // first packet.
+  // Whether first packets that may run a request at once may be decided: the
+  // records are here and none can have been lost within the lifetime of a first
+  // packet.
   [[nodiscard]] bool MayDecideOnce(ServiceId service,
                                    TimePoint now) const noexcept;
   // Services in state recovering.
@@ -54,7 +54,7 @@
     std::map<InstanceId, Source> sources;
     // Whether any source ever answered.
     bool was_answered = false;
-    // Without any answer, recovery ends here.
+    // Recovery ends here, whoever has not answered.
     TimePoint deadline;
     // Until then the records may be incomplete, since their holders died.
     TimePoint uncertain_until;
--- a/src/sapphirestream/flow/steering.cc
+++ b/src/sapphirestream/flow/steering.cc
@@ -21,6 +21,9 @@
 constexpr int kReplicaLifetimeFactor = 3;
 // An opening flow this old may be evicted when the table is full.
 constexpr Duration kEvictableOpening = std::chrono::seconds(5);
+// A request without a packet for this long no longer counts against its
+// target's slots: its end was lost, or the target knows better by its report.
+constexpr Duration kRequestCounted = std::chrono::seconds(10);
 // Records that Expire looks at per state and call.
 constexpr int kExpireSteps = 256;
 constexpr double kResetsPerSecond = 10;
@@ -61,15 +64,11 @@
   const std::shared_ptr<const Snapshot> previous =
       std::exchange(snapshot_, std::move(snapshot));
   for (const Member& member : previous->members.members()) {
-    if (!IsAlive(member.id)) {
-      for (const DeliveredBatch& lost : replicator_.Abandon(member.id)) {
-        OnDelivered(lost, now);
-      }
-      for (auto& [service, placer] : service_placers_) {
-        placer->SetPeerCounts(member.id, {}, now);
-      }
-    }
+    const bool was_alive = member.state != MemberState::kDead &&
+                           member.state != MemberState::kLeft;
+    if (was_alive && !IsAlive(member.id)) OnGone(member.id, now);
   }
+  NoteHealing(*previous, now);
   std::erase_if(service_placers_, [&](const auto& entry) {
     if (snapshot_->services.contains(entry.first)) return false;
     counts_.Erase(entry.first);
@@ -84,6 +83,30 @@
   move_left_ = table_.slots();
 }
 
+void Steering::Impl::NoteHealing(const Snapshot& previous, TimePoint now) {
+  const auto has_eligible = [](const Snapshot& snapshot, DomainId domain) {
+    return FirstInstance(snapshot.members, domain, 0) != kNoInstance;
+  };
+  has_missing_domain_ = !std::all_of(
+      snapshot_->domains.begin(), snapshot_->domains.end(),
+      [&](DomainId domain) { return has_eligible(*snapshot_, domain); });
+  for (const DomainId domain : previous.domains) {
+    if (!has_eligible(previous, domain) && has_eligible(*snapshot_, domain)) {
+      last_heal_ = now;
+    }
+  }
+}
+
+void Steering::Impl::OnGone(InstanceId id, TimePoint now) {
+  for (const DeliveredBatch& lost : replicator_.Abandon(id)) {
+    OnDelivered(lost, now);
+  }
+  for (const auto& [service, placer] : service_placers_) {
+    counts_.ErasePeer(service, id);
+    placer->SetPeerCounts(id, {}, now);
+  }
+}
+
 void Steering::Impl::OnTimer(TimePoint now) {
   for (const DeliveredBatch& given_up : replicator_.OnTimer(now)) {
     OnDelivered(given_up, now);
@@ -189,17 +212,25 @@
   table_.Touch(record, RecordState::kClosing, now);
   const ServiceView* view = ViewOf(record.key.service);
   if (view == nullptr || record.role != RecordRole::kOwner) return;
-  Replicate(record, OwnersOf(*snapshot_, *view, record.hash), now);
+  Replicate(record, OwnersOf(*snapshot_, *view, record.key, record.hash), now);
 }
 
 void Steering::Impl::Replicate(FlowRecord& record, const Owners& owners,
                                TimePoint now) {
+  const RecordCopy copy{record.key, record.target, record.state};
+  const ServiceView* view = ViewOf(record.key.service);
+  if (view != nullptr && view->service.kind == FlowKind::kStream) {
+    const InstanceId near = SchedulerNear(*snapshot_, *view, record.target);
+    if (near != kNoInstance && near != snapshot_->self &&
+        near != owners.replica) {
+      replicator_.Add(near, copy, false, now);
+    }
+  }
   if (owners.replica == kNoInstance || owners.replica == snapshot_->self) {
     return;
   }
   record.replica = owners.replica;
-  replicator_.Add(owners.replica, {record.key, record.target, record.state},
-                  false, now);
+  replicator_.Add(owners.replica, copy, false, now);
 }
 
 Duration Steering::Impl::LifetimeOf(const FlowRecord& record) const noexcept {
@@ -219,7 +250,23 @@
                                                : options_.idle_timeout;
 }
 
+void Steering::Impl::StopCountingIdle(TimePoint now) {
+  while (!counted_requests_.empty()) {
+    const CountedRequest oldest = counted_requests_.front();
+    if (now - oldest.seen < kRequestCounted) return;
+    counted_requests_.pop_front();
+    FlowRecord* record = table_.Find(oldest.key, HashFlow(oldest.key));
+    if (record == nullptr || !record->is_counted) continue;
+    if (now - record->last_seen < kRequestCounted) {
+      counted_requests_.push_back({record->key, now});
+      continue;
+    }
+    StopCounting(*record, now);
+  }
+}
+
 void Steering::Impl::Expire(TimePoint now) {
+  StopCountingIdle(now);
   for (const RecordState state :
        {RecordState::kOpening, RecordState::kEstablished, RecordState::kClosing,
         RecordState::kRefused}) {
--- a/src/sapphirestream/flow/steering_impl.h
+++ b/src/sapphirestream/flow/steering_impl.h
@@ -61,6 +61,11 @@
     InstanceId asker = kNoInstance;
     TimePoint deadline;
   };
+  // A request that counts against a slot, and when it was last looked at.
+  struct CountedRequest {
+    FlowKey key;
+    TimePoint seen;
+  };
   struct Counters;
 
   // Packets.
@@ -72,6 +77,8 @@
   Verdict OnConsulted(const Event& event);
   Verdict OnFirst(const Event& event);
   Verdict OnUnrecorded(const Event& event);
+  // Returns where an established flow without a record may go, or kNoTarget.
+  [[nodiscard]] TargetId TargetWithoutRecord(const Event& event) const noexcept;
   Verdict PlaceFirst(const Event& event);
   Verdict OnPlaced(const Event& event, const Placement& placement);
   Verdict HoldException(FlowRecord& record, const Event& event);
@@ -93,6 +100,8 @@
   void Close(FlowRecord& record, TimePoint now);
   void StopCounting(FlowRecord& record, TimePoint now);
   void Replicate(FlowRecord& record, const Owners& owners, TimePoint now);
+  // Lets requests without a packet for a while no longer take a slot.
+  void StopCountingIdle(TimePoint now);
   void Expire(TimePoint now);
   [[nodiscard]] Duration LifetimeOf(const FlowRecord& record) const noexcept;
 
@@ -100,6 +109,12 @@
   void OnBatch(InstanceId from, const RecordBatch& batch, TimePoint now);
   bool OnCopy(InstanceId from, const RecordCopy& copy, bool handover,
               TimePoint now);
+  // Makes a copy the owner's record.
+  void Promote(FlowRecord& record, const ServiceView& view, TimePoint now);
+  // Whether first packets of the service may be decided: the records are here.
+  // For packets that may run a request, none can have been lost either.
+  [[nodiscard]] bool IsRecovered(const Packet& packet, const ServiceView& view,
+                                 TimePoint now) const noexcept;
   void OnDelivered(const DeliveredBatch& delivered, TimePoint now);
   void OnAcknowledged(FlowRecord& record, const DeliveredBatch& delivered,
                       TimePoint now);
@@ -109,6 +124,10 @@
   void MoveRecords(TimePoint now);
   bool MoveRecord(FlowRecord& record, TimePoint now);
 
+  // Drops what belongs to an instance that is gone.
+  void NoteHealing(const Snapshot& previous, TimePoint now);
+  void OnGone(InstanceId id, TimePoint now);
+
   // Holds.
   void ServeWaiting(TimePoint now);
   void ServeWaiting(const ServiceView& view, std::deque<Held>& queue,
@@ -136,6 +155,8 @@
   std::unordered_map<std::uint64_t, Held> unacknowledged_;
   // First packets that came while their service was recovering.
   std::deque<Held> recovering_;
+  // Oldest first; at most one per record, except for reused tuples.
+  std::deque<CountedRequest> counted_requests_;
   std::size_t held_ = 0;
   std::uint64_t next_token_ = 1;
   // Positions of `table_` that MoveRecords has still to look at.
@@ -143,6 +164,10 @@
   std::size_t move_left_ = 0;
   TimePoint last_move_;
   bool is_leaving_ = false;
+  // Whether some domain has no eligible instance, so that it may be cut off.
+  bool has_missing_domain_ = false;
+  // When a domain without an eligible instance last got one again.
+  TimePoint last_heal_;
   // When a target last made progress with some flow.
   std::unordered_map<TargetId, TimePoint> progress_;
   TokenBucket reset_budget_;
--- a/src/sapphirestream/flow/steering_packet.cc
+++ b/src/sapphirestream/flow/steering_packet.cc
@@ -14,6 +14,8 @@
 constexpr Duration kProgressWindow = std::chrono::seconds(30);
 // How long the replica's acknowledgement or the end of a recovery is awaited.
 constexpr Duration kRecordDeadline = std::chrono::seconds(3);
+// Time over which records come back after a partition has healed.
+constexpr Duration kHealWindow = std::chrono::seconds(10);
 constexpr Duration kUdpRefusalLifetime = std::chrono::seconds(1);
 
 Verdict Forward(TargetId target) noexcept {
@@ -46,7 +48,7 @@
   if (view == nullptr) return Drop(ErrorKind::kUnknownService);
   Event event{.packet = packet,
               .view = *view,
-              .owners = OwnersOf(*snapshot_, *view, packet.hash),
+              .owners = OwnersOf(*snapshot_, *view, packet.key, packet.hash),
               .repeated = repeated,
               .asker = asker,
               .from = from,
@@ -63,6 +65,10 @@
   if (record.state == RecordState::kRefused) return OnRefused(record, event);
   // A copy of a held packet: the held one will be forwarded.
   if (record.is_pending) return Drop(ErrorKind::kNone);
+  if (record.role == RecordRole::kReplica &&
+      event.owners.owner == snapshot_->self) {
+    Promote(record, event.view, event.now);
+  }
   if (!event.view.targets.contains(record.target)) {
     return Drop(ErrorKind::kNoTargetAvailable);
   }
@@ -199,15 +205,15 @@
   if (event.owners.owner == kNoInstance && MayBeFirst(event.packet)) {
     return Drop(ErrorKind::kOwnerUnreachable);
   }
-  const Owners previous =
-      OwnersOf(*snapshot_, event.view, event.packet.hash, ViewAge::kPrevious);
+  const Owners previous = OwnersOf(*snapshot_, event.view, event.packet.key,
+                                   event.packet.hash, ViewAge::kPrevious);
   const bool was_owner = previous.owner == snapshot_->self;
   if (was_owner && event.owners.replica != snapshot_->self &&
       event.owners.replica != kNoInstance && event.hop_limit > 0) {
     return RedirectTo(event.owners.replica, event);
   }
-  const TargetId target = UnrecordedTarget(event.view, event.packet.hash);
-  if (target == kNoTarget) return Drop(ErrorKind::kNoTargetAvailable);
+  const TargetId target = TargetWithoutRecord(event);
+  if (target == kNoTarget) return Drop(ErrorKind::kOwnerUnreachable);
   if (event.owners.owner != kNoInstance) {
     replicator_.Add(event.from,
                     {event.packet.key, target, RecordState::kOpening}, true,
@@ -226,8 +232,8 @@
   }
   // An established flow: its record may be at the owner by the previous view or
   // at the replica. The one that redirected the packet was asked already.
-  const Owners previous =
-      OwnersOf(*snapshot_, event.view, event.packet.hash, ViewAge::kPrevious);
+  const Owners previous = OwnersOf(*snapshot_, event.view, event.packet.key,
+                                   event.packet.hash, ViewAge::kPrevious);
   for (const InstanceId other : {previous.owner, event.owners.replica}) {
     if (other == kNoInstance || other == snapshot_->self) continue;
     if (other == event.from || other == event.asker || !IsAlive(other)) {
@@ -238,9 +244,22 @@
   return OnUnrecorded(event);
 }
 
+TargetId Steering::Impl::TargetWithoutRecord(
+    const Event& event) const noexcept {
+  // The target of a load-placed flow can't be guessed. If its record may be on
+  // the other side of a partition, the client's retransmissions find it later,
+  // whereas a wrong target would reset the flow.
+  const bool may_be_elsewhere =
+      has_missing_domain_ || event.now - last_heal_ < kHealWindow;
+  if (may_be_elsewhere && !IsHashPlaced(event.view, event.packet.hash)) {
+    return kNoTarget;
+  }
+  return UnrecordedTarget(event.view, event.packet.hash);
+}
+
 Verdict Steering::Impl::OnUnrecorded(const Event& event) {
-  const TargetId target = UnrecordedTarget(event.view, event.packet.hash);
-  if (target == kNoTarget) return Drop(ErrorKind::kNoTargetAvailable);
+  const TargetId target = TargetWithoutRecord(event);
+  if (target == kNoTarget) return Drop(ErrorKind::kOwnerUnreachable);
   FlowRecord* record =
       EmplaceRecord(event.packet, RecordState::kOpening, event.now);
   if (record == nullptr) return Forward(target);
@@ -257,7 +276,7 @@
   if (event.now >= snapshot_->authority_until || is_leaving_) {
     return Drop(ErrorKind::kNoAuthority);
   }
-  if (!recovery_.MayDecideOnce(view.service.id, event.now)) {
+  if (!IsRecovered(event.packet, view, event.now)) {
     return Hold(recovering_, event, event.now + kRecordDeadline);
   }
   return PlaceFirst(event);
@@ -313,13 +332,18 @@
   }
   record->target = placement.target;
   record->is_counted = was_counted;
+  if (was_counted && event.view.service.kind == FlowKind::kRequest) {
+    counted_requests_.push_back({record->key, event.now});
+  }
   counters_->placed.Add();
   if (placement.spilled) counters_->spilled.Add();
   const bool is_implied =
       placement.target == event.view.active.table->At(event.packet.hash) &&
       IsBucketStable(event.view, event.packet.hash);
   if (!is_implied) counters_->placed_elsewhere.Add();
-  if (event.view.service.idempotent || is_implied) {
+  const bool may_run =
+      !event.view.service.idempotent && event.packet.payload_size > 0;
+  if (!may_run || is_implied) {
     Replicate(*record, event.owners, event.now);
     return ForwardRecorded(*record, event);
   }
--- a/src/sapphirestream/flow/steering_records.cc
+++ b/src/sapphirestream/flow/steering_records.cc
@@ -55,7 +55,7 @@
   }
   const ServiceView* view = ViewOf(key.service);
   if (view == nullptr) return;
-  const Owners owners = OwnersOf(*snapshot_, *view, hash);
+  const Owners owners = OwnersOf(*snapshot_, *view, key, hash);
   if (owners.owner == kNoInstance || owners.owner == snapshot_->self) return;
   sink_.Send(owners.owner, FlowEnd{{key}});
 }
@@ -84,7 +84,7 @@
   const ServiceView* view = ViewOf(copy.key.service);
   if (view == nullptr) return false;
   const std::uint64_t hash = HashFlow(copy.key);
-  const Owners owners = OwnersOf(*snapshot_, *view, hash);
+  const Owners owners = OwnersOf(*snapshot_, *view, copy.key, hash);
   if (handover && owners.owner == snapshot_->self) {
     Adopt(copy, now);
     return true;
@@ -126,19 +126,31 @@
     record = EmplaceRecord(packet, copy.state, now);
     if (record == nullptr) return;
   }
-  record->role = RecordRole::kOwner;
   record->target = copy.target;
-  // Somebody may have learned it from the former owner.
-  record->was_learned = true;
   table_.Touch(*record, copy.state, now);
-  const bool is_open = copy.state == RecordState::kOpening ||
-                       copy.state == RecordState::kEstablished;
-  if (is_open && IsLoadPlaced(hash, view->active.load_share_permille)) {
-    PlacerOf(*view).Adopt(copy.target, now);
-    record->is_counted = true;
-  }
+  Promote(*record, *view, now);
   counters_->moved.Add();
-  Replicate(*record, OwnersOf(*snapshot_, *view, hash), now);
+  Replicate(*record, OwnersOf(*snapshot_, *view, copy.key, hash), now);
+}
+
+void Steering::Impl::Promote(FlowRecord& record, const ServiceView& view,
+                             TimePoint now) {
+  record.role = RecordRole::kOwner;
+  // Somebody may have learned it from the former owner.
+  record.was_learned = true;
+  const bool is_open = record.state == RecordState::kOpening ||
+                       record.state == RecordState::kEstablished;
+  if (is_open && IsLoadPlaced(record.hash, view.active.load_share_permille)) {
+    PlacerOf(view).Adopt(record.target, now);
+    record.is_counted = true;
+  }
+}
+
+bool Steering::Impl::IsRecovered(const Packet& packet, const ServiceView& view,
+                                 TimePoint now) const noexcept {
+  const ServiceId service = view.service.id;
+  if (packet.payload_size > 0) return recovery_.MayDecideOnce(service, now);
+  return recovery_.StateOf(service) != OwnershipState::kRecovering;
 }
 
 void Steering::Impl::OnPull(InstanceId from, const RecordPull& pull,
@@ -157,7 +169,8 @@
     const FlowRecord* record = table_.At(position);
     if (record == nullptr || record->key.service != pull.service) continue;
     if (record->target == kNoTarget) continue;
-    const Owners owners = OwnersOf(*snapshot_, *view, record->hash);
+    const Owners owners =
+        OwnersOf(*snapshot_, *view, record->key, record->hash);
     if (owners.home != pull.domain) continue;
     page.records.push_back({record->key, record->target, record->state});
   }
@@ -170,7 +183,8 @@
   const ServiceView* view = ViewOf(page.service);
   if (view == nullptr) return;
   for (const RecordCopy& copy : page.records) {
-    const Owners owners = OwnersOf(*snapshot_, *view, HashFlow(copy.key));
+    const Owners owners =
+        OwnersOf(*snapshot_, *view, copy.key, HashFlow(copy.key));
     if (owners.owner == snapshot_->self) Adopt(copy, now);
   }
   recovery_.OnPage(from, page, now);
@@ -207,7 +221,9 @@
     if (!delivered.accepted || record.role != RecordRole::kOwner) return;
     const ServiceView* view = ViewOf(record.key.service);
     if (view == nullptr) return;
-    if (OwnersOf(*snapshot_, *view, record.hash).owner != delivered.to) return;
+    if (OwnersOf(*snapshot_, *view, record.key, record.hash).owner !=
+        delivered.to)
+      return;
     StopCounting(record, now);
     record.role = RecordRole::kReplica;
     return;
@@ -248,7 +264,7 @@
   if (record.state == RecordState::kRefused || record.is_pending) return false;
   const ServiceView* view = ViewOf(record.key.service);
   if (view == nullptr) return false;
-  const Owners owners = OwnersOf(*snapshot_, *view, record.hash);
+  const Owners owners = OwnersOf(*snapshot_, *view, record.key, record.hash);
   const RecordCopy copy{record.key, record.target, record.state};
   if (owners.owner != snapshot_->self && owners.owner != kNoInstance) {
     replicator_.Add(owners.owner, copy, true, now);
@@ -305,14 +321,15 @@
     queue.pop_front();
     --held_;
     record->is_pending = false;
-    const Event event{.packet = held.packet,
-                      .view = view,
-                      .owners = OwnersOf(*snapshot_, view, held.packet.hash),
-                      .repeated = false,
-                      .asker = held.asker,
-                      .from = held.asker,
-                      .hop_limit = 0,
-                      .now = now};
+    const Event event{
+        .packet = held.packet,
+        .view = view,
+        .owners = OwnersOf(*snapshot_, view, held.packet.key, held.packet.hash),
+        .repeated = false,
+        .asker = held.asker,
+        .from = held.asker,
+        .hop_limit = 0,
+        .now = now};
     verdict = OnPlaced(event, placement);
     if (verdict.kind == VerdictKind::kHold) {
       // The packet goes on under the token that its holder knows.
@@ -337,7 +354,7 @@
                                  .reason = ErrorKind::kOwnerUnreachable});
       continue;
     }
-    if (!recovery_.MayDecideOnce(held.packet.key.service, now)) {
+    if (!IsRecovered(held.packet, *view, now)) {
       later.push_back(std::move(held));
       continue;
     }
