Add membership of instances with suspicion, probes and return

Cause: the other modules need a MemberView that survives loss, pauses and partitions.

Change: Membership takes the platform's list, heartbeats, probes and a timer; InstanceLifecycle is the Boost.MSM machine of docs/lifecycles.md; a heartbeat plan bounds the bytes (full mesh up to 16 instances, ring above); DecisionAuthority counts echoes of heartbeats. DomainMessage and DomainSink are the interface to the sender of datagrams.

--- a/src/sapphirestream/domain/fwd.h
+++ b/src/sapphirestream/domain/fwd.h
@@ -9,6 +9,10 @@
 enum class MemberState : std::uint8_t;
 struct Member;
 class MemberView;
+class DomainSink;
+class DecisionAuthority;
+class Dissemination;
+class Membership;
 
 }  // namespace sapphirestream
 
--- /dev/null
+++ b/src/sapphirestream/domain/instance_lifecycle.h
@@ -0,0 +1,47 @@
+// Lifecycle of an instance in the view of another one; the transition table is
+// in docs/lifecycles.md, section "Instance".
+#ifndef SAPPHIRESTREAM_DOMAIN_INSTANCE_LIFECYCLE_H_
+#define SAPPHIRESTREAM_DOMAIN_INSTANCE_LIFECYCLE_H_
+
+#include <memory>
+
+#include "sapphirestream/domain/member_view.h"
+
+namespace sapphirestream {
+
+enum class InstanceEvent : std::uint8_t {
+  // A sign of life of the known incarnation.
+  kHeard,
+  // A sign of life of a higher incarnation.
+  kRenewed,
+  // A higher incarnation announced that it is joining.
+  kRejoined,
+  // Silence for longer than the suspicion time.
+  kSilent,
+  // Silence for longer than the death time.
+  kExpired,
+  // The instance announced that it is leaving.
+  kLeaving,
+};
+
+class InstanceLifecycle {
+ public:
+  // Starts in kJoining.
+  InstanceLifecycle();
+  ~InstanceLifecycle();
+  InstanceLifecycle(InstanceLifecycle&&) noexcept;
+  InstanceLifecycle& operator=(InstanceLifecycle&&) noexcept;
+
+  [[nodiscard]] MemberState state() const noexcept;
+  // Applies an event; returns whether the state changed. An event without a
+  // transition from the present state is ignored.
+  bool Process(InstanceEvent event);
+
+ private:
+  class Machine;
+  std::unique_ptr<Machine> machine_;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_DOMAIN_INSTANCE_LIFECYCLE_H_
--- /dev/null
+++ b/src/sapphirestream/domain/membership.cc
@@ -0,0 +1,298 @@
+#include "sapphirestream/domain/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "sapphirestream/domain/timing.h"
+
+namespace sapphirestream {
+namespace {
+
+constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration kProbeInterval = std::chrono::milliseconds(400);
+// Dead members and silent domains get a sign of life this often, so that a
+// partition heals without the platform's help.
+constexpr Duration kHealingInterval = std::chrono::seconds(1);
+constexpr Duration kDomainInterval = std::chrono::seconds(1);
+// Interval to a domain whose last answer is overdue.
+constexpr Duration kDomainRetryInterval = std::chrono::milliseconds(250);
+// At 10% loss nine retries until kDeadAfter make a false verdict improbable
+// (0.19 to the power of 9 for each silent second).
+constexpr Duration kDomainOverdueAfter = std::chrono::milliseconds(1'100);
+// Dead members that the platform no longer lists are forgotten after this.
+constexpr Duration kForgetAfter = std::chrono::seconds(60);
+constexpr std::size_t kIndirectProbes = 3;
+// Probes of members never heard of per check; bounds the start in a domain of
+// 1,500 to 7 KB/s.
+constexpr std::size_t kFirstProbesPerCheck = 8;
+
+}  // namespace
+
+Membership::Membership(const Options& options, DomainSink& sink, Random& random,
+                       TimePoint now)
+    : self_(options.self),
+      domain_(options.domain),
+      sink_(sink),
+      random_(random),
+      incarnation_(options.incarnation),
+      is_ready_(options.ready),
+      authority_(options.self, options.domain,
+                 (Value(options.incarnation) << 20) + 1, now),
+      next_round_(now),
+      next_check_(now),
+      next_healing_(now) {
+  BeginJoining(now, kEchoLifetime);
+  Refresh(now);
+}
+
+void Membership::OnList(std::span<const InstanceListing> list, TimePoint now) {
+  for (auto& [id, record] : table_.records()) record.is_listed = false;
+  for (const InstanceListing& listing : list) {
+    if (listing.id == self_ || listing.id == kNoInstance) continue;
+    table_.Emplace(listing.id, listing.domain, now).is_listed = true;
+    domain_heard_.try_emplace(listing.domain, now);
+  }
+  Refresh(now);
+}
+
+void Membership::OnTimer(TimePoint now) {
+  if (const Duration gap = authority_.OnTick(now); gap > Duration::zero()) {
+    OnPause(gap, now);
+  }
+  if (now >= next_check_) {
+    next_check_ = now + kCheckInterval;
+    CheckOwnDomain(now);
+    CheckOtherDomains(now);
+    Forget(now);
+    Refresh(now);
+  }
+  if (state_ == MemberState::kJoining) TryFinishJoining(now);
+  if (now >= next_round_) {
+    // Jitter keeps the instances from sending in step.
+    next_round_ =
+        now + plan_.interval +
+        Duration(random_.Below(
+            static_cast<std::uint64_t>(plan_.interval.count()) / 8 + 1));
+    SendRound(now);
+  }
+}
+
+void Membership::SetConfigVersions(ConfigVersion prepared,
+                                   ConfigVersion active) {
+  prepared_ = prepared;
+  active_ = active;
+}
+
+void Membership::SetKeys(std::vector<std::uint64_t> keys) {
+  keys_ = std::move(keys);
+  is_stale_ = true;
+}
+
+void Membership::BeginLeave(TimePoint now) {
+  if (state_ == MemberState::kLeaving) return;
+  state_ = MemberState::kLeaving;
+  is_stale_ = true;
+  Refresh(now);
+  authority_.Withdraw();
+  for (const InstanceId id : plan_.neighbours) {
+    sink_.Send(id, Leave{incarnation_});
+  }
+  next_round_ = now;
+}
+
+TimePoint Membership::AuthorityUntil() const {
+  if (PresentNeighbours().size() < kFullMeshLimit) {
+    return authority_.Until(view_, 0);
+  }
+  TimePoint until = TimePoint::max();
+  for (const std::uint64_t key : keys_) {
+    if (FirstInstance(view_, domain_, key) != self_) continue;
+    until = std::min(until, authority_.Until(view_, key));
+  }
+  return until == TimePoint::max() ? DecisionAuthority::kNone : until;
+}
+
+void Membership::OnPause(Duration gap, TimePoint now) {
+  // The silence of the others during the pause means nothing.
+  for (auto& [id, record] : table_.records()) record.last_heard = now;
+  for (auto& [domain, heard] : domain_heard_) heard = now;
+  if (gap < kDeadAfter || state_ != MemberState::kAlive) return;
+  // The others may have declared this instance dead and instances that it does
+  // not know of may have joined, so it joins anew.
+  incarnation_ = Incarnation{Value(incarnation_) + 1};
+  BeginJoining(now, kDeadAfter);
+}
+
+void Membership::BeginJoining(TimePoint now, Duration shortest) {
+  state_ = MemberState::kJoining;
+  joining_since_ = now;
+  joining_shortest_ = shortest;
+  authority_.Withdraw();
+  next_round_ = now;
+  is_stale_ = true;
+}
+
+void Membership::TryFinishJoining(TimePoint now) {
+  if (!is_ready_ || now - joining_since_ < joining_shortest_) return;
+  std::size_t echoed = 0;
+  std::size_t missing = 0;
+  bool has_unheard = false;
+  for (const InstanceId id : table_.InDomain(domain_)) {
+    const MemberRecord& record = *table_.Find(id);
+    const MemberState state = record.state();
+    if (state == MemberState::kJoining && !record.is_heard) has_unheard = true;
+    const bool is_counted = MemberView::IsEligible({id, domain_, state, {}}) ||
+                            (state == MemberState::kJoining && record.is_heard);
+    if (!is_counted) continue;
+    authority_.IsEchoed(id) ? ++echoed : ++missing;
+  }
+  const bool is_large = PresentNeighbours().size() >= kFullMeshLimit;
+  // A large domain cannot be heard in full; its ring neighbours have passed
+  // on what they know.
+  if (is_large ? echoed < 2 : missing > 0 || has_unheard) return;
+  // Alone, it gives the list and the other domains time to tell of others.
+  if (echoed == 0 && now - joining_since_ < kDeadAfter) return;
+  state_ = MemberState::kAlive;
+  // Only the echo of a heartbeat that no longer says "joining" proves that the
+  // others rank this instance.
+  authority_.Withdraw();
+  next_round_ = now;
+  is_stale_ = true;
+  Refresh(now);
+}
+
+void Membership::CheckOwnDomain(TimePoint now) {
+  std::size_t first_probes = 0;
+  const std::vector<InstanceId> ids = table_.InDomain(domain_);
+  for (const InstanceId id : ids) {
+    MemberRecord& record = *table_.Find(id);
+    if (record.state() == MemberState::kJoining && !record.is_heard) {
+      const bool is_first = record.last_probe == TimePoint{};
+      if (now - record.last_probe < kProbeInterval) continue;
+      if (is_first && ++first_probes > kFirstProbesPerCheck) continue;
+      if (is_first) record.last_heard = now;
+      record.last_probe = now;
+      SendProbe(id, id, now);
+    }
+    CheckSilence(id, record, now);
+  }
+  if (now < next_healing_) return;
+  next_healing_ = now + kHealingInterval;
+  std::vector<InstanceId> dead;
+  for (const InstanceId id : ids) {
+    if (table_.Find(id)->state() == MemberState::kDead) dead.push_back(id);
+  }
+  if (!dead.empty()) SendHeartbeat(dead[random_.Below(dead.size())], now);
+}
+
+void Membership::CheckSilence(InstanceId id, MemberRecord& record,
+                              TimePoint now) {
+  const Duration silence = now - record.last_heard;
+  const MemberState state = record.state();
+  if (state == MemberState::kJoining || state == MemberState::kLeaving) {
+    const bool is_watched = record.is_monitored || record.is_accused ||
+                            !record.is_heard || state == MemberState::kLeaving;
+    if (is_watched && silence >= kDeadAfter) {
+      table_.Process(id, record, InstanceEvent::kExpired, now);
+    }
+    return;
+  }
+  if (!MemberView::IsEligible({id, domain_, state, {}})) return;
+  if (!record.is_monitored && !record.is_accused) return;
+  if (silence < kSuspectAfter) return;
+  if (silence >= kDeadAfter) {
+    table_.Process(id, record, InstanceEvent::kExpired, now);
+    return;
+  }
+  table_.Process(id, record, InstanceEvent::kSilent, now);
+  if (now - record.last_probe < kProbeInterval) return;
+  record.last_probe = now;
+  SendProbe(id, id, now);
+  const std::vector<InstanceId>& ids = table_.InDomain(domain_);
+  const std::size_t start = random_.Below(ids.size());
+  std::size_t sent = 0;
+  for (std::size_t i = 0; i < ids.size() && sent < kIndirectProbes; ++i) {
+    const InstanceId helper = ids[(start + i) % ids.size()];
+    if (helper == id) continue;
+    if (table_.Find(helper)->state() != MemberState::kAlive) continue;
+    SendProbe(helper, id, now);
+    ++sent;
+  }
+}
+
+void Membership::CheckOtherDomains(TimePoint now) {
+  // A domain is judged as a whole; the death of one of its members is learned
+  // from the others.
+  for (const auto& [domain, ids] : table_.domains()) {
+    if (domain == domain_) continue;
+    const Duration silence =
+        now - domain_heard_.try_emplace(domain, now).first->second;
+    TimePoint& next = domain_next_[domain];
+    if (next == TimePoint{}) {
+      next = now + Duration(random_.Below(
+                       static_cast<std::uint64_t>(kDomainInterval.count())));
+    }
+    if (now >= next) {
+      const bool is_overdue =
+          silence > kDomainOverdueAfter && silence < kDeadAfter;
+      next = now + (is_overdue ? kDomainRetryInterval : kDomainInterval);
+      SendToDomain(domain, now);
+    }
+    if (silence < kSuspectDomainAfter) continue;
+    const InstanceEvent event = silence >= kDeadAfter ? InstanceEvent::kExpired
+                                                      : InstanceEvent::kSilent;
+    for (const InstanceId id : ids) {
+      MemberRecord& record = *table_.Find(id);
+      if (!MemberView::IsEligible({id, domain, record.state(), {}})) continue;
+      record.is_cut_off = true;
+      table_.Process(id, record, event, now);
+    }
+  }
+}
+
+void Membership::Forget(TimePoint now) {
+  std::vector<InstanceId> forgotten;
+  for (const auto& [id, record] : table_.records()) {
+    if (record.is_listed || now - record.changed_at < kForgetAfter) continue;
+    if (record.state() == MemberState::kDead ||
+        record.state() == MemberState::kLeft) {
+      forgotten.push_back(id);
+    }
+  }
+  for (const InstanceId id : forgotten) table_.Erase(id);
+}
+
+std::vector<InstanceId> Membership::PresentNeighbours() const {
+  std::vector<InstanceId> present;
+  for (const Member& member : view_.members()) {
+    if (member.domain != domain_ || member.id == self_) continue;
+    if (member.state == MemberState::kDead) continue;
+    if (member.state == MemberState::kLeft) continue;
+    present.push_back(member.id);
+  }
+  return present;
+}
+
+void Membership::Refresh(TimePoint now) {
+  if (!is_stale_ && seen_revision_ == table_.revision()) return;
+  is_stale_ = false;
+  seen_revision_ = table_.revision();
+  ++revision_;
+  std::vector<Member> members = table_.Members();
+  members.push_back({self_, domain_, state_, incarnation_});
+  view_ = MemberView(std::move(members));
+  plan_ = MakeHeartbeatPlan(self_, domain_, PresentNeighbours(), view_, keys_);
+  std::vector<InstanceId> planned = plan_.neighbours;
+  planned.insert(planned.end(), plan_.successors.begin(),
+                 plan_.successors.end());
+  std::sort(planned.begin(), planned.end());
+  for (const InstanceId id : table_.InDomain(domain_)) {
+    MemberRecord& record = *table_.Find(id);
+    const bool is_planned =
+        std::binary_search(planned.begin(), planned.end(), id);
+    if (is_planned && !record.is_monitored) record.last_heard = now;
+    record.is_monitored = is_planned;
+  }
+}
+
+}  // namespace sapphirestream
--- a/src/sapphirestream/domain/message.h
+++ b/src/sapphirestream/domain/message.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "sapphirestream/base/id.h"
@@ -96,6 +97,10 @@
   bool operator==(const ConfigConfirm&) const = default;
 };
 
+using DomainMessage =
+    std::variant<Heartbeat, Probe, ProbeAck, Leave, ConfigChunk, ConfigDelta,
+                 ConfigPull, ConfigConfirm>;
+
 }  // namespace sapphirestream
 
 #endif  // SAPPHIRESTREAM_DOMAIN_MESSAGE_H_
--- /dev/null
+++ b/src/sapphirestream/domain/timing.h
@@ -0,0 +1,29 @@
+// Time limits shared by membership and decision authority. The order
+// kEchoLifetime < kDeadAfter is what keeps two deciders apart.
+#ifndef SAPPHIRESTREAM_DOMAIN_TIMING_H_
+#define SAPPHIRESTREAM_DOMAIN_TIMING_H_
+
+#include <chrono>
+#include <cstddef>
+
+#include "sapphirestream/base/clock.h"
+
+namespace sapphirestream {
+
+// A longer gap between two ticks of the control loop counts as a pause.
+inline constexpr Duration kPauseLimit = std::chrono::milliseconds(500);
+// How long an echoed heartbeat supports the authority, from its sending.
+inline constexpr Duration kEchoLifetime = std::chrono::milliseconds(1'500);
+// Silence after which a member of the own domain is suspected.
+inline constexpr Duration kSuspectAfter = std::chrono::seconds(1);
+// The same for another domain, which is heard once a second only.
+inline constexpr Duration kSuspectDomainAfter =
+    std::chrono::milliseconds(1'500);
+// Silence after which a suspected member is dead.
+inline constexpr Duration kDeadAfter = std::chrono::seconds(3);
+// Largest domain in which every instance sends heartbeats to every other one.
+inline constexpr std::size_t kFullMeshLimit = 16;
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_DOMAIN_TIMING_H_
--- /dev/null
+++ b/test/domain/membership_test.cc
@@ -0,0 +1,161 @@
+// Guards against members that are taken for dead while they live, or for alive
+// after they died, and against views that do not heal.
+#include "sapphirestream/domain/membership.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "testing/domain_cluster.h"
+
+namespace sapphirestream {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::DomainCluster;
+
+// Starts ids 1 to `domains` * `size`, numbered domain by domain.
+void StartDomains(DomainCluster& cluster, std::uint32_t domains,
+                  std::uint32_t size) {
+  for (std::uint32_t i = 0; i < domains * size; ++i) {
+    cluster.Start(i + 1, static_cast<std::uint16_t>(i / size + 1));
+  }
+}
+
+bool AllSeeAllAlive(DomainCluster& cluster) {
+  for (const auto& [observer, node] : cluster.nodes()) {
+    for (const auto& [subject, other] : cluster.nodes()) {
+      if (cluster.StateAt(Value(observer), Value(subject)) !=
+          MemberState::kAlive) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+BOOST_AUTO_TEST_SUITE(membership)
+
+BOOST_AUTO_TEST_CASE(loss_alone_makes_nobody_dead) {
+  DomainCluster cluster({.seed = 11, .loss = 0.1});
+  StartDomains(cluster, 3, 3);
+  cluster.Run(seconds(5));
+  int deaths = 0;
+  cluster.Run(seconds(300), [&] {
+    for (const auto& [observer, node] : cluster.nodes()) {
+      for (const Member& member : node->membership.view().members()) {
+        if (!MemberView::IsEligible(member)) ++deaths;
+      }
+    }
+  });
+  BOOST_TEST(deaths == 0);
+}
+
+BOOST_AUTO_TEST_CASE(death_is_seen_everywhere_but_not_before_3_s) {
+  DomainCluster cluster({.seed = 12, .loss = 0.02});
+  StartDomains(cluster, 3, 3);
+  cluster.Run(seconds(6));
+  BOOST_TEST(AllSeeAllAlive(cluster));
+  cluster.Kill(2);
+  cluster.Run(milliseconds(2'700));
+  BOOST_TEST((cluster.StateAt(1, 2) == MemberState::kSuspect));
+  cluster.Run(milliseconds(3'000));
+  for (const auto& [observer, node] : cluster.nodes()) {
+    BOOST_TEST((cluster.StateAt(Value(observer), 2) == MemberState::kDead));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(paused_and_cut_off_members_return_by_themselves) {
+  DomainCluster cluster({.seed = 13});
+  StartDomains(cluster, 2, 3);
+  cluster.Run(seconds(6));
+  cluster.Pause(2);
+  cluster.Run(seconds(10));
+  BOOST_TEST((cluster.StateAt(1, 2) == MemberState::kDead));
+  cluster.Wake(2);
+  cluster.Run(seconds(6));
+  BOOST_TEST(AllSeeAllAlive(cluster));
+  cluster.CutInstance(2);
+  cluster.Run(seconds(10));
+  BOOST_TEST((cluster.StateAt(4, 2) == MemberState::kDead));
+  BOOST_TEST((cluster.StateAt(2, 1) == MemberState::kDead));
+  cluster.Heal();
+  cluster.Run(seconds(8));
+  BOOST_TEST(AllSeeAllAlive(cluster));
+}
+
+BOOST_AUTO_TEST_CASE(partition_between_domains_is_noticed_and_heals) {
+  DomainCluster cluster({.seed = 14, .loss = 0.02});
+  StartDomains(cluster, 3, 3);
+  cluster.Run(seconds(6));
+  cluster.CutDomain(1);
+  cluster.Run(milliseconds(2'500));
+  BOOST_TEST((cluster.StateAt(1, 4) == MemberState::kSuspect));
+  cluster.Run(seconds(3));
+  for (std::uint32_t id = 4; id <= 9; ++id) {
+    BOOST_TEST((cluster.StateAt(1, id) == MemberState::kDead));
+    BOOST_TEST((cluster.StateAt(id, 3) == MemberState::kDead));
+  }
+  BOOST_TEST((cluster.StateAt(1, 2) == MemberState::kAlive));
+  cluster.Heal();
+  cluster.Run(seconds(12));
+
+  BOOST_TEST(AllSeeAllAlive(cluster));
+}
+
+BOOST_AUTO_TEST_CASE(list_that_contains_the_dead_does_not_revive_them) {
+  DomainCluster cluster({.seed = 15});
+  StartDomains(cluster, 1, 3);
+  cluster.Kill(3);
+  cluster.Run(seconds(8));
+  cluster.GiveList();
+  cluster.Run(seconds(2));
+  BOOST_TEST((cluster.StateAt(1, 3) == MemberState::kDead));
+  BOOST_TEST((cluster.StateAt(1, 2) == MemberState::kAlive));
+}
+
+BOOST_AUTO_TEST_CASE(unlisted_members_are_learned_from_others) {
+  DomainCluster cluster({.seed = 16});
+  StartDomains(cluster, 2, 3);
+  cluster.Run(seconds(6));
+  // The list given at the start of instance 7 names neither 2, 3 nor 5.
+  for (const std::uint32_t id : {2, 3, 5}) cluster.Delist(id);
+  cluster.Start(7, 1);
+  cluster.Run(seconds(8));
+  BOOST_TEST(AllSeeAllAlive(cluster));
+}
+
+BOOST_AUTO_TEST_CASE(leaving_is_seen_at_once_and_ends_as_left) {
+  DomainCluster cluster({.seed = 17});
+  StartDomains(cluster, 2, 3);
+  cluster.Run(seconds(6));
+  cluster.at(2).membership.BeginLeave(cluster.now());
+  cluster.Run(milliseconds(40));
+  BOOST_TEST((cluster.StateAt(1, 2) == MemberState::kLeaving));
+  cluster.Run(seconds(2));
+  BOOST_TEST((cluster.StateAt(4, 2) == MemberState::kLeaving));
+  cluster.Kill(2);
+  cluster.Run(seconds(6));
+  BOOST_TEST((cluster.StateAt(1, 2) == MemberState::kLeft));
+}
+
+BOOST_AUTO_TEST_CASE(large_domain_notices_death_with_few_heartbeats) {
+  DomainCluster cluster({.seed = 18, .loss = 0.02});
+  StartDomains(cluster, 1, 60);
+  cluster.Run(seconds(15));
+  BOOST_TEST(AllSeeAllAlive(cluster));
+  std::map<InstanceId, int> sent;
+  cluster.on_send = [&sent](const DomainCluster::Node& from,
+                            const DomainMessage&) { ++sent[from.id]; };
+  cluster.Run(seconds(10));
+  for (const auto& [id, count] : sent) BOOST_TEST(count < 300);
+  cluster.Kill(30);
+  cluster.Run(seconds(10));
+  for (const auto& [observer, node] : cluster.nodes()) {
+    BOOST_TEST((cluster.StateAt(Value(observer), 30) == MemberState::kDead));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
--- /dev/null
+++ b/testing/domain_cluster.h
@@ -0,0 +1,187 @@
+// Instances of several domains in one process and in virtual time. Messages are
+// delayed, lost or cut off by domain or instance; instances can be paused,
+// killed and started. Used by tests and measurements.
+#ifndef SAPPHIRESTREAM_TESTING_DOMAIN_CLUSTER_H_
+#define SAPPHIRESTREAM_TESTING_DOMAIN_CLUSTER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "sapphirestream/base/random.h"
+#include "sapphirestream/domain/membership.h"
+
+namespace sapphirestream::testing {
+
+class DomainCluster {
+ public:
+  struct Options {
+    std::uint64_t seed = 1;
+    double loss = 0;
+    // Plus up to a quarter more as jitter.
+    Duration delay_inside = std::chrono::microseconds(300);
+    Duration delay_between = std::chrono::milliseconds(5);
+    Duration tick = std::chrono::milliseconds(20);
+  };
+
+  class Node : public DomainSink {
+   public:
+    Node(DomainCluster& cluster, const Membership::Options& options)
+        : id(options.self),
+          domain(options.domain),
+          random(cluster.random_.Next()),
+          membership(options, *this, random, cluster.now()),
+          cluster_(cluster) {}
+    void Send(InstanceId to, const DomainMessage& message) override {
+      cluster_.Send(*this, to, message);
+    }
+
+    const InstanceId id;
+    const DomainId domain;
+    SeededRandom random;
+    Membership membership;
+    bool is_paused = false;
+    // What arrived during a pause; handled on waking, before the first tick.
+    std::vector<std::pair<InstanceId, DomainMessage>> backlog;
+
+   private:
+    DomainCluster& cluster_;
+  };
+
+  explicit DomainCluster(const Options& options)
+      : options_(options), random_(options.seed) {}
+
+  // Starts an instance, or replaces a running one without its leaving.
+  Node& Start(std::uint32_t id, std::uint16_t domain,
+              std::uint64_t incarnation = 1) {
+    const InstanceId instance{id};
+    nodes_[instance] = std::make_unique<Node>(
+        *this, Membership::Options{instance, DomainId{domain},
+                                   Incarnation{incarnation << 10}});
+    listing_[instance] = DomainId{domain};
+    GiveList();
+    return *nodes_[instance];
+  }
+  void Kill(std::uint32_t id) { nodes_.erase(InstanceId{id}); }
+  // Passes the list, in which killed instances stay, to everyone.
+  void GiveList() {
+    std::vector<InstanceListing> list;
+    for (const auto& [id, domain] : listing_) list.push_back({id, domain});
+    for (auto& [id, node] : nodes_) node->membership.OnList(list, now_);
+  }
+  void Delist(std::uint32_t id) { listing_.erase(InstanceId{id}); }
+  void Pause(std::uint32_t id) { at(id).is_paused = true; }
+  void Wake(std::uint32_t id) {
+    Node& node = at(id);
+    node.is_paused = false;
+    for (const auto& [from, message] : std::exchange(node.backlog, {})) {
+      Deliver(node, from, message);
+    }
+  }
+  // Loses every message for which the predicate holds.
+  void Cut(std::function<bool(const Node& from, const Node& to)> is_cut) {
+    is_cut_ = std::move(is_cut);
+  }
+  void CutDomain(std::uint16_t domain) {
+    Cut([domain](const Node& from, const Node& to) {
+      return (from.domain == DomainId{domain}) !=
+             (to.domain == DomainId{domain});
+    });
+  }
+  void CutInstance(std::uint32_t id) {
+    Cut([id](const Node& from, const Node& to) {
+      return from.id == InstanceId{id} || to.id == InstanceId{id};
+    });
+  }
+  void Heal() { is_cut_ = nullptr; }
+
+  // Runs for a time; `check` is called after every tick of all nodes.
+  void Run(Duration time, const std::function<void()>& check = nullptr) {
+    const TimePoint end = now_ + time;
+    while (now_ < end) {
+      now_ += options_.tick;
+      while (!queue_.empty() && queue_.top().at <= now_) {
+        const Flight flight = queue_.top();
+        queue_.pop();
+        Arrive(flight);
+      }
+      for (auto& [id, node] : nodes_) {
+        if (!node->is_paused) node->membership.OnTimer(now_);
+      }
+      if (check) check();
+    }
+  }
+
+  [[nodiscard]] Node& at(std::uint32_t id) {
+    return *nodes_.at(InstanceId{id});
+  }
+  [[nodiscard]] std::map<InstanceId, std::unique_ptr<Node>>& nodes() {
+    return nodes_;
+  }
+  [[nodiscard]] TimePoint now() const { return now_; }
+  // State of `subject` as `observer` sees it; kLeft if it does not know it.
+  [[nodiscard]] MemberState StateAt(std::uint32_t observer,
+                                    std::uint32_t subject) {
+    const Member* member =
+        at(observer).membership.view().Find(InstanceId{subject});
+    return member == nullptr ? MemberState::kLeft : member->state;
+  }
+  std::function<void(const Node& from, const DomainMessage&)> on_send;
+
+ private:
+  struct Flight {
+    TimePoint at;
+    std::uint64_t order;
+    InstanceId from;
+    InstanceId to;
+    DomainMessage message;
+    bool operator<(const Flight& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+
+  void Send(const Node& from, InstanceId to, const DomainMessage& message) {
+    if (on_send) on_send(from, message);
+    const auto it = nodes_.find(to);
+    if (it == nodes_.end()) return;
+    if (is_cut_ && is_cut_(from, *it->second)) return;
+    if (random_.Unit() < options_.loss) return;
+    const Duration base = from.domain == it->second->domain
+                              ? options_.delay_inside
+                              : options_.delay_between;
+    const Duration jitter(
+        random_.Below(static_cast<std::uint64_t>(base.count()) / 4));
+    queue_.push({now_ + base + jitter, ++order_, from.id, to, message});
+  }
+  void Arrive(const Flight& flight) {
+    const auto it = nodes_.find(flight.to);
+    if (it == nodes_.end()) return;
+    Node& node = *it->second;
+    if (node.is_paused) {
+      node.backlog.emplace_back(flight.from, flight.message);
+    } else {
+      Deliver(node, flight.from, flight.message);
+    }
+  }
+  void Deliver(Node& node, InstanceId from, const DomainMessage& message) {
+    node.membership.OnMessage(from, message, now_);
+  }
+
+  Options options_;
+  SeededRandom random_;
+  TimePoint now_{std::chrono::seconds(1'000)};
+  std::map<InstanceId, std::unique_ptr<Node>> nodes_;
+  std::map<InstanceId, DomainId> listing_;
+  std::priority_queue<Flight> queue_;
+  std::uint64_t order_ = 0;
+  std::function<bool(const Node&, const Node&)> is_cut_;
+};
+
+}  // namespace sapphirestream::testing
+
+#endif  // SAPPHIRESTREAM_TESTING_DOMAIN_CLUSTER_H_
