--- a/src/sapphirestream/domain/member_table.cc
+++ b/src/sapphirestream/domain/member_table.cc
@@ -11,6 +11,8 @@
 // domains (one a second), so that single losses do not matter.
 constexpr Duration kNewsLifetime = std::chrono::seconds(5);
 
+const std::vector<InstanceId> kNobody;
+
 }  // namespace
 
 MemberRecord* MemberTable::Find(InstanceId id) noexcept {
@@ -82,9 +84,8 @@
 }
 
 const std::vector<InstanceId>& MemberTable::InDomain(DomainId domain) const {
-  static const std::vector<InstanceId> kEmpty;
   const auto it = domains_.find(domain);
-  return it == domains_.end() ? kEmpty : it->second;
+  return it == domains_.end() ? kNobody : it->second;
 }
 
 std::vector<InstanceId> MemberTable::Recent(TimePoint now, std::size_t limit) {
--- a/src/sapphirestream/domain/membership_send.cc
+++ b/src/sapphirestream/domain/membership_send.cc
@@ -79,9 +79,9 @@
     AddOnce(Describe(to, *record), out);
   }
   for (const InstanceId id : table_.Recent(now, kMaxChanges)) {
-    if (const MemberRecord* changed = table_.Find(id); changed != nullptr) {
-      if (id != to) AddOnce(Describe(id, *changed), out);
-    }
+    const MemberRecord* changed = table_.Find(id);
+    if (id == to || changed == nullptr || changed->is_cut_off) continue;
+    AddOnce(Describe(id, *changed), out);
   }
   const std::vector<InstanceId>& own = table_.InDomain(domain_);
   const bool is_newcomer = record == nullptr ||
--- a/test/domain/membership_test.cc
+++ b/test/domain/membership_test.cc
@@ -98,7 +98,6 @@
   BOOST_TEST((cluster.StateAt(1, 2) == MemberState::kAlive));
   cluster.Heal();
   cluster.Run(seconds(12));
-
   BOOST_TEST(AllSeeAllAlive(cluster));
 }
 
