Add dissemination of configuration versions

Cause: an accepted change must be in force on every instance within 5 s without every instance watching the store.

ConfigConfirm also names lagging instances; its codec and test follow.

--- a/src/sapphirestream/domain/fwd.h
+++ b/src/sapphirestream/domain/fwd.h
@@ -11,6 +11,8 @@
 class MemberView;
 class DomainSink;
 class DecisionAuthority;
+class ConfigBody;
+class ConfigHistory;
 class Dissemination;
 class Membership;
 
--- a/src/sapphirestream/domain/message.h
+++ b/src/sapphirestream/domain/message.h
@@ -94,6 +94,8 @@
   std::uint32_t active = 0;
   // Live instances in the subtree.
   std::uint32_t live = 0;
+  // Some of those that have not prepared it, for the operators.
+  std::vector<InstanceId> lagging;
   bool operator==(const ConfigConfirm&) const = default;
 };
 
--- a/src/sapphirestream/link/messages.capnp
+++ b/src/sapphirestream/link/messages.capnp
@@ -62,6 +62,7 @@
   prepared @2 :UInt32;
   active @3 :UInt32;
   live @4 :UInt32;
+  lagging @5 :List(UInt32);
 }
 
 struct FlowKey {
--- a/src/sapphirestream/link/messages.capnp.h
+++ b/src/sapphirestream/link/messages.capnp.h
@@ -170,7 +170,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(af50bcf8101a1537, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(af50bcf8101a1537, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1097,6 +1097,9 @@
 
   inline  ::uint32_t getLive() const;
 
+  inline bool hasLagging() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getLagging() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1140,6 +1143,14 @@
   inline  ::uint32_t getLive();
   inline void setLive( ::uint32_t value);
 
+  inline bool hasLagging();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getLagging();
+  inline void setLagging( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setLagging(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initLagging(unsigned int size);
+  inline void adoptLagging(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownLagging();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2765,6 +2776,44 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool ConfigConfirm::Reader::hasLagging() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ConfigConfirm::Builder::hasLagging() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader ConfigConfirm::Reader::getLagging() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder ConfigConfirm::Builder::getLagging() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ConfigConfirm::Builder::setLagging( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void ConfigConfirm::Builder::setLagging(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder ConfigConfirm::Builder::initLagging(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ConfigConfirm::Builder::adoptLagging(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> ConfigConfirm::Builder::disownLagging() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool FlowKey::Reader::hasClient() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/sapphirestream/link/wire_reader.cc
+++ b/src/sapphirestream/link/wire_reader.cc
@@ -79,6 +79,19 @@
          ReadList(in.getMembers(), out.members, ReadMember);
 }
 
+bool ReadConfirm(wire::ConfigConfirm::Reader in, ConfigConfirm& out) {
+  out.version = ConfigVersion{in.getVersion()};
+  out.domain = DomainId{in.getDomain()};
+  out.prepared = in.getPrepared();
+  out.active = in.getActive();
+  out.live = in.getLive();
+  return ReadList(in.getLagging(), out.lagging,
+                  [](std::uint32_t id, InstanceId& converted) {
+                    converted = InstanceId{id};
+                    return true;
+                  });
+}
+
 bool ReadChunk(wire::ConfigPart::Reader in, ConfigChunk& out) {
   out = {ConfigVersion{in.getBase()}, ConfigVersion{in.getVersion()},
          in.getIndex(), in.getCount(), ReadBytes(in.getBody())};
@@ -161,13 +174,8 @@
     }
     case wire::PeerMessage::CONFIG_CHUNK:
       return ReadChunk(root.getConfigChunk(), out.emplace<ConfigChunk>());
-    case wire::PeerMessage::CONFIG_CONFIRM: {
-      const auto confirm = root.getConfigConfirm();
-      out = ConfigConfirm{ConfigVersion{confirm.getVersion()},
-                          DomainId{confirm.getDomain()}, confirm.getPrepared(),
-                          confirm.getActive(), confirm.getLive()};
-      return true;
-    }
+    case wire::PeerMessage::CONFIG_CONFIRM:
+      return ReadConfirm(root.getConfigConfirm(), out.emplace<ConfigConfirm>());
     case wire::PeerMessage::REDIRECT:
       return ReadRedirect(root.getRedirect(), out.emplace<Redirect>());
     case wire::PeerMessage::LEARN:
--- a/src/sapphirestream/link/wire_writer.cc
+++ b/src/sapphirestream/link/wire_writer.cc
@@ -104,6 +104,10 @@
   out.setPrepared(message.prepared);
   out.setActive(message.active);
   out.setLive(message.live);
+  auto lagging = out.initLagging(Size(message.lagging.size()));
+  for (unsigned i = 0; i < lagging.size(); ++i) {
+    lagging.set(i, Value(message.lagging[i]));
+  }
 }
 
 void Write(const Redirect& message, wire::PeerMessage::Builder root) {
--- a/test/link/peer_message_test.cc
+++ b/test/link/peer_message_test.cc
@@ -40,7 +40,7 @@
       ConfigDelta{ConfigVersion{1}, ConfigVersion{2}, "{\"a\":1}"},
       ConfigPull{ConfigVersion{1}, ConfigVersion{2}, 3},
       ConfigChunk{ConfigVersion{0}, ConfigVersion{2}, 1, 2, "body"},
-      ConfigConfirm{ConfigVersion{9}, DomainId{1}, 2, 3, 4},
+      ConfigConfirm{ConfigVersion{9}, DomainId{1}, 2, 3, 4, {InstanceId{5}}},
       Redirect{InstanceId{5}, 2, ServiceId{6}, true, std::string(1400, '\0')},
       Learn{Key("10.0.0.1"), TargetId{8}},
       RecordBatch{1, true, records},
--- a/testing/domain_cluster.h
+++ b/testing/domain_cluster.h
@@ -4,17 +4,20 @@
 #ifndef SAPPHIRESTREAM_TESTING_DOMAIN_CLUSTER_H_
 #define SAPPHIRESTREAM_TESTING_DOMAIN_CLUSTER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <queue>
-#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
 #include "sapphirestream/base/random.h"
+#include "sapphirestream/domain/dissemination.h"
 #include "sapphirestream/domain/membership.h"
+#include "testing/splice_body.h"
 
 namespace sapphirestream::testing {
 
@@ -36,6 +39,8 @@
           domain(options.domain),
           random(cluster.random_.Next()),
           membership(options, *this, random, cluster.now()),
+          dissemination({options.self, options.domain}, cluster.body_, *this,
+                        random, cluster.now()),
           cluster_(cluster) {}
     void Send(InstanceId to, const DomainMessage& message) override {
       cluster_.Send(*this, to, message);
@@ -45,6 +50,7 @@
     const DomainId domain;
     SeededRandom random;
     Membership membership;
+    Dissemination dissemination;
     bool is_paused = false;
     // What arrived during a pause; handled on waking, before the first tick.
     std::vector<std::pair<InstanceId, DomainMessage>> backlog;
@@ -60,6 +66,7 @@
   Node& Start(std::uint32_t id, std::uint16_t domain,
               std::uint64_t incarnation = 1) {
     const InstanceId instance{id};
+    nodes_.erase(instance);
     nodes_[instance] = std::make_unique<Node>(
         *this, Membership::Options{instance, DomainId{domain},
                                    Incarnation{incarnation << 10}});
@@ -111,7 +118,7 @@
         Arrive(flight);
       }
       for (auto& [id, node] : nodes_) {
-        if (!node->is_paused) node->membership.OnTimer(now_);
+        if (!node->is_paused) Tick(*node);
       }
       if (check) check();
     }
@@ -123,6 +130,22 @@
   [[nodiscard]] std::map<InstanceId, std::unique_ptr<Node>>& nodes() {
     return nodes_;
   }
+  // Gives the store's configuration to the readers for which `reaches` holds.
+  void Accept(std::uint64_t version, const std::string& body,
+              const std::function<bool(const Node&)>& reaches = nullptr) {
+    for (auto& [id, node] : nodes_) {
+      if (!node->dissemination.IsReader() || node->is_paused) continue;
+      if (reaches && !reaches(*node)) continue;
+      node->dissemination.OnStoreConfiguration(ConfigVersion{version}, body,
+                                               now_);
+    }
+  }
+  // Whether every running instance has activated `version`.
+  [[nodiscard]] bool IsActiveEverywhere(std::uint64_t version) {
+    return std::all_of(nodes_.begin(), nodes_.end(), [&](const auto& node) {
+      return node.second->dissemination.active() == ConfigVersion{version};
+    });
+  }
   [[nodiscard]] TimePoint now() const { return now_; }
   // State of `subject` as `observer` sees it; kLeft if it does not know it.
   [[nodiscard]] MemberState StateAt(std::uint32_t observer,
@@ -170,10 +193,20 @@
   }
   void Deliver(Node& node, InstanceId from, const DomainMessage& message) {
     node.membership.OnMessage(from, message, now_);
+    node.dissemination.OnMessage(from, message, now_);
+  }
+  // What the control loop of an instance does.
+  void Tick(Node& node) {
+    node.membership.SetConfigVersions(node.dissemination.prepared(),
+                                      node.dissemination.active());
+    node.membership.OnTimer(now_);
+    node.dissemination.OnView(node.membership.view(), now_);
+    node.dissemination.OnTimer(now_);
   }
 
   Options options_;
   SeededRandom random_;
+  SpliceBody body_;
   TimePoint now_{std::chrono::seconds(1'000)};
   std::map<InstanceId, std::unique_ptr<Node>> nodes_;
   std::map<InstanceId, DomainId> listing_;
