--- a/src/sapphirestream/domain/fwd.h
+++ b/src/sapphirestream/domain/fwd.h
@@ -9,6 +9,12 @@
 enum class MemberState : std::uint8_t;
 struct Member;
 class MemberView;
+class DomainSink;
+class DecisionAuthority;
+class ConfigBody;
+class ConfigHistory;
+class Dissemination;
+class Membership;
 
 }  // namespace sapphirestream
 
