Add JSON codec, typed changes and their application

Cause: the instance, the command line and the store client need one reading of configurations and changes. Change: JSON codec of every contract struct with path, value and range in errors; Change as a list of typed operations; Apply, Validate and the rule that judges racing changes by the paths they touch. ChangeRecord gains touched, so that a race is judged from the head alone. Conclusion: other modules can parse and apply changes.

--- /dev/null
+++ b/src/sapphirestream/contract/apply.cc
@@ -0,0 +1,325 @@
+// Application of each operation to a copy of the configuration.
+#include <algorithm>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "sapphirestream/contract/change.h"
+#include "sapphirestream/contract/change_json.h"
+#include "sapphirestream/contract/find.h"
+#include "sapphirestream/contract/limits.h"
+#include "sapphirestream/contract/touched.h"
+
+namespace sapphirestream {
+namespace {
+
+constexpr std::string_view kMore = "...";
+
+// The copy that is being changed and the path of the current operation.
+struct Work {
+  Configuration configuration;
+  std::string path;
+
+  [[nodiscard]] leaf::error_id Fail(ErrorKind kind, std::string_view field,
+                                    const std::string& detail) const {
+    return MakeError(kind, path + "." + std::string(field) + ": " + detail);
+  }
+};
+
+leaf::result<Service*> ServiceNamed(Work& work, const std::string& name) {
+  const Service* service = FindService(work.configuration, name);
+  if (service == nullptr) {
+    return work.Fail(ErrorKind::kNotFound, "service", name);
+  }
+  const auto index = service - work.configuration.services.data();
+  return &work.configuration.services[static_cast<std::size_t>(index)];
+}
+
+// Returns the target's position and marks the service as changed.
+leaf::result<std::vector<Target>::iterator> TargetAt(Work& work,
+                                                     const std::string& name,
+                                                     const Endpoint& tunnel) {
+  BOOST_LEAF_AUTO(service, ServiceNamed(work, name));
+  const Target* target = FindTarget(*service, tunnel);
+  if (target == nullptr) {
+    return work.Fail(ErrorKind::kNotFound, "tunnel", ToString(tunnel));
+  }
+  service->version = work.configuration.version;
+  return service->targets.begin() + (target - service->targets.data());
+}
+
+template <typename T>
+void PutByName(std::vector<T>& elements, T element) {
+  const auto it =
+      std::lower_bound(elements.begin(), elements.end(), element,
+                       [](const T& a, const T& b) { return a.name < b.name; });
+  if (it != elements.end() && it->name == element.name) {
+    *it = std::move(element);
+  } else {
+    elements.insert(it, std::move(element));
+  }
+}
+
+template <typename T>
+void EraseByName(std::vector<T>& elements, const std::string& name) {
+  std::erase_if(elements, [&](const T& e) { return e.name == name; });
+}
+
+leaf::result<void> Run(Work& work, const CreateService& op) {
+  auto& services = work.configuration.services;
+  if (services.size() >= kMaxServices) {
+    return work.Fail(ErrorKind::kOutOfRange, "name",
+                     std::to_string(services.size()) +
+                         " services exist, at most " +
+                         std::to_string(kMaxServices) + " are allowed");
+  }
+  for (const Service& service : services) {
+    if (service.name == op.name) {
+      return work.Fail(ErrorKind::kAlreadyExists, "name", op.name);
+    }
+    if (service.id == op.id) {
+      return work.Fail(
+          ErrorKind::kAlreadyExists, "id",
+          std::to_string(Value(op.id)) + " is the id of " + service.name);
+    }
+    if (service.address == op.address) {
+      return work.Fail(
+          ErrorKind::kAlreadyExists, "address",
+          ToString(op.address) + " is the address of " + service.name);
+    }
+  }
+  const auto it = std::lower_bound(
+      services.begin(), services.end(), op.id,
+      [](const Service& service, ServiceId id) { return service.id < id; });
+  services.insert(it, Service{op.id,
+                              op.name,
+                              op.address,
+                              op.kind,
+                              op.idempotent,
+                              {},
+                              work.configuration.version});
+  return {};
+}
+
+leaf::result<void> Run(Work& work, const DeleteService& op) {
+  BOOST_LEAF_AUTO(service, ServiceNamed(work, op.service));
+  if (!service->targets.empty()) {
+    return work.Fail(ErrorKind::kOutOfRange, "service",
+                     op.service + " has " +
+                         std::to_string(service->targets.size()) +
+                         " targets, 0 are required");
+  }
+  const ServiceId id = service->id;
+  std::erase_if(work.configuration.announcements,
+                [&](const Announcement& a) { return a.service == id; });
+  std::erase_if(work.configuration.services,
+                [&](const Service& s) { return s.id == id; });
+  return {};
+}
+
+leaf::result<void> Run(Work& work, const AddTarget& op) {
+  BOOST_LEAF_AUTO(service, ServiceNamed(work, op.service));
+  if (FindTarget(*service, op.tunnel) != nullptr) {
+    return work.Fail(ErrorKind::kAlreadyExists, "tunnel", ToString(op.tunnel));
+  }
+  if (service->targets.size() >= kMaxTargetsPerService) {
+    return work.Fail(
+        ErrorKind::kOutOfRange, "service",
+        op.service + " has " + std::to_string(service->targets.size()) +
+            " targets, at most " + std::to_string(kMaxTargetsPerService) +
+            " are allowed");
+  }
+  auto& next = work.configuration.next_target_id;
+  if (next == std::numeric_limits<std::uint32_t>::max()) {
+    return work.Fail(ErrorKind::kOutOfRange, "tunnel",
+                     "all target ids are used up");
+  }
+  // Ids only grow, so the end keeps the order.
+  service->targets.push_back(Target{TargetId{next++}, op.tunnel, op.domain,
+                                    op.slots, op.max_connections, op.weight,
+                                    false});
+  service->version = work.configuration.version;
+  return {};
+}
+
+leaf::result<void> Run(Work& work, const DrainTarget& op) {
+  BOOST_LEAF_AUTO(target, TargetAt(work, op.service, op.tunnel));
+  target->draining = true;
+  return {};
+}
+
+leaf::result<void> Run(Work& work, const RemoveTarget& op) {
+  BOOST_LEAF_AUTO(target, TargetAt(work, op.service, op.tunnel));
+  BOOST_LEAF_AUTO(service, ServiceNamed(work, op.service));
+  service->targets.erase(target);
+  return {};
+}
+
+leaf::result<void> Run(Work& work, const PutPreset& op) {
+  auto& presets = work.configuration.presets;
+  if (FindPreset(work.configuration, op.preset.name) == nullptr &&
+      presets.size() >= kMaxPresets) {
+    return work.Fail(ErrorKind::kOutOfRange, "preset",
+                     std::to_string(presets.size()) +
+                         " presets exist, at most " +
+                         std::to_string(kMaxPresets) + " are allowed");
+  }
+  PutByName(presets, op.preset);
+  return {};
+}
+
+leaf::result<void> Run(Work& work, const DeletePreset& op) {
+  if (FindPreset(work.configuration, op.preset) == nullptr) {
+    return work.Fail(ErrorKind::kNotFound, "preset", op.preset);
+  }
+  if (work.configuration.preset == op.preset) {
+    return work.Fail(ErrorKind::kOutOfRange, "preset",
+                     op.preset + " is in force and cannot be deleted");
+  }
+  EraseByName(work.configuration.presets, op.preset);
+  return {};
+}
+
+leaf::result<void> Run(Work& work, const SwitchPreset& op) {
+  if (FindPreset(work.configuration, op.preset) == nullptr) {
+    return work.Fail(ErrorKind::kNotFound, "preset", op.preset);
+  }
+  work.configuration.preset = op.preset;
+  return {};
+}
+
+leaf::result<void> Run(Work& work, const PutAnnouncement& op) {
+  BOOST_LEAF_AUTO(service, ServiceNamed(work, op.service));
+  if (op.until <= op.from) {
+    return work.Fail(ErrorKind::kOutOfRange, "until", "not later than from");
+  }
+  const auto& all = work.configuration.announcements;
+  const auto others = std::count_if(
+      all.begin(), all.end(), [&](const Announcement& announcement) {
+        return announcement.service == service->id &&
+               announcement.name != op.name;
+      });
+  if (static_cast<std::size_t>(others) >= kMaxAnnouncementsPerService) {
+    return work.Fail(ErrorKind::kOutOfRange, "service",
+                     op.service + " has " + std::to_string(others) +
+                         " announcements, at most " +
+                         std::to_string(kMaxAnnouncementsPerService) +
+                         " are allowed");
+  }
+  PutByName(work.configuration.announcements,
+            Announcement{op.name, service->id, op.from, op.until, op.text});
+  return {};
+}
+
+leaf::result<void> Run(Work& work, const DeleteAnnouncement& op) {
+  if (FindAnnouncement(work.configuration, op.announcement) == nullptr) {
+    return work.Fail(ErrorKind::kNotFound, "announcement", op.announcement);
+  }
+  EraseByName(work.configuration.announcements, op.announcement);
+  return {};
+}
+
+leaf::result<void> Run(Work& work, const SetDomains& op) {
+  if (op.domains.empty() || op.domains.size() > kMaxDomains) {
+    return work.Fail(ErrorKind::kOutOfRange, "domains",
+                     std::to_string(op.domains.size()) +
+                         " elements are outside 1 to " +
+                         std::to_string(kMaxDomains));
+  }
+  auto domains = op.domains;
+  std::sort(domains.begin(), domains.end());
+  domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
+  work.configuration.domains = std::move(domains);
+  return {};
+}
+
+// The object that an operation names, for the summary.
+std::string Subject(const CreateService& op) { return op.name; }
+std::string Subject(const DeleteService& op) { return op.service; }
+std::string Subject(const AddTarget& op) {
+  return op.service + " " + ToString(op.tunnel);
+}
+std::string Subject(const DrainTarget& op) {
+  return op.service + " " + ToString(op.tunnel);
+}
+std::string Subject(const RemoveTarget& op) {
+  return op.service + " " + ToString(op.tunnel);
+}
+std::string Subject(const PutPreset& op) { return op.preset.name; }
+std::string Subject(const DeletePreset& op) { return op.preset; }
+std::string Subject(const SwitchPreset& op) { return op.preset; }
+std::string Subject(const PutAnnouncement& op) {
+  return op.name + " " + op.service;
+}
+std::string Subject(const DeleteAnnouncement& op) { return op.announcement; }
+std::string Subject(const SetDomains& op) {
+  std::string out;
+  for (const DomainId domain : op.domains) {
+    out += (out.empty() ? "" : ",") + std::to_string(Value(domain));
+  }
+  return out;
+}
+
+}  // namespace
+
+Configuration InitialConfiguration() {
+  Configuration out;
+  out.preset = "ordinary";
+  out.presets.emplace_back();
+  out.presets.back().name = out.preset;
+  out.domains.push_back(DomainId{1});
+  return out;
+}
+
+leaf::result<Configuration> Apply(const Configuration& before,
+                                  const Change& change, WallTime now) {
+  if (change.operations.empty() || change.operations.size() > kMaxOperations) {
+    return MakeError(ErrorKind::kOutOfRange,
+                     "operations: " + std::to_string(change.operations.size()) +
+                         " elements are outside 1 to " +
+                         std::to_string(kMaxOperations));
+  }
+  Work work{before, ""};
+  work.configuration.version = ConfigVersion{Value(before.version) + 1};
+  for (std::size_t i = 0; i < change.operations.size(); ++i) {
+    work.path = "operations[" + std::to_string(i) + "]";
+    BOOST_LEAF_CHECK(
+        std::visit([&](const auto& operation) { return Run(work, operation); },
+                   change.operations[i]));
+  }
+  work.configuration.recent_changes.push_back(
+      ChangeRecord{change.id, work.configuration.version, change.author,
+                   Summarize(change), TouchedBy(change), now});
+  TrimRecentChanges(work.configuration.recent_changes);
+  return std::move(work.configuration);
+}
+
+std::string Summarize(const Change& change) {
+  std::string out;
+  for (const Operation& operation : change.operations) {
+    if (!out.empty()) out += "; ";
+    out += Name(operation);
+    out += ' ';
+    out += std::visit([](const auto& op) { return Subject(op); }, operation);
+  }
+  if (out.size() > kMaxSummaryBytes) {
+    out.resize(kMaxSummaryBytes - kMore.size());
+    out += kMore;
+  }
+  return out;
+}
+
+void TrimRecentChanges(std::vector<ChangeRecord>& records) {
+  std::size_t touched = 0;
+  std::size_t kept = 0;
+  while (kept < records.size() && kept < kMaxRecentChanges) {
+    touched += records[records.size() - 1 - kept].touched.size();
+    if (touched > kMaxRecentTouched && kept > 0) break;
+    ++kept;
+  }
+  records.erase(records.begin(),
+                records.end() - static_cast<std::ptrdiff_t>(kept));
+}
+
+}  // namespace sapphirestream
--- a/src/sapphirestream/contract/configuration.h
+++ b/src/sapphirestream/contract/configuration.h
@@ -21,8 +21,12 @@
   std::string id;
   ConfigVersion version{};
   std::string author;
-  // The change in words, such as `target add orders 127.0.1.4:6081`.
+  // The change in words, such as `add_target orders 127.0.1.4:6081`.
   std::string summary;
+  // Paths of the objects that the change touches, sorted, such as
+  // `service/orders/target/127.0.1.4:6081`. A racing change that touches one of
+  // them, or one above or below it, contradicts this change.
+  std::vector<std::string> touched;
   WallTime accepted;
 
   bool operator==(const ChangeRecord&) const = default;
@@ -42,13 +46,16 @@
   std::vector<DomainId> domains;
   // The id that the next target gets; grows only.
   std::uint32_t next_target_id = 1;
-  // Newest last; at most kMaxRecentChanges.
+  // Newest last; at most kMaxRecentChanges with kMaxRecentTouched paths.
   std::vector<ChangeRecord> recent_changes;
 
   bool operator==(const Configuration&) const = default;
 };
 
 inline constexpr std::size_t kMaxRecentChanges = 256;
+// Bounds the head object together with kMaxRecentChanges: with the longest
+// names, 4,096 paths take about 0.4 MB of the store's limit of 1 MB.
+inline constexpr std::size_t kMaxRecentTouched = 4096;
 
 }  // namespace sapphirestream
 
--- a/src/sapphirestream/contract/fwd.h
+++ b/src/sapphirestream/contract/fwd.h
@@ -5,6 +5,7 @@
 namespace sapphirestream {
 
 struct Announcement;
+struct Change;
 struct ChangeRecord;
 struct Configuration;
 struct Preset;
