Add announcement checks and the effect of a change

Cause: the only slowdowns allowed are announced ones, and operators want to see what a change moves before they make it. Change: CheckAnnounced compares usable capacity with the load now seen and the preset's limit; EffectOf counts moved buckets through a function parameter, since the lookup table belongs to module target. Conclusion: the writer can refuse unannounced slowdowns with the figures.

--- a/src/sapphirestream/contract/fwd.h
+++ b/src/sapphirestream/contract/fwd.h
@@ -5,11 +5,14 @@
 namespace sapphirestream {
 
 struct Announcement;
+struct Capacity;
 struct Change;
+struct ChangeEffect;
 struct ChangeRecord;
 struct Configuration;
 struct Preset;
 struct Service;
+struct ServiceLoad;
 struct Target;
 
 }  // namespace sapphirestream
--- /dev/null
+++ b/test/contract/check_test.cc
@@ -0,0 +1,99 @@
+// Guards against unannounced slowdowns: a change that leaves too little
+// capacity, or a preset that lowers it, must be refused with the figures.
+#include "sapphirestream/contract/check.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "sapphirestream/contract/effect.h"
+#include "test/contract/sample.h"
+
+namespace sapphirestream {
+namespace {
+
+using sample::kNow;
+using sample::Of;
+
+const std::vector<ServiceLoad> kThreeBusy{{ServiceId{7}, 3, 100}};
+
+Configuration Next(const Configuration& before, std::vector<Operation> ops) {
+  return Apply(before, Of("x", std::move(ops)), kNow).value();
+}
+
+Error Check(const Configuration& before, const Configuration& after) {
+  return sample::ErrorOf(
+      [&] { return CheckAnnounced(before, after, kThreeBusy, kNow); });
+}
+
+PutAnnouncement Announce(WallTime from, WallTime until) {
+  return {"move", "orders", from, until, "slower"};
+}
+
+BOOST_AUTO_TEST_SUITE(check)
+
+BOOST_AUTO_TEST_CASE(too_little_capacity_is_refused_with_the_figures) {
+  const Configuration before = sample::TwoTargets();
+  for (const Operation& op :
+       {sample::Remove(2),
+        Operation(DrainTarget{"orders", sample::Tunnel(2)})}) {
+    const Error error = Check(before, Next(before, {op}));
+    BOOST_TEST((error.kind == ErrorKind::kNotAnnounced));
+    BOOST_TEST(error.detail ==
+               "orders: slots 4 -> 2 with 3 busy, connections 4000 -> 2000 "
+               "with 100 open");
+  }
+  // More capacity is never refused, even if it is still too little.
+  BOOST_TEST((Check(Next(before, {sample::Remove(2)}), before).kind ==
+              ErrorKind::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(a_preset_that_lowers_limits_needs_an_announcement) {
+  Preset peak;
+  peak.name = "peak";
+  peak.capacity_permille = 900;
+  const Configuration before = Next(sample::TwoTargets(), {PutPreset{peak}});
+  const Error error = Check(before, Next(before, {SwitchPreset{"peak"}}));
+  BOOST_TEST((error.kind == ErrorKind::kNotAnnounced));
+  BOOST_TEST(error.detail.starts_with(
+      "preset lowers capacity_permille 1000 -> 900; orders: slots 4 -> 3"));
+}
+
+BOOST_AUTO_TEST_CASE(only_an_announcement_in_force_covers_a_slowdown) {
+  using std::chrono::hours;
+  const auto kind_with = [](WallTime from, WallTime until) {
+    const Configuration before =
+        Next(sample::TwoTargets(), {Announce(from, until)});
+    return Check(before, Next(before, {sample::Remove(2)})).kind;
+  };
+  BOOST_TEST((kind_with(kNow, kNow + hours(1)) == ErrorKind::kNone));
+  BOOST_TEST((kind_with(kNow + hours(1), kNow + hours(2)) ==
+              ErrorKind::kNotAnnounced));
+  BOOST_TEST((kind_with(kNow - hours(1), kNow) == ErrorKind::kNotAnnounced));
+  // Announcing in the same change would tell clients too late.
+  const Configuration before = sample::TwoTargets();
+  BOOST_TEST((Check(before, Next(before, {Announce(kNow, kNow + hours(1)),
+                                          sample::Remove(2)}))
+                  .kind == ErrorKind::kNotAnnounced));
+}
+
+// A dry run that shows too small an effect invites a harmful change.
+BOOST_AUTO_TEST_CASE(the_effect_counts_moved_buckets_and_what_is_left) {
+  Configuration before = sample::TwoTargets();
+  before.services[0].idempotent = true;
+  const Configuration after = Next(before, {sample::Remove(2)});
+  const BucketsOf buckets = [](const Service& service) {
+    std::vector<TargetId> table(4, service.targets.front().id);
+    table[0] = service.targets.back().id;
+    return table;
+  };
+  // One of 4 buckets moves; 800 of 1,000 flows are placed by hash.
+  const ChangeEffect effect = EffectOf(before, after, kThreeBusy, buckets);
+  BOOST_TEST((effect == ChangeEffect{1, 20, -1, 1900}));
+  // All flows of a non-idempotent service have a record already.
+  before.services[0].idempotent = false;
+  BOOST_TEST(EffectOf(before, after, kThreeBusy, buckets).flows_recorded == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
