Add configuration writer and reader with fakes and failure tests

Cause: changes need to be accepted by one conditional update and to reach every instance. Change: head and shard format, planning of shard writes, ConfigWriter, ConfigReader, FakeStore and VirtualTime.

--- /dev/null
+++ b/src/sapphirestream/platform/config_reader.cc
@@ -0,0 +1,170 @@
+// One loop: read the head, read its missing shards, watch the head. Each step
+// has a guard timer, since an answer may never come.
+#include "sapphirestream/platform/config_reader.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "sapphirestream/contract/change.h"
+
+namespace sapphirestream {
+
+ConfigReader::ConfigReader(ObjectStore& store, Timer& timer, const Clock& clock,
+                           Random& random, CounterSet& counters,
+                           const ConfigReaderOptions& options,
+                           Callback on_newer)
+    : store_(store),
+      timer_(timer),
+      clock_(clock),
+      random_(random),
+      options_(options),
+      on_newer_(std::move(on_newer)),
+      backoff_(options.backoff),
+      silent_watches_(counters.Emplace("config_silent_watches_total")),
+      reverted_heads_(counters.Emplace("config_reverted_heads_total")),
+      failures_(counters.Emplace("config_read_failures_total")),
+      self_(std::make_shared<ConfigReader*>(this)) {}
+
+ConfigReader::~ConfigReader() { Stop(); }
+
+void ConfigReader::Start() {
+  Stop();
+  ReadHead();
+}
+
+void ConfigReader::Stop() {
+  ++epoch_;
+  timer_.Cancel(guard_);
+  guard_ = kNoTimer;
+}
+
+void ConfigReader::Observe(std::shared_ptr<const Configuration> configuration) {
+  if (!known_ || known_->version < configuration->version) {
+    known_ = std::move(configuration);
+  }
+}
+
+template <typename Step>
+auto ConfigReader::InEpoch(Step step) {
+  return [weak = std::weak_ptr(self_), epoch = epoch_,
+          step = std::move(step)](auto&&... args) {
+    const auto self = weak.lock();
+    if (!self || (*self)->epoch_ != epoch) return;
+    step(**self, std::forward<decltype(args)>(args)...);
+  };
+}
+
+template <typename Step>
+void ConfigReader::BeginStep(Duration delay, Step on_timer) {
+  ++epoch_;
+  timer_.Cancel(guard_);
+  guard_ = timer_.After(delay, InEpoch(std::move(on_timer)));
+}
+
+void ConfigReader::ReadHead() {
+  BeginStep(options_.call_deadline + options_.watch_grace,
+            [](ConfigReader& r) { r.RetryLater(); });
+  store_.Get(std::string(kHeadName), options_.call_deadline,
+             InEpoch([](ConfigReader& r, StoreAnswer<StoredObject> answer) {
+               r.OnHead(std::move(answer));
+             }));
+}
+
+void ConfigReader::Watch() {
+  BeginStep(options_.watch_period + options_.watch_grace, [](ConfigReader& r) {
+    r.silent_watches_.Add();
+    r.ReadHead();
+  });
+  const TimePoint begun = clock_.Now();
+  store_.Watch(
+      std::string(kHeadName), head_version_, options_.watch_period,
+      InEpoch([begun](ConfigReader& r, StoreAnswer<StoredObject> answer) {
+        r.OnWatch(std::move(answer), begun);
+      }));
+}
+
+void ConfigReader::OnWatch(StoreAnswer<StoredObject> answer, TimePoint begun) {
+  if (answer.error == ErrorKind::kTimedOut) {
+    // A store that ends watches early must not be asked in a tight loop.
+    const Duration waited = clock_.Now() - begun;
+    WatchLater(waited < options_.watch_period / 2
+                   ? options_.watch_period - waited
+                   : Duration::zero());
+    return;
+  }
+  OnHead(std::move(answer));
+}
+
+void ConfigReader::OnHead(StoreAnswer<StoredObject> answer) {
+  if (answer.error == ErrorKind::kNotFound) {
+    if (known_ && Value(known_->version) != 0) {
+      reverted_heads_.Add();
+    } else {
+      Deliver(std::make_shared<const Configuration>(InitialConfiguration()));
+    }
+    // A missing object cannot be watched.
+    BeginStep(options_.watch_period, [](ConfigReader& r) { r.ReadHead(); });
+    return;
+  }
+  if (answer.error != ErrorKind::kNone) {
+    RetryLater();
+    return;
+  }
+  LoadAfterJitter(std::move(answer.value));
+}
+
+void ConfigReader::LoadAfterJitter(StoredObject head) {
+  const Duration since_last = clock_.Now() - last_load_;
+  const Duration spacing =
+      std::max(Duration::zero(), options_.min_read_interval - since_last);
+  BeginStep(spacing + Jitter(),
+            [head = std::move(head)](ConfigReader& r) { r.Load(head); });
+}
+
+void ConfigReader::Load(const StoredObject& head) {
+  BeginStep(options_.call_deadline * 4,
+            [](ConfigReader& r) { r.RetryLater(); });
+  last_load_ = clock_.Now();
+  head_version_ = head.version;
+  LoadShards(store_, head, known_, options_.call_deadline,
+             InEpoch([](ConfigReader& r, LoadAnswer answer) {
+               r.OnLoaded(std::move(answer));
+             }));
+}
+
+void ConfigReader::OnLoaded(LoadAnswer answer) {
+  if (answer.error.kind != ErrorKind::kNone) {
+    RetryLater();
+    return;
+  }
+  backoff_.Reset();
+  if (known_ && answer.value.head->head.version < known_->version) {
+    reverted_heads_.Add();
+  } else {
+    Deliver(answer.value.configuration);
+  }
+  WatchLater(Duration::zero());
+}
+
+void ConfigReader::Deliver(std::shared_ptr<const Configuration> configuration) {
+  if (known_ && configuration->version <= known_->version) return;
+  known_ = std::move(configuration);
+  on_newer_(known_);
+}
+
+void ConfigReader::RetryLater() {
+  failures_.Add();
+  BeginStep(backoff_.Next(random_), [](ConfigReader& r) { r.ReadHead(); });
+}
+
+void ConfigReader::WatchLater(Duration delay) {
+  BeginStep(delay, [](ConfigReader& r) { r.Watch(); });
+}
+
+Duration ConfigReader::Jitter() {
+  return Duration(static_cast<Duration::rep>(
+      random_.Unit() * static_cast<double>(options_.read_jitter.count())));
+}
+
+}  // namespace sapphirestream
--- /dev/null
+++ b/test/platform/config_reader_test.cc
@@ -0,0 +1,168 @@
+// Guards against an instance that misses a change, follows a lower version or
+// floods the store.
+#include "sapphirestream/platform/config_reader.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "test/platform/session.h"
+
+namespace sapphirestream {
+namespace {
+
+using sample::Add;
+using sample::Of;
+using std::chrono::minutes;
+using std::chrono::seconds;
+using testing::WatchMode;
+
+struct Reading : Session {
+  Reading() : writer(MakeWriter()) {}
+
+  std::unique_ptr<ConfigWriter> writer;
+  std::vector<std::uint64_t> versions;
+  ConfigReader reader{
+      store,
+      time,
+      time,
+      random,
+      counters,
+      {},
+      [this](const std::shared_ptr<const Configuration>& configuration) {
+        versions.push_back(Value(configuration->version));
+      }};
+
+  // Makes a change and returns the store calls until 5 s later.
+  std::uint64_t Change(const std::string& id, std::uint8_t target) {
+    const auto before = store.calls().total();
+    writer->Submit(Of(id, {Add(target)}), [](const ChangeOutcome&) {});
+    time.RunFor(seconds(5));
+    return store.calls().total() - before;
+  }
+};
+
+BOOST_AUTO_TEST_SUITE(config_reader)
+
+BOOST_AUTO_TEST_CASE(only_changed_shards_are_read) {
+  Reading r;
+  r.SetUp();
+  r.reader.Start();
+  r.time.RunFor(seconds(5));
+  const auto gets = r.store.calls().gets;
+  r.Change("a", 3);
+  // One for the writer's head, one for the writer's and reader's shard each;
+  // the watch delivers the head to the reader.
+  BOOST_TEST(r.store.calls().gets - gets <= 4U);
+  BOOST_TEST((r.versions == std::vector<std::uint64_t>{1, 2}));
+  BOOST_TEST((*r.reader.known() == *r.Load()));
+}
+
+BOOST_AUTO_TEST_CASE(a_quiet_reader_makes_at_most_one_call_every_2_s) {
+  Reading r;
+  r.SetUp();
+  r.reader.Start();
+  r.time.RunFor(seconds(5));
+  const auto before = r.store.calls().total();
+  r.time.RunFor(minutes(1));
+  BOOST_TEST(r.store.calls().total() - before <= 31U);
+}
+
+BOOST_AUTO_TEST_CASE(the_first_change_is_seen_although_no_head_existed) {
+  Reading r;
+  r.reader.Start();
+  r.time.RunFor(seconds(3));
+  BOOST_TEST((r.versions == std::vector<std::uint64_t>{0}));
+  r.SetUp();
+  BOOST_TEST((r.versions == std::vector<std::uint64_t>{0, 1}));
+}
+
+// The change must be in force within 5 s in each case.
+BOOST_AUTO_TEST_CASE(a_change_is_seen_while_watches_are_broken_or_silent) {
+  for (const auto mode : {WatchMode::kBroken, WatchMode::kSilent}) {
+    Reading r;
+    r.SetUp();
+    r.reader.Start();
+    r.time.RunFor(seconds(5));
+    r.store.set_watch_mode(mode);
+    const auto calls = r.Change("a", 3);
+    BOOST_TEST(r.versions.back() == 2U);
+    BOOST_TEST(calls <= 60U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_outage_is_survived_with_few_calls) {
+  Reading r;
+  r.SetUp();
+  r.store.set_outage(true);
+  r.reader.Start();
+  const auto before = r.store.calls().total();
+  r.time.RunFor(minutes(10));
+  // Full jitter up to 2 s makes one call per second on average.
+  BOOST_TEST(r.store.calls().total() - before < 900U);
+  BOOST_TEST(r.versions.empty());
+  r.store.set_outage(false);
+  r.time.RunFor(seconds(3));
+  BOOST_TEST((r.versions == std::vector<std::uint64_t>{1}));
+}
+
+BOOST_AUTO_TEST_CASE(a_reverted_or_deleted_head_is_never_followed) {
+  Reading r;
+  r.SetUp();
+  const std::string old = r.store.objects().at(std::string(kHeadName)).value;
+  r.reader.Start();
+  r.Change("a", 3);
+  r.store.Overwrite(std::string(kHeadName), old);
+  const auto before = r.store.calls().total();
+  r.time.RunFor(minutes(1));
+  BOOST_TEST((r.versions == std::vector<std::uint64_t>{1, 2}));
+  BOOST_TEST(Value(r.reader.known()->version) == 2U);
+  BOOST_TEST(r.counters.Emplace("config_reverted_heads_total").value() == 1U);
+  BOOST_TEST(r.store.calls().total() - before <= 40U);
+}
+
+BOOST_AUTO_TEST_CASE(a_paused_reader_takes_the_newest_version_when_it_wakes) {
+  Reading r;
+  r.SetUp();
+  r.reader.Start();
+  r.time.RunFor(seconds(5));
+  r.store.set_watch_mode(WatchMode::kSilent);
+  r.reader.Stop();
+  r.Change("a", 3);
+  r.Change("b", 4);
+  r.store.set_watch_mode(WatchMode::kWorking);
+  r.reader.Start();
+  r.time.Pause(minutes(10));
+  r.time.RunFor(seconds(5));
+  BOOST_TEST((r.versions == std::vector<std::uint64_t>{1, 3}));
+}
+
+// What a peer sent is not read again, and never delivered twice.
+BOOST_AUTO_TEST_CASE(a_configuration_from_a_peer_saves_reads) {
+  Reading r;
+  r.SetUp();
+  r.reader.Observe(r.Load());
+  const auto before = r.store.calls().gets;
+  r.reader.Start();
+  r.time.RunFor(seconds(1));
+  BOOST_TEST(r.store.calls().gets - before == 1U);
+  BOOST_TEST(r.versions.empty());
+}
+
+// A shard that does not match its checksum must not reach the packet path.
+BOOST_AUTO_TEST_CASE(a_damaged_shard_is_not_delivered) {
+  Reading r;
+  r.SetUp();
+  for (const auto& [name, object] : r.store.objects()) {
+    if (!name.starts_with("config/services/")) continue;
+    r.store.Overwrite(name, R"({"services":[],"announcements":[]})");
+    break;
+  }
+  r.reader.Start();
+  r.time.RunFor(seconds(5));
+  BOOST_TEST(r.versions.empty());
+  BOOST_TEST(r.counters.Emplace("config_read_failures_total").value() > 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
--- /dev/null
+++ b/test/platform/config_writer_test.cc
@@ -0,0 +1,246 @@
+// Guards against changes that are lost, made twice, half made or reported
+// wrongly when the store fails or operators race.
+#include "sapphirestream/platform/config_writer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "sapphirestream/contract/find.h"
+#include "test/platform/session.h"
+
+namespace sapphirestream {
+namespace {
+
+using sample::Add;
+using sample::Of;
+using sample::Remove;
+using testing::LostWrite;
+
+const std::string kHead(kHeadName);
+
+struct Race {
+  ChangeOutcome a;
+  ChangeOutcome b;
+  std::shared_ptr<const Configuration> after;
+};
+
+// Two instances get one change each; `offset` after one another.
+Race RunRace(const Operation& a, const Operation& b, Duration offset) {
+  Session session;
+  session.SetUp();
+  const auto first = session.MakeWriter();
+  const auto second = session.MakeWriter();
+  first->Observe(session.Load());
+  second->Observe(session.Load());
+  Race race;
+  first->Submit(Of("a", {a}), [&](const ChangeOutcome& o) { race.a = o; });
+  session.time.RunFor(offset);
+  second->Submit(Of("b", {b}), [&](const ChangeOutcome& o) { race.b = o; });
+  session.time.RunFor(std::chrono::minutes(1));
+  race.after = session.Load();
+  return race;
+}
+
+BOOST_AUTO_TEST_SUITE(config_writer)
+
+BOOST_AUTO_TEST_CASE(a_change_costs_three_calls_and_a_dry_run_writes_nothing) {
+  Session session;
+  session.SetUp();
+  const auto writer = session.MakeWriter();
+  writer->Observe(session.Load());
+  const auto calls = [&](const Change& change) {
+    const auto before = session.store.calls().total();
+    BOOST_TEST((session.Run(*writer, change).error.kind == ErrorKind::kNone));
+    return session.store.calls().total() - before;
+  };
+  BOOST_TEST(calls(Of("a", {Add(3)})) == 3U);
+  Change dry = Of("b", {Add(4)});
+  dry.dry_run = true;
+  BOOST_TEST(calls(dry) == 1U);
+  BOOST_TEST(calls(Of("c", {SwitchPreset{"peak"}})) == 2U);
+  BOOST_TEST(Value(session.Load()->version) == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_store_that_is_down_or_slow_changes_nothing) {
+  for (const bool down : {true, false}) {
+    Session session;
+    session.SetUp();
+    const auto writer = session.MakeWriter();
+    session.store.set_outage(down);
+    if (!down) session.store.set_latency(std::chrono::seconds(3));
+    const auto outcome = session.Run(*writer, Of("a", {Add(3)}));
+    BOOST_TEST((outcome.error.kind == ErrorKind::kStoreUnavailable));
+    session.store.set_outage(false);
+    session.store.set_latency(std::chrono::milliseconds(4));
+    BOOST_TEST(Value(session.Load()->version) == 1U);
+  }
+}
+
+// A write with a lost answer may have taken effect, may yet, or never will: in
+// each case the change must be in force exactly once.
+BOOST_AUTO_TEST_CASE(a_lost_answer_is_resolved_by_the_change_id) {
+  for (const auto kind : {LostWrite::kTakesEffect, LostWrite::kTakesEffectLate,
+                          LostWrite::kHasNoEffect}) {
+    Session session;
+    session.SetUp();
+    const auto writer = session.MakeWriter();
+    session.store.LoseNextAnswer(kHead, kind);
+    const auto outcome = session.Run(*writer, Of("a", {Add(3)}));
+    BOOST_TEST((outcome.error.kind == ErrorKind::kNone));
+    BOOST_TEST(!outcome.already_applied);
+    const auto after = session.Load();
+    BOOST_TEST(Value(after->version) == 2U);
+    BOOST_TEST((outcome.version == after->version));
+    BOOST_TEST(after->services[0].targets.size() == 3U);
+  }
+}
+
+// "Nothing was changed" would be a lie here.
+BOOST_AUTO_TEST_CASE(an_answer_that_stays_lost_is_reported_as_unknown) {
+  Session session;
+  session.SetUp();
+  const auto writer = session.MakeWriter();
+  session.store.LoseNextAnswer(kHead, LostWrite::kTakesEffect);
+  ChangeOutcome outcome;
+  writer->Submit(Of("a", {Add(3)}),
+                 [&](const ChangeOutcome& o) { outcome = o; });
+  session.time.RunFor(std::chrono::milliseconds(500));
+  session.store.set_outage(true);
+  session.time.RunFor(std::chrono::minutes(1));
+  BOOST_TEST((outcome.error.kind == ErrorKind::kOutcomeUnknown));
+}
+
+// Offsets cover every interleaving of the three calls of 4 ms each; the half
+// millisecond keeps two effects from falling on one instant.
+std::vector<Duration> Offsets() {
+  std::vector<Duration> out;
+  for (int ms = 0; ms <= 12; ++ms) {
+    out.push_back(std::chrono::microseconds(1000 * ms + 500));
+  }
+  return out;
+}
+
+BOOST_AUTO_TEST_CASE(racing_changes_of_different_objects_are_both_accepted) {
+  const std::pair<Operation, Operation> pairs[] = {
+      {SwitchPreset{"peak"}, Add(3)},
+      {Add(3), SwitchPreset{"peak"}},
+      {Add(3), Remove(2)},
+      {Remove(2), Add(3)},
+      {Remove(1), Remove(2)}};
+  for (const auto& [a, b] : pairs) {
+    for (const Duration offset : Offsets()) {
+      const Race race = RunRace(a, b, offset);
+      BOOST_TEST((race.a.error.kind == ErrorKind::kNone));
+      BOOST_TEST((race.b.error.kind == ErrorKind::kNone));
+      BOOST_TEST(Value(race.after->version) == 3U);
+      BOOST_TEST((FindChange(*race.after, "a") != nullptr &&
+                  FindChange(*race.after, "b") != nullptr));
+    }
+  }
+}
+
+// The loser of a race gets the version that won; a change whose first read saw
+// the other one accepted is no race and is judged by itself.
+BOOST_AUTO_TEST_CASE(racing_changes_of_one_object_accept_one) {
+  const DrainTarget drain{"orders", sample::Tunnel(2)};
+  struct Case {
+    Operation a;
+    Operation b;
+    // When the head write of `a` takes effect: later with a shard write.
+    std::chrono::milliseconds effect;
+  };
+  using std::chrono::milliseconds;
+  const Case cases[] = {
+      {Remove(2), Remove(2), milliseconds(10)},
+      {drain, Remove(2), milliseconds(10)},
+      {Remove(2), drain, milliseconds(10)},
+      {SwitchPreset{"peak"}, SwitchPreset{"ordinary"}, milliseconds(6)},
+      {SwitchPreset{"peak"}, SwitchPreset{"peak"}, milliseconds(6)},
+      {SwitchPreset{"peak"}, DeletePreset{"peak"}, milliseconds(6)}};
+  for (const Case& c : cases) {
+    for (const Duration offset : Offsets()) {
+      const Race race = RunRace(c.a, c.b, offset);
+      const bool serial = offset + milliseconds(2) > c.effect;
+      const bool a_won = race.a.error.kind == ErrorKind::kNone;
+      const ChangeOutcome& winner = a_won ? race.a : race.b;
+      const ChangeOutcome& loser = a_won ? race.b : race.a;
+      BOOST_TEST((winner.error.kind == ErrorKind::kNone));
+      BOOST_TEST(serial == (loser.error.kind != ErrorKind::kContradicted));
+      if (!serial) {
+        BOOST_TEST((loser.version == winner.version));
+        BOOST_TEST(Value(race.after->version) == 2U);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_repeated_change_id_answers_with_the_first_version) {
+  Session session;
+  session.SetUp();
+  const auto first = session.MakeWriter();
+  const auto second = session.MakeWriter();
+  session.Run(*first, Of("a", {Add(3)}));
+  session.Run(*first, Of("b", {Add(4)}));
+  const auto again = session.Run(*second, Of("a", {Add(3)}));
+  BOOST_TEST((again.error.kind == ErrorKind::kNone));
+  BOOST_TEST(again.already_applied);
+  BOOST_TEST(Value(again.version) == 2U);
+  // Another change under a used id would be reported as done.
+  const auto other = session.Run(*second, Of("a", {Add(5)}));
+  BOOST_TEST((other.error.kind == ErrorKind::kAlreadyExists));
+  BOOST_TEST(Value(session.Load()->version) == 3U);
+}
+
+// A writer that trusted an older head would undo accepted changes.
+BOOST_AUTO_TEST_CASE(nothing_is_written_on_top_of_a_reverted_head) {
+  Session session;
+  session.SetUp();
+  const std::string old = session.store.objects().at(kHead).value;
+  const auto writer = session.MakeWriter();
+  session.Run(*writer, Of("a", {Add(3)}));
+  session.store.Overwrite(kHead, old);
+  const auto outcome = session.Run(*writer, Of("b", {Add(4)}));
+  BOOST_TEST((outcome.error.kind == ErrorKind::kStoreUnavailable));
+  BOOST_TEST(session.store.objects().at(kHead).value == old);
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_review_reaches_the_operator_with_its_figures) {
+  Session session;
+  session.SetUp();
+  const auto writer = session.MakeWriter(
+      [](const Configuration&,
+         const Configuration&) -> leaf::result<ChangeEffect> {
+        return MakeError(ErrorKind::kNotAnnounced, "slots 4 -> 2");
+      });
+  const auto outcome = session.Run(*writer, Of("a", {Remove(2)}));
+  BOOST_TEST((outcome.error.kind == ErrorKind::kNotAnnounced));
+  BOOST_TEST(outcome.error.detail == "slots 4 -> 2");
+  BOOST_TEST(Value(session.Load()->version) == 1U);
+}
+
+// Bounded retries must still let every one of many racing writers through.
+BOOST_AUTO_TEST_CASE(eight_racing_writers_are_all_accepted) {
+  Session session;
+  session.SetUp();
+  session.store.set_random(&session.random);
+  std::vector<std::unique_ptr<ConfigWriter>> writers;
+  std::set<std::uint64_t> versions;
+  for (std::uint8_t i = 0; i < 8; ++i) {
+    writers.push_back(session.MakeWriter());
+    writers.back()->Submit(
+        Of("id" + std::to_string(i), {Add(static_cast<std::uint8_t>(10 + i))}),
+        [&](const ChangeOutcome& o) {
+          if (o.error.kind == ErrorKind::kNone) {
+            versions.insert(Value(o.version));
+          }
+        });
+  }
+  session.time.RunFor(std::chrono::minutes(1));
+  BOOST_TEST(versions.size() == 8U);
+  BOOST_TEST(session.Load()->services[0].targets.size() == 10U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
--- /dev/null
+++ b/testing/fake_store.h
@@ -0,0 +1,111 @@
+// In-memory object store in virtual time, with the failures of the real one.
+#ifndef SAPPHIRESTREAM_TESTING_FAKE_STORE_H_
+#define SAPPHIRESTREAM_TESTING_FAKE_STORE_H_
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sapphirestream/base/random.h"
+#include "sapphirestream/platform/object_store.h"
+#include "testing/virtual_time.h"
+
+namespace sapphirestream::testing {
+
+enum class WatchMode : std::uint8_t {
+  kWorking,
+  kBroken,  // answered with kStoreUnavailable after one latency
+  kSilent,  // never answered
+};
+
+// What happens to a write whose answer is lost.
+enum class LostWrite : std::uint8_t {
+  kTakesEffect,
+  kTakesEffectLate,  // kLateEffect after its answer was given up
+  kHasNoEffect,
+};
+
+struct StoreCalls {
+  std::uint64_t gets = 0;
+  std::uint64_t watches = 0;
+  std::uint64_t puts = 0;
+  std::uint64_t lists = 0;
+  [[nodiscard]] std::uint64_t total() const noexcept {
+    return gets + watches + puts + lists;
+  }
+};
+
+// A call takes effect after half the latency and is answered after the whole.
+// If the latency exceeds the deadline, the answer is kTimedOut, or
+// kOutcomeUnknown for a write, which takes effect nevertheless.
+class FakeStore final : public ObjectStore {
+ public:
+  static constexpr Duration kLateEffect = std::chrono::milliseconds(200);
+
+  explicit FakeStore(VirtualTime& time) : time_(time) {}
+
+  void Get(const std::string& name, Duration deadline,
+           GetCallback done) override;
+  void Watch(const std::string& name, ObjectVersion known, Duration deadline,
+             GetCallback done) override;
+  void Put(const std::string& name, ObjectVersion expected, std::string value,
+           Duration deadline, PutCallback done) override;
+  void ListInstances(Duration deadline, ListCallback done) override;
+
+  // Every call fails with kStoreUnavailable and has no effect.
+  void set_outage(bool outage) noexcept { outage_ = outage; }
+  void set_latency(Duration latency) noexcept { latency_ = latency; }
+  // Draws each latency uniformly from half to one and a half of the set one.
+  void set_random(Random* random) noexcept { random_ = random; }
+  void set_watch_mode(WatchMode mode) noexcept { watch_mode_ = mode; }
+  // The answer of the next write to this object is lost.
+  void LoseNextAnswer(const std::string& name, LostWrite kind) {
+    lost_[name] = kind;
+  }
+  // Writes without a condition or a call, as if by another client or by a
+  // restored backup.
+  void Overwrite(const std::string& name, std::string value);
+  void set_instances(std::vector<ListedInstance> instances) {
+    instances_ = std::move(instances);
+  }
+
+  [[nodiscard]] const StoreCalls& calls() const noexcept { return calls_; }
+  [[nodiscard]] const std::map<std::string, StoredObject>& objects()
+      const noexcept {
+    return objects_;
+  }
+
+ private:
+  struct Watcher {
+    std::string name;
+    ObjectVersion known;
+    GetCallback done;
+    TimerId timer;
+  };
+
+  [[nodiscard]] Duration Latency();
+  [[nodiscard]] StoreAnswer<StoredObject> Read(const std::string& name) const;
+  [[nodiscard]] StoreAnswer<ObjectVersion> Write(const std::string& name,
+                                                 ObjectVersion expected,
+                                                 const std::string& value);
+  void Wake(const std::string& name);
+  void StartWatch(Watcher watcher, Duration deadline);
+
+  VirtualTime& time_;
+  Random* random_ = nullptr;
+  std::map<std::string, StoredObject> objects_;
+  std::vector<ListedInstance> instances_;
+  std::list<Watcher> watchers_;
+  std::map<std::string, LostWrite> lost_;
+  StoreCalls calls_;
+  Duration latency_ = std::chrono::milliseconds(4);
+  WatchMode watch_mode_ = WatchMode::kWorking;
+  bool outage_ = false;
+  std::uint64_t last_version_ = 0;
+};
+
+}  // namespace sapphirestream::testing
+
+#endif  // SAPPHIRESTREAM_TESTING_FAKE_STORE_H_
