Add traffic threads, settings and event log

Cause: an instance needs its packet path, its settings and its log before the control thread can join the modules. Measured: builds; tests follow with the control thread. Conclusion: the control thread can be wired.

--- /dev/null
+++ b/src/sapphirestream/instance/settings.h
@@ -0,0 +1,86 @@
+// Settings of an instance: flags (`--name`) and environment variables
+// (`SAPPHIRED_NAME`). A flag wins over the variable.
+#ifndef SAPPHIRESTREAM_INSTANCE_SETTINGS_H_
+#define SAPPHIRESTREAM_INSTANCE_SETTINGS_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sapphirestream/base/endpoint.h"
+#include "sapphirestream/base/id.h"
+#include "sapphirestream/instance/event_log.h"
+#include "sapphirestream/link/peer_datagram.h"
+
+namespace sapphirestream {
+
+// An instance known from the settings, needed to join while the platform's list
+// cannot be read.
+struct KnownPeer {
+  InstanceId id = kNoInstance;
+  DomainId domain{};
+  Endpoint endpoint;
+
+  bool operator==(const KnownPeer&) const = default;
+};
+
+struct Settings {
+  InstanceId instance_id = kNoInstance;
+  DomainId domain{};
+  // Where packets from the fabric arrive.
+  Endpoint data;
+  // Where peer datagrams arrive.
+  Endpoint peer;
+  // The operators' interface.
+  Endpoint http;
+  // Where targets send their load reports.
+  Endpoint report;
+  // Where answers to clients are sent, encapsulated; the fabric delivers them.
+  Endpoint return_path;
+  // Endpoints of the platform's object API, tried in turn.
+  std::vector<Endpoint> object_api;
+  std::vector<KnownPeer> peers;
+  PeerKey peer_key{};
+  std::uint32_t traffic_threads = 1;
+  // Learned flows per traffic thread.
+  std::size_t learned_capacity = 0;
+  // Flow records as owner and replica.
+  std::size_t record_capacity = 0;
+  // First packets held at most.
+  std::size_t hold_capacity = 0;
+  std::chrono::seconds idle_timeout{};
+  // How long packets are forwarded after a stop was asked for.
+  std::chrono::seconds drain_time{};
+  LogLevel log_level = LogLevel::kInfo;
+};
+
+// What the command line asks for.
+enum class StartMode : std::uint8_t { kRun, kCheck, kHelp, kVersion };
+
+struct ParsedSettings {
+  StartMode mode = StartMode::kRun;
+  Settings settings;
+  // One line per invalid setting, with its name, value, range and unit. Empty
+  // if the settings are usable.
+  std::vector<std::string> errors;
+};
+
+// Returns the value of an environment variable.
+using Environment =
+    std::function<std::optional<std::string>(const std::string& name)>;
+
+// Parses the arguments after the program's name. Reports all errors together.
+[[nodiscard]] ParsedSettings ParseSettings(
+    const std::vector<std::string>& arguments, const Environment& environment);
+
+// Returns the text of --help.
+[[nodiscard]] std::string SettingsHelp();
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_INSTANCE_SETTINGS_H_
--- /dev/null
+++ b/src/sapphirestream/instance/udp_socket.h
@@ -0,0 +1,54 @@
+// A bound UDP socket.
+#ifndef SAPPHIRESTREAM_INSTANCE_UDP_SOCKET_H_
+#define SAPPHIRESTREAM_INSTANCE_UDP_SOCKET_H_
+
+#include <cstddef>
+#include <span>
+
+#include "sapphirestream/base/endpoint.h"
+#include "sapphirestream/base/error.h"
+#include "sapphirestream/instance/file_descriptor.h"
+#include "sapphirestream/instance/socket_address.h"
+
+namespace sapphirestream {
+
+class UdpSocket {
+ public:
+  struct Options {
+    Endpoint local;
+    // Lets several sockets share the address; the kernel spreads the datagrams
+    // over them by the sender's address.
+    bool reuse_port = false;
+    // Requested size of both kernel buffers, in bytes.
+    int buffer_size = 4 << 20;
+    // How long a receive call blocks at most; zero for ever.
+    int receive_timeout_ms = 0;
+  };
+
+  // Errors: kInternal with the system's message.
+  [[nodiscard]] static leaf::result<UdpSocket> Open(const Options& options);
+
+  [[nodiscard]] int fd() const noexcept { return fd_.get(); }
+  [[nodiscard]] sa_family_t family() const noexcept { return family_; }
+  // The bound endpoint; the port is the chosen one if 0 was asked for.
+  [[nodiscard]] Endpoint local() const noexcept;
+
+  // Sends without blocking; false if the datagram was not sent.
+  bool SendTo(const Endpoint& to,
+              std::span<const std::byte> datagram) const noexcept;
+  // Receives without blocking; returns the size or -1 if nothing is there. A
+  // datagram larger than `buffer` returns the buffer's size.
+  [[nodiscard]] std::ptrdiff_t ReceiveFrom(std::span<std::byte> buffer,
+                                           Endpoint& from) const noexcept;
+
+ private:
+  UdpSocket(FileDescriptor fd, sa_family_t family)
+      : fd_(std::move(fd)), family_(family) {}
+
+  FileDescriptor fd_;
+  sa_family_t family_ = AF_INET;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_INSTANCE_UDP_SOCKET_H_
--- /dev/null
+++ b/src/sapphirestream/instance/wakeup.h
@@ -0,0 +1,37 @@
+// An eventfd with which traffic threads wake the control thread.
+#ifndef SAPPHIRESTREAM_INSTANCE_WAKEUP_H_
+#define SAPPHIRESTREAM_INSTANCE_WAKEUP_H_
+
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+#include <cstdint>
+
+#include "sapphirestream/instance/file_descriptor.h"
+
+namespace sapphirestream {
+
+class Wakeup {
+ public:
+  Wakeup() : fd_(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+
+  [[nodiscard]] int fd() const noexcept { return fd_.get(); }
+  // Makes the descriptor readable. May be called by any thread.
+  void Notify() const noexcept {
+    const std::uint64_t one = 1;
+    // Fails only if the counter is full, when it is readable anyway.
+    (void)!::write(fd_.get(), &one, sizeof(one));
+  }
+  // Makes the descriptor unreadable until the next Notify.
+  void Reset() const noexcept {
+    std::uint64_t count = 0;
+    (void)!::read(fd_.get(), &count, sizeof(count));
+  }
+
+ private:
+  FileDescriptor fd_;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_INSTANCE_WAKEUP_H_
