--- /dev/null
+++ b/src/sapphirestream/instance/metrics.cc
@@ -0,0 +1,26 @@
+// Text form of the counters for Prometheus.
+#include "sapphirestream/instance/metrics.h"
+
+#include <map>
+#include <string_view>
+
+namespace sapphirestream {
+
+std::string RenderMetrics(const CounterSet& counters) {
+  // The format wants all samples of one metric together.
+  std::map<std::string, std::string, std::less<>> by_metric;
+  for (const auto& [name, value] : counters.Read()) {
+    const std::string metric = name.substr(0, name.find('{'));
+    by_metric[metric] +=
+        "sapphirestream_" + name + " " + std::to_string(value) + "\n";
+  }
+  std::string out;
+  for (const auto& [metric, samples] : by_metric) {
+    const bool is_counter = metric.ends_with("_total");
+    out += "# TYPE sapphirestream_" + metric +
+           (is_counter ? " counter\n" : " gauge\n") + samples;
+  }
+  return out;
+}
+
+}  // namespace sapphirestream
