--- /dev/null
+++ b/src/sapphirestream/instance/http_message.h
@@ -0,0 +1,32 @@
+// Requests and responses of the operators' interface, without a protocol.
+#ifndef SAPPHIRESTREAM_INSTANCE_HTTP_MESSAGE_H_
+#define SAPPHIRESTREAM_INSTANCE_HTTP_MESSAGE_H_
+
+#include <string>
+
+#include "sapphirestream/base/error.h"
+#include "sapphirestream/base/id.h"
+
+namespace sapphirestream {
+
+struct HttpRequest {
+  std::string method;
+  // Path and query.
+  std::string target;
+  std::string body;
+};
+
+struct HttpResponse {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::string body;
+};
+
+// Returns the response of an error: its status and a JSON object with its name,
+// its detail and, unless zero, the version of the configuration that won.
+[[nodiscard]] HttpResponse MakeErrorResponse(const Error& error,
+                                             ConfigVersion version = {});
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_INSTANCE_HTTP_MESSAGE_H_
--- /dev/null
+++ b/src/sapphirestream/instance/operator_api.h
@@ -0,0 +1,67 @@
+// The operators' interface: routes requests to what the instance knows and
+// submits changes.
+#ifndef SAPPHIRESTREAM_INSTANCE_OPERATOR_API_H_
+#define SAPPHIRESTREAM_INSTANCE_OPERATOR_API_H_
+
+#include <boost/json.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "sapphirestream/base/error.h"
+#include "sapphirestream/contract/change.h"
+#include "sapphirestream/contract/configuration.h"
+#include "sapphirestream/contract/effect.h"
+#include "sapphirestream/instance/http_message.h"
+
+namespace sapphirestream {
+
+// What became of a change.
+struct ChangeOutcome {
+  // kNone if the change was accepted or, in a dry run, would be.
+  Error error{ErrorKind::kNone, {}};
+  // Version of the accepted change, or of the one that won a race.
+  ConfigVersion version{};
+  bool already_applied = false;
+  ChangeEffect effect;
+};
+
+// What the interface needs of the instance.
+class OperatorBackend {
+ public:
+  virtual ~OperatorBackend() = default;
+  // The newest accepted configuration, null before the first one.
+  [[nodiscard]] virtual std::shared_ptr<const Configuration> configuration()
+      const = 0;
+  // Whether the instance forwards packets.
+  [[nodiscard]] virtual bool is_ready() const = 0;
+  // Calls `done` exactly once.
+  virtual void Submit(const Change& change,
+                      std::function<void(ChangeOutcome)> done) = 0;
+  [[nodiscard]] virtual boost::json::object Status() const = 0;
+  [[nodiscard]] virtual boost::json::object Dump() const = 0;
+  [[nodiscard]] virtual std::string Metrics() const = 0;
+};
+
+class OperatorApi {
+ public:
+  using Reply = std::function<void(HttpResponse)>;
+
+  explicit OperatorApi(OperatorBackend& backend) : backend_(backend) {}
+
+  // Calls `reply` exactly once. Errors are in the response, by the closed list.
+  void Handle(const HttpRequest& request, const Reply& reply);
+
+ private:
+  [[nodiscard]] leaf::result<HttpResponse> Read(std::string_view path) const;
+  [[nodiscard]] leaf::result<HttpResponse> ReadConfiguration(
+      std::string_view path) const;
+  void Change(const HttpRequest& request, const Reply& reply);
+
+  OperatorBackend& backend_;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_INSTANCE_OPERATOR_API_H_
