--- /dev/null
+++ b/src/sapphirestream/instance/instance.h
@@ -0,0 +1,139 @@
+// One instance: joins the modules, owns the threads and runs the control loop.
+#ifndef SAPPHIRESTREAM_INSTANCE_INSTANCE_H_
+#define SAPPHIRESTREAM_INSTANCE_INSTANCE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sapphirestream/base/counter.h"
+#include "sapphirestream/base/random.h"
+#include "sapphirestream/domain/membership.h"
+#include "sapphirestream/instance/config_timeline.h"
+#include "sapphirestream/instance/event_log.h"
+#include "sapphirestream/instance/flow_dispatcher.h"
+#include "sapphirestream/instance/http_server.h"
+#include "sapphirestream/instance/instance_list.h"
+#include "sapphirestream/instance/operator_api.h"
+#include "sapphirestream/instance/peer_transport.h"
+#include "sapphirestream/instance/peer_versions.h"
+#include "sapphirestream/instance/settings.h"
+#include "sapphirestream/instance/snapshot_publisher.h"
+#include "sapphirestream/instance/target_reports.h"
+#include "sapphirestream/instance/traffic_thread.h"
+#include "sapphirestream/platform/http_object_store.h"
+#include "sapphirestream/target/scheduler_factory.h"
+
+namespace sapphirestream {
+
+class Instance final : private OperatorBackend,
+                       private DomainSink,
+                       private PacketOutput {
+ public:
+  // How often timers are looked at.
+  static constexpr std::chrono::milliseconds kTick{10};
+
+  // Opens all sockets. Errors: kInternal. `clock` and `log` outlive the
+  // instance.
+  [[nodiscard]] static leaf::result<std::unique_ptr<Instance>> Open(
+      const Settings& settings, const Clock& clock, EventLog& log);
+  ~Instance() override;
+
+  // Runs until a stop is complete.
+  void Run();
+  // Starts a planned stop: announces it, hands over the records and forwards
+  // until the drain time has passed. A second call ends Run at once.
+  void BeginStop();
+
+  // The bound endpoints, for tests that let the system choose ports.
+  [[nodiscard]] Endpoint http_endpoint() const { return http_->local(); }
+  [[nodiscard]] Endpoint data_endpoint() const {
+    return threads_.front()->data_endpoint();
+  }
+
+ private:
+  // Set when metrics are read.
+  struct Gauges {
+    explicit Gauges(CounterSet& counters);
+    Counter& owned;
+    Counter& replicas;
+    Counter& held;
+    Counter& prepared;
+    Counter& active;
+  };
+
+  Instance(const Settings& settings, const Clock& clock, EventLog& log);
+  leaf::result<void> OpenSockets();
+
+  // OperatorBackend (instance_report.cc).
+  [[nodiscard]] std::shared_ptr<const Configuration> configuration()
+      const override {
+    return timeline_.newest();
+  }
+  [[nodiscard]] bool is_ready() const override;
+  void Submit(const Change& change,
+              std::function<void(ChangeOutcome)> done) override;
+  [[nodiscard]] boost::json::object Status() const override;
+  [[nodiscard]] boost::json::object Dump() const override;
+  [[nodiscard]] std::string Metrics() const override;
+
+  // DomainSink.
+  void Send(InstanceId to, const DomainMessage& message) override;
+  // PacketOutput.
+  bool Send(const Endpoint& to, std::span<const std::byte> datagram) override;
+
+  void AwaitTick();
+  void OnTick();
+  void AwaitWakeup();
+  void OnPeerMessage(InstanceId from, PeerMessage message);
+  void OnConfiguration(std::shared_ptr<const Configuration> configuration);
+  void OnTargetReport(const TargetReport& report);
+  void OnInstances(std::span<const InstanceListing> instances,
+                   const InstanceList::Addresses& addresses);
+  void UpdateMembers();
+  void FinishStopIfDue(TimePoint now);
+
+  const Settings settings_;
+  const Clock& clock_;
+  EventLog& log_;
+  CounterSet counters_;
+  Gauges gauges_{counters_};
+  SeededRandom random_;
+  const Incarnation incarnation_;
+  const TimePoint started_;
+
+  boost::asio::io_context io_{1};
+  boost::asio::steady_timer tick_;
+  boost::asio::signal_set signals_;
+  Wakeup wakeup_;
+  boost::asio::posix::stream_descriptor wakeup_readable_;
+
+  PublishedState state_;
+  std::vector<std::unique_ptr<TrafficThread>> threads_;
+  std::optional<UdpSocket> packets_;
+  std::unique_ptr<PeerTransport> peers_;
+  std::unique_ptr<TargetReports> reports_;
+  std::unique_ptr<HttpServer> http_;
+
+  OperatorApi api_;
+  HttpObjectStore store_;
+  SchedulerFactory placers_;
+  std::unique_ptr<FlowDispatcher> dispatcher_;
+  std::unique_ptr<SnapshotPublisher> publisher_;
+  Membership membership_;
+  InstanceList list_;
+  ConfigTimeline timeline_;
+  PeerVersions peer_versions_;
+  std::uint64_t seen_revision_ = 0;
+  std::optional<TimePoint> stop_began_;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_INSTANCE_INSTANCE_H_
--- /dev/null
+++ b/src/sapphirestream/instance/instance_report.cc
@@ -0,0 +1,164 @@
+// What an instance tells its operators.
+#include <unistd.h>
+
+#include <utility>
+
+#include "sapphirestream/contract/configuration_json.h"
+#include "sapphirestream/instance/instance.h"
+#include "sapphirestream/instance/metrics.h"
+
+namespace sapphirestream {
+namespace {
+
+namespace json = boost::json;
+
+json::array ListVersions(const std::vector<ServiceVersion>& versions) {
+  json::array out;
+  for (const ServiceVersion& version : versions) {
+    out.emplace_back(
+        json::object{{"version", Value(version.version)},
+                     {"buckets", version.table->size()},
+                     {"load_share_permille", version.load_share_permille},
+                     {"recorded", version.recorded}});
+  }
+  return out;
+}
+
+json::array ListSchedulers(const ServiceView& view,
+                           const std::vector<DomainId>& domains) {
+  json::array out;
+  for (std::size_t i = 0; i < view.schedulers.size(); ++i) {
+    out.emplace_back(
+        json::object{{"domain", Value(domains[i])},
+                     {"first", Value(view.schedulers[i].first)},
+                     {"second", Value(view.schedulers[i].second)}});
+  }
+  return out;
+}
+
+json::array ListViews(const Snapshot& snapshot) {
+  json::array out;
+  for (const auto& [id, view] : snapshot.services) {
+    out.emplace_back(
+        json::object{{"service", Value(id)},
+                     {"name", view.service.name},
+                     {"active", ListVersions({view.active})},
+                     {"retained", ListVersions(view.retained)},
+                     {"prepared", ListVersions(view.prepared)},
+                     {"slowdown_announced", view.slowdown_announced},
+                     {"schedulers", ListSchedulers(view, snapshot.domains)}});
+  }
+  return out;
+}
+
+}  // namespace
+
+Instance::Gauges::Gauges(CounterSet& counters)
+    : owned(counters.Emplace("flow_records{role=\"owner\"}")),
+      replicas(counters.Emplace("flow_records{role=\"replica\"}")),
+      held(counters.Emplace("held_packets")),
+      prepared(counters.Emplace("config_version{state=\"prepared\"}")),
+      active(counters.Emplace("config_version{state=\"active\"}")) {}
+
+bool Instance::is_ready() const {
+  return publisher_->current() != nullptr && !stop_began_;
+}
+
+json::object Instance::Status() const {
+  json::object out{{"instance", Value(settings_.instance_id)},
+                   {"domain", Value(settings_.domain)},
+                   {"ready", is_ready()},
+                   {"leaving", stop_began_.has_value()}};
+  if (timeline_.newest() == nullptr) return out;
+  const ConfigVersion newest = timeline_.newest()->version;
+  const ConfigVersion active = timeline_.active()->version;
+  std::size_t live = 0;
+  std::size_t prepared = 0;
+  std::size_t activated = 0;
+  json::array lagging;
+  for (const Member& member : membership_.view().members()) {
+    if (!MemberView::IsEligible(member)) continue;
+    const bool is_self = member.id == settings_.instance_id;
+    const auto versions = is_self ? PeerVersions::Versions{newest, active, {}}
+                                  : peer_versions_.Of(member.id);
+    ++live;
+    if (versions.prepared >= newest) ++prepared;
+    if (versions.active >= newest) {
+      ++activated;
+    } else {
+      lagging.emplace_back(Value(member.id));
+    }
+  }
+  out["version"] = Value(newest);
+  out["active_version"] = Value(active);
+  out["live"] = live;
+  out["prepared"] = prepared;
+  out["active"] = activated;
+  out["lagging"] = std::move(lagging);
+  return out;
+}
+
+json::object Instance::Dump() const {
+  json::object out = Status();
+  json::array members;
+  for (const Member& member : membership_.view().members()) {
+    const auto versions = peer_versions_.Of(member.id);
+    members.emplace_back(
+        json::object{{"instance", Value(member.id)},
+                     {"domain", Value(member.domain)},
+                     {"state", Name(member.state)},
+                     {"incarnation", Value(member.incarnation)},
+                     {"prepared", Value(versions.prepared)},
+                     {"active", Value(versions.active)}});
+  }
+  out["members"] = std::move(members);
+  const Steering::Stats stats = dispatcher_->steering().stats();
+  out["steering"] = {{"owned", stats.owned},
+                     {"replicas", stats.replicas},
+                     {"held", stats.held},
+                     {"moving", stats.moving},
+                     {"recovering_services", stats.recovering_services}};
+  const TimePoint now = clock_.Now();
+  const TimePoint authority = membership_.AuthorityUntil();
+  out["authority_ms"] =
+      authority > now ? std::chrono::duration_cast<std::chrono::milliseconds>(
+                            authority - now)
+                            .count()
+                      : 0;
+  out["uptime_seconds"] =
+      std::chrono::duration_cast<std::chrono::seconds>(now - started_).count();
+  if (const auto current = publisher_->current()) {
+    out["confirmed"] = current->snapshot.confirmed;
+    out["services"] = ListViews(current->snapshot);
+    json::object peers;
+    for (const auto& [id, endpoint] : current->peers) {
+      peers[std::to_string(Value(id))] = ToString(endpoint);
+    }
+    out["peers"] = std::move(peers);
+  }
+  if (timeline_.newest() != nullptr) {
+    out["configuration"] = ToJson(*timeline_.newest());
+  }
+  return out;
+}
+
+std::string Instance::Metrics() const {
+  const Steering::Stats stats = dispatcher_->steering().stats();
+  gauges_.owned.Set(stats.owned);
+  gauges_.replicas.Set(stats.replicas);
+  gauges_.held.Set(stats.held);
+  if (timeline_.newest() != nullptr) {
+    gauges_.prepared.Set(Value(timeline_.newest()->version));
+    gauges_.active.Set(Value(timeline_.active()->version));
+  }
+  return RenderMetrics(counters_);
+}
+
+void Instance::Submit(const Change& /*change*/,
+                      std::function<void(ChangeOutcome)> done) {
+  ChangeOutcome outcome;
+  outcome.error.kind = ErrorKind::kNotReady;
+  done(outcome);
+}
+
+}  // namespace sapphirestream
--- a/src/sapphirestream/instance/settings.cc
+++ b/src/sapphirestream/instance/settings.cc
@@ -40,7 +40,7 @@
     {"return-path", nullptr,
      "endpoint of the fabric that delivers answers to clients (host:port)"},
     {"object-api", nullptr,
-     "endpoints of the platform's object API (host:port,...)"},
+     "endpoint of the platform's object API (host:port)"},
     {"known-peers", "",
      "instances to contact while the platform's list cannot be read "
      "(id@domain@host:port,...)"},
@@ -143,6 +143,14 @@
     return endpoint;
   }
 
+  Endpoint OneEndpoint(const std::string& name) {
+    const std::string* text = Find(name);
+    if (text == nullptr) return {};
+    if (const auto endpoint = ParseEndpoint(*text)) return *endpoint;
+    AddError(name, *text, "host:port");
+    return {};
+  }
+
   // Converts each item of a comma-separated list by `parse(item) -> optional`.
   template <typename Parse>
   auto List(const std::string& name, const std::string& range, Parse parse) {
@@ -218,17 +226,8 @@
   out.peer = reader.AddressAndPort("peer");
   out.http = reader.AddressAndPort("http");
   out.report = reader.AddressAndPort("report");
-  const std::string endpoint = "host:port";
-  const auto parse = [](const std::string& item) {
-    return ParseEndpoint(item);
-  };
-  const auto return_paths = reader.List("return-path", endpoint, parse);
-  if (return_paths.size() == 1) {
-    out.return_path = return_paths.front();
-  } else if (return_paths.size() > 1) {
-    reader.AddError("return-path", *reader.Find("return-path"), "one endpoint");
-  }
-  out.object_api = reader.List("object-api", endpoint, parse);
+  out.return_path = reader.OneEndpoint("return-path");
+  out.object_api = reader.OneEndpoint("object-api");
   out.peers = reader.List("known-peers", "id@domain@host:port", ParseKnownPeer);
   out.peer_key = ReadPeerKey(reader);
   out.traffic_threads = reader.Number<std::uint32_t>(
--- a/src/sapphirestream/instance/settings.h
+++ b/src/sapphirestream/instance/settings.h
@@ -42,8 +42,8 @@
   Endpoint report;
   // Where answers to clients are sent, encapsulated; the fabric delivers them.
   Endpoint return_path;
-  // Endpoints of the platform's object API, tried in turn.
-  std::vector<Endpoint> object_api;
+  // The platform's object API.
+  Endpoint object_api;
   std::vector<KnownPeer> peers;
   PeerKey peer_key{};
   std::uint32_t traffic_threads = 1;
--- /dev/null
+++ b/src/sapphirestream/instance/snapshot_publisher.h
@@ -0,0 +1,68 @@
+// Decides when a new snapshot is due, and hands it to the traffic threads and
+// to Steering.
+#ifndef SAPPHIRESTREAM_INSTANCE_SNAPSHOT_PUBLISHER_H_
+#define SAPPHIRESTREAM_INSTANCE_SNAPSHOT_PUBLISHER_H_
+
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/counter.h"
+#include "sapphirestream/flow/snapshot_builder.h"
+#include "sapphirestream/instance/config_timeline.h"
+#include "sapphirestream/instance/flow_dispatcher.h"
+#include "sapphirestream/instance/traffic_state.h"
+
+namespace sapphirestream {
+
+class SnapshotPublisher {
+ public:
+  // Retained versions and announcements change with the time of day; they are
+  // looked at this often.
+  static constexpr Duration kRefreshInterval = std::chrono::seconds(1);
+
+  struct Options {
+    InstanceId self = kNoInstance;
+    DomainId own_domain{};
+    Duration idle_timeout{};
+  };
+  using Addresses = std::unordered_map<InstanceId, Endpoint>;
+
+  SnapshotPublisher(const Options& options, PublishedState& state,
+                    FlowDispatcher& dispatcher, CounterSet& counters);
+
+  // Each remembers a change that makes a new snapshot due.
+  void OnConfiguration() noexcept { is_due_ = true; }
+  void OnMembers(const MemberView& members);
+  void SetPeers(Addresses peers);
+  void SetConfirmed(bool confirmed) noexcept;
+
+  // Publishes a snapshot if one is due and there is a configuration.
+  void Update(const ConfigTimeline& timeline, TimePoint authority_until,
+              TimePoint now, WallTime wall_now);
+
+  // The last snapshot, null before the first.
+  [[nodiscard]] std::shared_ptr<const TrafficState> current() const noexcept {
+    return current_;
+  }
+
+ private:
+  Options options_;
+  PublishedState& state_;
+  FlowDispatcher& dispatcher_;
+  SnapshotBuilder builder_;
+  Counter& published_;
+  Counter& unconfirmed_;
+  MemberView members_;
+  MemberView previous_members_;
+  Addresses peers_;
+  bool confirmed_ = true;
+  bool is_due_ = false;
+  TimePoint next_refresh_;
+  std::shared_ptr<const TrafficState> current_;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_INSTANCE_SNAPSHOT_PUBLISHER_H_
