--- /dev/null
+++ b/test/flow/steering_test.cc
@@ -0,0 +1,293 @@
+// Guards the promises of a flow's owner: one target per flow, "not run" only
+// where nothing was forwarded, no decision without authority or records.
+#include "sapphirestream/flow/steering.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "sapphirestream/flow/ownership.h"
+#include "sapphirestream/flow/stateless_rule.h"
+#include "testing/flow_fixture.h"
+
+namespace sapphirestream {
+namespace {
+
+using fleet::kBoard;
+using fleet::kDatagramOrders;
+using fleet::kOrders;
+using testing::kStart;
+using testing::MakeData;
+using testing::MakeFirst;
+using testing::MakeMembers;
+using testing::MakeSnapshot;
+
+// Steering of instance 1 among eight, with empty answers to its pulls.
+struct Fixture {
+  Fixture() : steering({}, factory, sink, counters) {
+    Use(site, site, members);
+    AnswerPulls();
+  }
+
+  void Use(const Configuration& active, const Configuration& newest,
+           const std::vector<Member>& seen) {
+    snapshot = MakeSnapshot(InstanceId{1}, active, newest, seen, members);
+    steering.SetSnapshot(snapshot, now);
+  }
+
+  void AnswerPulls() {
+    const auto sent = sink.sent;
+    for (const auto& [to, message] : sent) {
+      if (const auto* pull = std::get_if<RecordPull>(&message)) {
+        RecordPage page;
+        page.service = pull->service;
+        page.domain = pull->domain;
+        steering.OnMessage(to, page, now);
+      }
+    }
+    sink.sent.clear();
+  }
+
+  // Returns the n-th first packet that instance 1 owns and whose hash target is
+  // implied (`off_hash` false) or that is in an unstable bucket.
+  Packet Owned(ServiceId service, std::uint32_t n,
+               Protocol protocol = Protocol::kTcp) const {
+    for (std::uint32_t i = 0;; ++i) {
+      const Packet packet = MakeFirst(service, i, protocol);
+      const ServiceView& view = snapshot->services.at(service);
+      const bool is_mine =
+          OwnersOf(*snapshot, view, packet.key, packet.hash).owner ==
+          InstanceId{1};
+      const bool is_load_placed =
+          IsLoadPlaced(packet.hash, view.active.load_share_permille);
+      if (is_mine && is_load_placed && n-- == 0) return packet;
+    }
+  }
+  InstanceId ReplicaOf(const Packet& packet) const {
+    const ServiceView& view = snapshot->services.at(packet.key.service);
+    return OwnersOf(*snapshot, view, packet.key, packet.hash).replica;
+  }
+  TargetId HashTarget(const Packet& packet) const {
+    return snapshot->services.at(packet.key.service)
+        .active.table->At(packet.hash);
+  }
+
+  // With four domains and eight instances each has two; which of them schedules
+  // a service depends on its id, so the pair 1 and 5 is reduced to 1.
+  std::vector<Member> members = [] {
+    auto all = MakeMembers(8, 4);
+    all[4].state = MemberState::kLeft;
+    return all;
+  }();
+  Configuration site = fleet::MakeSite({});
+  SchedulerFactory factory;
+  testing::RecordingSink sink;
+  CounterSet counters;
+  TimePoint now = kStart;
+  std::shared_ptr<const Snapshot> snapshot;
+  Steering steering;
+};
+
+BOOST_FIXTURE_TEST_SUITE(steering, Fixture)
+
+BOOST_AUTO_TEST_CASE(copies_of_a_first_packet_go_to_the_same_target) {
+  for (std::uint32_t n = 0; n < 20; ++n) {
+    const Packet packet = Owned(kBoard, n);
+    const Verdict first = steering.OnPacket(packet, false, now);
+    BOOST_REQUIRE((first.kind == VerdictKind::kForward));
+    const Verdict copy = steering.OnRedirect(packet, false, InstanceId{2},
+                                             InstanceId{2}, 3, now);
+    BOOST_TEST((copy.target == first.target));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_asker_learns_the_target_with_its_second_redirect) {
+  const Packet packet = Owned(kBoard, 0);
+  const Verdict first = steering.OnPacket(packet, false, now);
+  const auto ask = [&] {
+    (void)steering.OnRedirect(MakeData(packet), false, InstanceId{3},
+                              InstanceId{3}, 3, now);
+  };
+  ask();
+  BOOST_TEST(sink.Last<Learn>() == nullptr);
+  ask();
+  BOOST_REQUIRE(sink.Last<Learn>() != nullptr);
+  BOOST_TEST((sink.Last<Learn>()->target == first.target));
+}
+
+// Without the acknowledged copy a new owner could send a copy of the datagram
+// to another target, which would run the request again.
+BOOST_AUTO_TEST_CASE(an_order_off_its_hash_target_waits_for_the_replica) {
+  bool is_held = false;
+  for (std::uint32_t n = 0; n < 40 && !is_held; ++n) {
+    const Packet packet = Owned(kDatagramOrders, n, Protocol::kUdp);
+    const Verdict verdict = steering.OnPacket(packet, false, now);
+    if (verdict.kind == VerdictKind::kForward) {
+      BOOST_TEST((verdict.target == HashTarget(packet)));
+      continue;
+    }
+    BOOST_REQUIRE((verdict.kind == VerdictKind::kHold));
+    is_held = true;
+    InstanceId to{};
+    const RecordBatch* batch = sink.Last<RecordBatch>(&to);
+    BOOST_REQUIRE(batch != nullptr);
+    BOOST_TEST((to == ReplicaOf(packet)));
+    BOOST_TEST(
+        (steering.OnPacket(packet, false, now).kind == VerdictKind::kDrop));
+    BOOST_TEST(sink.released.empty());
+    steering.OnMessage(to, RecordAck{batch->sequence, true}, now);
+    BOOST_REQUIRE(sink.released.size() == 1U);
+    BOOST_TEST(sink.released[0].first == verdict.token);
+    BOOST_TEST((sink.released[0].second.target == batch->records[0].target));
+  }
+  BOOST_TEST(is_held);
+}
+
+BOOST_AUTO_TEST_CASE(an_order_keeps_its_target_when_the_replica_is_silent) {
+  for (std::uint32_t n = 0; n < 40; ++n) {
+    const Packet packet = Owned(kDatagramOrders, n, Protocol::kUdp);
+    if (steering.OnPacket(packet, false, now).kind != VerdictKind::kHold) {
+      continue;
+    }
+    const TargetId target = sink.Last<RecordBatch>()->records[0].target;
+    for (int i = 0; i < 1000; ++i) {
+      now += std::chrono::milliseconds(10);
+      steering.OnTimer(now);
+    }
+    BOOST_REQUIRE(!sink.released.empty());
+    BOOST_TEST((sink.released[0].second.kind == VerdictKind::kDrop));
+    sink.sent.clear();
+    // The replica may have the lost copy, so that only its target is safe.
+    BOOST_TEST(
+        (steering.OnPacket(packet, false, now).kind == VerdictKind::kHold));
+    BOOST_TEST((sink.Last<RecordBatch>()->records[0].target == target));
+    return;
+  }
+  BOOST_FAIL("no order was placed off its hash target");
+}
+
+BOOST_AUTO_TEST_CASE(no_order_is_decided_without_authority) {
+  auto stale = std::make_shared<Snapshot>(*snapshot);
+  stale->authority_until = now;
+  steering.SetSnapshot(stale, now);
+  for (const ServiceId service : {kOrders, kDatagramOrders}) {
+    const Packet packet = Owned(service, 0);
+    const Verdict verdict = steering.OnPacket(packet, false, now);
+    BOOST_TEST((verdict.kind == VerdictKind::kDrop));
+    BOOST_TEST((verdict.reason == ErrorKind::kNoAuthority));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_order_stays_refused) {
+  Configuration drained = site;
+  for (Service& service : drained.services) {
+    for (Target& target : service.targets) {
+      target.drained = ConfigVersion{2};
+    }
+  }
+  drained.version = ConfigVersion{2};
+  Use(drained, drained, members);
+  const Packet packet = Owned(kDatagramOrders, 0, Protocol::kUdp);
+  const Verdict refused = steering.OnPacket(packet, false, now);
+  BOOST_REQUIRE((refused.kind == VerdictKind::kAnswer));
+  BOOST_TEST((AnswerFor(refused.reason).packet == PacketAnswer::kNotRun));
+  Use(site, site, members);
+  // The client was told "not run"; running a late copy would make it a lie.
+  now += std::chrono::seconds(10);
+  BOOST_TEST(
+      (steering.OnPacket(packet, false, now).kind == VerdictKind::kAnswer));
+}
+
+BOOST_AUTO_TEST_CASE(a_reused_tuple_may_get_another_target_only_after_its_end) {
+  const Packet packet = Owned(kBoard, 0);
+  const Verdict first = steering.OnPacket(packet, false, now);
+  Packet reuse = packet;
+  reuse.sequence = 5000;
+  BOOST_TEST((steering.OnPacket(reuse, false, now).target == first.target));
+  Packet end = MakeData(packet);
+  end.fin = true;
+  (void)steering.OnPacket(end, false, now);
+  BOOST_TEST(
+      (steering.OnPacket(reuse, false, now).kind == VerdictKind::kForward));
+}
+
+// A flow that was replicated here by a dead owner keeps its target.
+BOOST_AUTO_TEST_CASE(a_copy_is_promoted_when_its_owner_is_gone) {
+  const auto without_three = [&] {
+    auto seen = members;
+    for (Member& member : seen) {
+      if (member.domain == DomainId{3}) member.state = MemberState::kDead;
+    }
+    return seen;
+  }();
+  const ServiceView& view = snapshot->services.at(kBoard);
+  for (std::uint32_t i = 0; i < 500; ++i) {
+    const Packet packet = MakeFirst(kBoard, i);
+    const Owners owners = OwnersOf(*snapshot, view, packet.key, packet.hash);
+    if (owners.home != DomainId{3} || owners.replica != InstanceId{1}) continue;
+    const TargetId target{5};
+    RecordBatch batch{.sequence = 1, .handover = false, .records = {}};
+    batch.records.push_back({packet.key, target, RecordState::kEstablished});
+    steering.OnMessage(owners.owner, batch, now);
+    BOOST_TEST(sink.Last<RecordAck>()->accepted);
+    Use(site, site, without_three);
+    const Verdict verdict = steering.OnRedirect(
+        MakeData(packet), false, InstanceId{2}, InstanceId{2}, 3, now);
+    BOOST_TEST((verdict.kind == VerdictKind::kForward));
+    BOOST_TEST((verdict.target == target));
+    return;
+  }
+  BOOST_FAIL("no flow with home domain 3 and replica 1");
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_from_an_instance_that_is_not_the_owner_is_refused) {
+  const Packet packet = Owned(kBoard, 0);
+  RecordBatch batch{.sequence = 9, .handover = false, .records = {}};
+  batch.records.push_back({packet.key, TargetId{5}, RecordState::kOpening});
+  steering.OnMessage(InstanceId{2}, batch, now);
+  BOOST_TEST(!sink.Last<RecordAck>()->accepted);
+}
+
+BOOST_AUTO_TEST_CASE(a_silent_flow_is_reset_and_an_order_never) {
+  const Packet other = Owned(kBoard, 1);
+  (void)steering.OnPacket(other, false, now);
+  const Packet packet = Owned(kBoard, 0);
+  (void)steering.OnPacket(packet, false, now);
+  const auto repeat = [&](const Packet& p) {
+    now += std::chrono::seconds(6);
+    // Another flow's progress on every target shows that the targets are well.
+    for (std::uint32_t n = 1; n < 40; ++n) {
+      const Packet well = Owned(kBoard, n);
+      (void)steering.OnPacket(well, false, now);
+      (void)steering.OnPacket(MakeData(well), false, now);
+    }
+    return steering.OnRedirect(MakeData(p), true, InstanceId{2}, InstanceId{2},
+                               3, now);
+  };
+  BOOST_TEST((repeat(packet).kind == VerdictKind::kForward));
+  BOOST_TEST((repeat(packet).kind == VerdictKind::kForward));
+  const Verdict reset = repeat(packet);
+  BOOST_TEST((reset.kind == VerdictKind::kAnswer));
+  BOOST_TEST((reset.reason == ErrorKind::kSilentFlow));
+  const Packet order = Owned(kOrders, 0);
+  (void)steering.OnPacket(order, false, now);
+  for (int i = 0; i < 6; ++i) {
+    BOOST_TEST((repeat(order).kind == VerdictKind::kForward));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_redirect_without_hops_left_is_dropped) {
+  for (std::uint32_t i = 0; i < 100; ++i) {
+    const Packet packet = MakeFirst(kBoard, i);
+    const ServiceView& view = snapshot->services.at(kBoard);
+    const Owners owners = OwnersOf(*snapshot, view, packet.key, packet.hash);
+    if (owners.owner == InstanceId{1}) continue;
+    const Verdict verdict = steering.OnRedirect(packet, false, InstanceId{2},
+                                                InstanceId{2}, 0, now);
+    BOOST_TEST(
+        (verdict.kind == VerdictKind::kDrop || owners.owner == InstanceId{2}));
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
