--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -91,7 +91,7 @@
       const noexcept {
     return bytes_by_kind_;
   }
-  void ResetBytes() {
+  void ResetBytes() override {
     control_bytes_ = 0;
     bytes_by_kind_.clear();
   }
--- a/bench/fleet/system.h
+++ b/bench/fleet/system.h
@@ -72,6 +72,8 @@
   // Bytes that instances sent each other, redirected packets not included.
   [[nodiscard]] virtual std::uint64_t control_bytes() const noexcept = 0;
 
+  virtual void ResetBytes() = 0;
+
   void RunFor(Duration time) { queue().RunUntil(queue().now() + time); }
 };
 
