Spend fewer control bytes on records

Change: acknowledgements wait up to 200 ms unless urgent; all copies of a home domain go to one other domain; flows that end before their copy is sent need none; ends of requests are not copied; stream counts go out five times slower.

--- a/bench/policy_table.cc
+++ b/bench/policy_table.cc
@@ -2,7 +2,8 @@
 // for the product and for simpler policies. Virtual time, fixed seeds; the same
 // arguments always print the same table.
 //
-//   policy_table [--site=rubikon|palco] [--event=N] [--product] [--sizes]
+//   policy_table [--site=rubikon|palco] [--event=N] [--product] [--sizes
+//   [--instances=N]]
 #include <cstdio>
 #include <cstdlib>
 #include <future>
@@ -81,9 +82,11 @@
 }
 
 // Steady state with 2,000 new flows a second per instance.
-std::vector<Scenario> SizeScenarios(std::string_view site) {
+std::vector<Scenario> SizeScenarios(std::string_view site,
+                                    std::size_t only_instances) {
   std::vector<Scenario> scenarios;
   for (const std::size_t instances : {3, 6, 9, 18}) {
+    if (only_instances != 0 && instances != only_instances) continue;
     Scenario scenario = MakeScenario(site);
     scenario.instances = instances;
     scenario.short_flows_per_second = 2000.0 * static_cast<double>(instances);
@@ -128,12 +131,15 @@
   int event = -1;
   bool only_product = false;
   bool sizes = false;
+  std::size_t instances = 0;
   for (int i = 1; i < argc; ++i) {
     const std::string_view argument = argv[i];
     if (argument.starts_with("--site=")) {
       sites = {std::string(argument.substr(7))};
     } else if (argument.starts_with("--event=")) {
       event = std::atoi(argument.substr(8).data());
+    } else if (argument.starts_with("--instances=")) {
+      instances = std::strtoul(argument.substr(12).data(), nullptr, 10);
     } else if (argument == "--product") {
       only_product = true;
     } else if (argument == "--sizes") {
@@ -144,7 +150,7 @@
     }
   }
   for (const std::string& site : sites) {
-    RunAll(sizes ? SizeScenarios(site)
+    RunAll(sizes ? SizeScenarios(site, instances)
                  : EventScenarios(site, event, only_product));
   }
   return 0;
--- a/src/sapphirestream/flow/count_exchange.cc
+++ b/src/sapphirestream/flow/count_exchange.cc
@@ -8,6 +8,7 @@
 
 // Shorter than the 3 s after which a silent peer's counts are dropped.
 constexpr Duration kFullInterval = std::chrono::seconds(2);
+constexpr int kStreamFactor = 5;
 // Counts that fit one datagram; the rest follows with the next message.
 constexpr std::size_t kMaxCounts = 128;
 
@@ -20,7 +21,9 @@
                             const Placer& placer, TimePoint now) {
   State& state = services_[view.service.id];
   if (now < state.next_changes) return;
-  state.next_changes = now + interval_;
+  // Streams come and go slowly.
+  const bool is_stream = view.service.kind == FlowKind::kStream;
+  state.next_changes = now + interval_ * (is_stream ? kStreamFactor : 1);
   const bool is_full = now >= state.next_full;
   if (is_full) state.next_full = now + kFullInterval;
   // A target without open flows is missing from OwnCounts, so that its zero
--- a/src/sapphirestream/flow/message.h
+++ b/src/sapphirestream/flow/message.h
@@ -50,19 +50,23 @@
 };
 
 // Records from an owner to the replica or to a new owner. A nonzero `sequence`
-// asks for a RecordAck. `handover` makes the receiver the owner.
+// asks for a RecordAck. `handover` makes the receiver the owner; `urgent` asks
+// for the acknowledgement at once, since a packet waits for it.
 struct RecordBatch {
   std::uint64_t sequence = 0;
   bool handover = false;
+  bool urgent = false;
   std::vector<RecordCopy> records;
   bool operator==(const RecordBatch&) const = default;
 };
 
+// Acknowledges batches by their sequences.
 struct RecordAck {
-  std::uint64_t sequence = 0;
-  // False if the receiver holds a different record for one of the flows or
-  // believes another instance to be the owner.
-  bool accepted = true;
+  std::vector<std::uint64_t> accepted;
+  // The receiver holds a different record for one of the flows or believes
+  // another instance to be the owner.
+  std::vector<std::uint64_t> refused;
+
   bool operator==(const RecordAck&) const = default;
 };
 
--- a/src/sapphirestream/flow/ownership.cc
+++ b/src/sapphirestream/flow/ownership.cc
@@ -24,20 +24,20 @@
   return out;
 }
 
-// Position of the best-ranked domain below `limit` in rank, skipping domains
-// without an eligible instance if `eligible_only`; `size` if there is none.
-std::size_t NextDomain(const Snapshot& snapshot,
+// Position of the best-ranked domain but `except`; `size` if there is none.
+std::size_t BestDomain(const Snapshot& snapshot,
                        const std::vector<DomainSchedulers>& schedulers,
-                       std::uint64_t key, std::uint64_t limit,
-                       bool eligible_only, std::uint64_t& weight) noexcept {
+                       std::uint64_t key, bool eligible_only,
+                       std::size_t except) noexcept {
   std::size_t best = schedulers.size();
+  std::uint64_t best_weight = 0;
   for (std::size_t i = 0; i < schedulers.size(); ++i) {
+    if (i == except) continue;
     if (eligible_only && schedulers[i].first == kNoInstance) continue;
-    const std::uint64_t candidate = RankWeight(key, snapshot.domains[i]);
-    if (candidate >= limit) continue;
-    if (best == schedulers.size() || candidate > weight) {
+    const std::uint64_t weight = RankWeight(key, snapshot.domains[i]);
+    if (best == schedulers.size() || weight > best_weight) {
       best = i;
-      weight = candidate;
+      best_weight = weight;
     }
   }
   return best;
@@ -57,33 +57,30 @@
                 const FlowKey& key, std::uint64_t hash, ViewAge age) noexcept {
   const auto& schedulers =
       age == ViewAge::kPresent ? view.schedulers : view.previous_schedulers;
+  const std::size_t none = schedulers.size();
   // The low bits don't take part in the choice of the bucket.
-  const std::uint64_t rank_key =
+  const std::uint64_t flow_key =
       HashPair(hash & 0xffffffffU, Value(view.service.id));
-  const bool may_move = !RunsOnFirstPacket(view, key);
+  const std::size_t first =
+      BestDomain(snapshot, schedulers, flow_key, false, none);
   Owners owners;
-  std::uint64_t weight = 0;
-  const std::size_t home =
-      NextDomain(snapshot, schedulers, rank_key, ~0ULL, may_move, weight);
-  if (home == schedulers.size()) return owners;
+  if (first == none) return owners;
+  // The copies of one home domain go to the same other domain, so that they
+  // fill datagrams.
+  const std::uint64_t other_key =
+      HashPair(Value(view.service.id), 1U + Value(snapshot.domains[first]));
+  const bool may_move = !RunsOnFirstPacket(view, key);
+  std::size_t home = first;
+  if (may_move && schedulers[first].first == kNoInstance) {
+    home = BestDomain(snapshot, schedulers, other_key, true, first);
+    if (home == none) return owners;
+  }
   owners.home = snapshot.domains[home];
   owners.owner = schedulers[home].first;
-  std::uint64_t replica_weight = 0;
   const std::size_t other =
-      NextDomain(snapshot, schedulers, rank_key, weight, true, replica_weight);
-  if (other != schedulers.size()) {
-    owners.replica = schedulers[other].first;
-    return owners;
-  }
-  // The home domain may rank last among the eligible ones.
-  std::uint64_t any_weight = 0;
-  const std::size_t any =
-      NextDomain(snapshot, schedulers, rank_key, ~0ULL, true, any_weight);
-  if (any != schedulers.size() && any != home) {
-    owners.replica = schedulers[any].first;
-  } else {
-    owners.replica = schedulers[home].second;
-  }
+      BestDomain(snapshot, schedulers, other_key, true, home);
+  owners.replica =
+      other != none ? schedulers[other].first : schedulers[home].second;
   return owners;
 }
 
--- a/src/sapphirestream/flow/replicator.cc
+++ b/src/sapphirestream/flow/replicator.cc
@@ -9,12 +9,19 @@
 namespace sapphirestream {
 namespace {
 
-// First wait for an acknowledgement; doubles with each try. Twice the longest
-// round trip between domains with jitter.
-constexpr Duration kFirstRetry = std::chrono::milliseconds(50);
+// First wait for the acknowledgement of an urgent batch; doubles with each try.
+// Twice the longest round trip between domains with jitter.
+constexpr Duration kUrgentRetry = std::chrono::milliseconds(50);
+// Other acknowledgements are delayed by up to kAckDelay.
+constexpr Duration kFirstRetry = 2 * kAckDelay;
 constexpr Duration kMaxRetry = std::chrono::milliseconds(800);
-// Together about 5 s, after which membership declares the receiver dead anyway.
-constexpr int kMaxTries = 10;
+// Together more than the 3 s after which the receiver counts as dead.
+constexpr int kMaxTries = 8;
+
+Duration RetryAfter(const RecordBatch& batch, int tries) {
+  const Duration first = batch.urgent ? kUrgentRetry : kFirstRetry;
+  return std::min(kMaxRetry, first * (1 << tries));
+}
 
 }  // namespace
 
@@ -24,6 +31,7 @@
 void Replicator::Add(InstanceId to, const RecordCopy& copy, bool handover,
                      TimePoint now) {
   const OpenKey key{to, handover};
+  if (copy.state == RecordState::kClosing && Cancel(key, copy.key)) return;
   auto [it, is_new] = open_.try_emplace(key);
   if (is_new) {
     it->second.due = now + batch_interval_;
@@ -36,9 +44,20 @@
   Transmit(to, std::move(batch), true, now);
 }
 
+bool Replicator::Cancel(const OpenKey& key, const FlowKey& flow) {
+  const auto it = open_.find(key);
+  if (it == open_.end()) return false;
+  std::vector<RecordCopy>& records = it->second.batch.records;
+  const auto removed = std::erase_if(
+      records, [&](const RecordCopy& copy) { return copy.key == flow; });
+  if (records.empty()) open_.erase(it);
+  return removed > 0;
+}
+
 std::uint64_t Replicator::SendNow(InstanceId to, const RecordCopy& copy,
                                   TimePoint now) {
   RecordBatch batch;
+  batch.urgent = true;
   batch.records.push_back(copy);
   return Transmit(to, std::move(batch), false, now);
 }
@@ -48,20 +67,32 @@
   batch.sequence = next_sequence_++;
   sink_.Send(to, batch);
   const std::uint64_t sequence = batch.sequence;
+  const TimePoint retry = now + RetryAfter(batch, 0);
   if (!is_bounded || unacknowledged_.size() < kMaxUnacknowledged) {
-    unacknowledged_.emplace(
-        sequence, Unacknowledged{to, std::move(batch), now + kFirstRetry});
+    unacknowledged_.emplace(sequence,
+                            Unacknowledged{to, std::move(batch), retry});
   }
   return sequence;
 }
 
-std::optional<DeliveredBatch> Replicator::OnAck(InstanceId from,
-                                                const RecordAck& ack) {
-  const auto it = unacknowledged_.find(ack.sequence);
-  if (it == unacknowledged_.end() || it->second.to != from) return {};
-  DeliveredBatch delivered{from, ack.accepted, std::move(it->second.batch)};
+std::vector<DeliveredBatch> Replicator::OnAck(InstanceId from,
+                                              const RecordAck& ack) {
+  std::vector<DeliveredBatch> settled;
+  for (const std::uint64_t sequence : ack.accepted) {
+    Settle(from, sequence, true, settled);
+  }
+  for (const std::uint64_t sequence : ack.refused) {
+    Settle(from, sequence, false, settled);
+  }
+  return settled;
+}
+
+void Replicator::Settle(InstanceId from, std::uint64_t sequence, bool accepted,
+                        std::vector<DeliveredBatch>& settled) {
+  const auto it = unacknowledged_.find(sequence);
+  if (it == unacknowledged_.end() || it->second.to != from) return;
+  settled.push_back({from, accepted, std::move(it->second.batch)});
   unacknowledged_.erase(it);
-  return delivered;
 }
 
 std::vector<DeliveredBatch> Replicator::OnTimer(TimePoint now) {
@@ -87,8 +118,7 @@
       it = unacknowledged_.erase(it);
       continue;
     }
-    entry.next_try =
-        now + std::min(kMaxRetry, kFirstRetry * (1 << entry.tries));
+    entry.next_try = now + RetryAfter(entry.batch, entry.tries);
     ++entry.tries;
     sink_.Send(entry.to, entry.batch);
     ++it;
--- a/src/sapphirestream/flow/replicator.h
+++ b/src/sapphirestream/flow/replicator.h
@@ -16,6 +16,9 @@
 
 class SteeringSink;
 
+// How long a receiver collects acknowledgements that nobody waits for.
+inline constexpr Duration kAckDelay = std::chrono::milliseconds(200);
+
 // A batch whose fate is known.
 struct DeliveredBatch {
   InstanceId to = kNoInstance;
@@ -38,8 +41,8 @@
   void Add(InstanceId to, const RecordCopy& copy, bool handover, TimePoint now);
   // Sends a copy in a batch of its own at once and returns its sequence.
   std::uint64_t SendNow(InstanceId to, const RecordCopy& copy, TimePoint now);
-  // Returns the batch that an acknowledgement settles, if it is outstanding.
-  std::optional<DeliveredBatch> OnAck(InstanceId from, const RecordAck& ack);
+  // Returns the batches that an acknowledgement settles.
+  std::vector<DeliveredBatch> OnAck(InstanceId from, const RecordAck& ack);
   // Sends due batches, repeats unacknowledged ones and returns those given up.
   std::vector<DeliveredBatch> OnTimer(TimePoint now);
   // Gives up everything that is outstanding to an instance that is gone.
@@ -69,6 +72,11 @@
     int tries = 1;
   };
 
+  // Takes a flow out of a batch that was not sent yet; returns whether it was
+  // there. A flow that ends so soon needs no copy at all.
+  bool Cancel(const OpenKey& key, const FlowKey& flow);
+  void Settle(InstanceId from, std::uint64_t sequence, bool accepted,
+              std::vector<DeliveredBatch>& settled);
   std::uint64_t Transmit(InstanceId to, RecordBatch batch, bool is_bounded,
                          TimePoint now);
 
--- a/src/sapphirestream/flow/steering.cc
+++ b/src/sapphirestream/flow/steering.cc
@@ -24,6 +24,8 @@
 // A request without a packet for this long no longer counts against its
 // target's slots: its end was lost, or the target knows better by its report.
 constexpr Duration kRequestCounted = std::chrono::seconds(10);
+// The end of a request is not told to the replica.
+constexpr Duration kRequestCopyLifetime = std::chrono::seconds(120);
 // Records that Expire looks at per state and call.
 constexpr int kExpireSteps = 256;
 constexpr double kResetsPerSecond = 10;
@@ -54,6 +56,7 @@
       snapshot_(std::make_shared<Snapshot>()),
       table_(options.record_capacity),
       replicator_(options.batch_interval, sink),
+      acks_(sink),
       recovery_(sink),
       counts_(options.count_interval, sink),
       reset_budget_(kResetsPerSecond, kResetBurst),
@@ -111,6 +114,7 @@
   for (const DeliveredBatch& given_up : replicator_.OnTimer(now)) {
     OnDelivered(given_up, now);
   }
+  acks_.OnTimer(now);
   recovery_.OnTimer(now);
   for (const auto& [service, placer] : service_placers_) {
     counts_.OnTimer(*snapshot_, snapshot_->services.at(service), *placer, now);
@@ -212,6 +216,8 @@
   table_.Touch(record, RecordState::kClosing, now);
   const ServiceView* view = ViewOf(record.key.service);
   if (view == nullptr || record.role != RecordRole::kOwner) return;
+  // A copy of a request is short-lived anyway, and there are many.
+  if (view->service.kind == FlowKind::kRequest) return;
   Replicate(record, OwnersOf(*snapshot_, *view, record.key, record.hash), now);
 }
 
@@ -244,7 +250,11 @@
       break;
   }
   if (record.role == RecordRole::kReplica) {
-    return options_.idle_timeout * kReplicaLifetimeFactor;
+    const ServiceView* view = ViewOf(record.key.service);
+    const bool is_request =
+        view != nullptr && view->service.kind == FlowKind::kRequest;
+    return is_request ? kRequestCopyLifetime
+                      : options_.idle_timeout * kReplicaLifetimeFactor;
   }
   return record.state == RecordState::kOpening ? kOpeningLifetime
                                                : options_.idle_timeout;
--- a/src/sapphirestream/flow/steering.h
+++ b/src/sapphirestream/flow/steering.h
@@ -43,7 +43,9 @@
     Duration idle_timeout = std::chrono::seconds(900);
     // Records moved per second to a new owner or replica.
     std::uint32_t move_rate = 1'000;
-    Duration batch_interval = std::chrono::milliseconds(50);
+    // Longer batches save bytes: most short flows end before they are sent. A
+    // death loses the records of the last interval.
+    Duration batch_interval = std::chrono::milliseconds(100);
     Duration count_interval = std::chrono::milliseconds(200);
   };
 
--- a/src/sapphirestream/flow/steering_impl.h
+++ b/src/sapphirestream/flow/steering_impl.h
@@ -11,6 +11,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "sapphirestream/flow/ack_collector.h"
 #include "sapphirestream/flow/count_exchange.h"
 #include "sapphirestream/flow/flow_table.h"
 #include "sapphirestream/flow/ownership.h"
@@ -59,6 +60,7 @@
     std::uint64_t token = 0;
     Packet packet;
     InstanceId asker = kNoInstance;
+    TimePoint since;
     TimePoint deadline;
   };
   // A request that counts against a slot, and when it was last looked at.
@@ -146,6 +148,7 @@
   std::shared_ptr<const Snapshot> snapshot_;
   FlowTable table_;
   Replicator replicator_;
+  AckCollector acks_;
   Recovery recovery_;
   CountExchange counts_;
   std::unordered_map<ServiceId, std::unique_ptr<Placer>> service_placers_;
--- a/src/sapphirestream/flow/steering_packet.cc
+++ b/src/sapphirestream/flow/steering_packet.cc
@@ -381,6 +381,7 @@
                           Held{.token = token,
                                .packet = event.packet,
                                .asker = event.asker,
+                               .since = event.now,
                                .deadline = event.now + kRecordDeadline});
   return {.kind = VerdictKind::kHold, .token = token};
 }
@@ -398,6 +399,7 @@
   queue.push_back({.token = token,
                    .packet = event.packet,
                    .asker = event.asker,
+                   .since = event.now,
                    .deadline = deadline});
   return {.kind = VerdictKind::kHold, .token = token};
 }
--- a/src/sapphirestream/flow/steering_records.cc
+++ b/src/sapphirestream/flow/steering_records.cc
@@ -28,8 +28,8 @@
           [&](const Learn& learn) { sink_.Learned(learn.key, learn.target); },
           [&](const RecordBatch& batch) { OnBatch(from, batch, now); },
           [&](const RecordAck& ack) {
-            if (auto delivered = replicator_.OnAck(from, ack)) {
-              OnDelivered(*delivered, now);
+            for (const DeliveredBatch& batch : replicator_.OnAck(from, ack)) {
+              OnDelivered(batch, now);
             }
           },
           [&](const RecordPull& pull) { OnPull(from, pull, now); },
@@ -74,9 +74,7 @@
   for (const RecordCopy& copy : batch.records) {
     if (!OnCopy(from, copy, batch.handover, now)) accepted = false;
   }
-  if (batch.sequence != 0) {
-    sink_.Send(from, RecordAck{batch.sequence, accepted});
-  }
+  if (batch.sequence != 0) acks_.Add(from, batch, accepted, now);
 }
 
 bool Steering::Impl::OnCopy(InstanceId from, const RecordCopy& copy,
@@ -315,7 +313,8 @@
     }
     const Placement placement = PlacerOf(view).Place(
         {.flow_hash = held.packet.hash,
-         .hash_target = view.active.table->At(held.packet.hash)},
+         .hash_target = view.active.table->At(held.packet.hash),
+         .waited = now - held.since},
         now);
     if (placement.kind == PlacementKind::kWait) return;
     queue.pop_front();
--- a/src/sapphirestream/link/messages.capnp
+++ b/src/sapphirestream/link/messages.capnp
@@ -90,12 +90,13 @@
 struct RecordBatch {
   sequence @0 :UInt64;
   handover @1 :Bool;
-  records @2 :List(Record);
+  urgent @2 :Bool;
+  records @3 :List(Record);
 }
 
 struct RecordAck {
-  sequence @0 :UInt64;
-  accepted @1 :Bool;
+  accepted @0 :List(UInt64);
+  refused @1 :List(UInt64);
 }
 
 struct RecordPull {
--- a/src/sapphirestream/link/messages.capnp.h
+++ b/src/sapphirestream/link/messages.capnp.h
@@ -245,7 +245,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a901b37334f6cda5, 2, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(a901b37334f6cda5, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1487,6 +1487,8 @@
 
   inline bool getHandover() const;
 
+  inline bool getUrgent() const;
+
   inline bool hasRecords() const;
   inline  ::capnp::List< ::sapphirestream::wire::Record,  ::capnp::Kind::STRUCT>::Reader getRecords() const;
 
@@ -1524,6 +1526,9 @@
   inline bool getHandover();
   inline void setHandover(bool value);
 
+  inline bool getUrgent();
+  inline void setUrgent(bool value);
+
   inline bool hasRecords();
   inline  ::capnp::List< ::sapphirestream::wire::Record,  ::capnp::Kind::STRUCT>::Builder getRecords();
   inline void setRecords( ::capnp::List< ::sapphirestream::wire::Record,  ::capnp::Kind::STRUCT>::Reader value);
@@ -1574,9 +1579,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence() const;
+  inline bool hasAccepted() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAccepted() const;
 
-  inline bool getAccepted() const;
+  inline bool hasRefused() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRefused() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1606,11 +1613,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getSequence();
-  inline void setSequence( ::uint64_t value);
-
-  inline bool getAccepted();
-  inline void setAccepted(bool value);
+  inline bool hasAccepted();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getAccepted();
+  inline void setAccepted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAccepted(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initAccepted(unsigned int size);
+  inline void adoptAccepted(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAccepted();
+
+  inline bool hasRefused();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRefused();
+  inline void setRefused( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRefused(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRefused(unsigned int size);
+  inline void adoptRefused(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRefused();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -3075,6 +3092,20 @@
       ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool RecordBatch::Reader::getUrgent() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool RecordBatch::Builder::getUrgent() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void RecordBatch::Builder::setUrgent(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool RecordBatch::Reader::hasRecords() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3109,32 +3140,80 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t RecordAck::Reader::getSequence() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RecordAck::Reader::hasAccepted() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint64_t RecordAck::Builder::getSequence() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool RecordAck::Builder::hasAccepted() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline void RecordAck::Builder::setSequence( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader RecordAck::Reader::getAccepted() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-
-inline bool RecordAck::Reader::getAccepted() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RecordAck::Builder::getAccepted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void RecordAck::Builder::setAccepted( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void RecordAck::Builder::setAccepted(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RecordAck::Builder::initAccepted(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void RecordAck::Builder::adoptAccepted(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> RecordAck::Builder::disownAccepted() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool RecordAck::Builder::getAccepted() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+inline bool RecordAck::Reader::hasRefused() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void RecordAck::Builder::setAccepted(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+inline bool RecordAck::Builder::hasRefused() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader RecordAck::Reader::getRefused() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RecordAck::Builder::getRefused() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void RecordAck::Builder::setRefused( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void RecordAck::Builder::setRefused(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder RecordAck::Builder::initRefused(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void RecordAck::Builder::adoptRefused(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> RecordAck::Builder::disownRefused() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
 inline  ::uint32_t RecordPull::Reader::getService() const {
--- a/src/sapphirestream/link/wire_reader.cc
+++ b/src/sapphirestream/link/wire_reader.cc
@@ -120,9 +120,18 @@
 bool ReadBatch(wire::RecordBatch::Reader in, RecordBatch& out) {
   out.sequence = in.getSequence();
   out.handover = in.getHandover();
+  out.urgent = in.getUrgent();
   return ReadList(in.getRecords(), out.records, ReadRecord);
 }
 
+std::vector<std::uint64_t> ReadSequences(
+    capnp::List<std::uint64_t>::Reader in) {
+  std::vector<std::uint64_t> out;
+  out.reserve(in.size());
+  for (const std::uint64_t sequence : in) out.push_back(sequence);
+  return out;
+}
+
 bool ReadPull(wire::RecordPull::Reader in, RecordPull& out) {
   out.domain = DomainId{in.getDomain()};
   out.cursor = in.getCursor();
@@ -183,8 +192,8 @@
     case wire::PeerMessage::RECORD_BATCH:
       return ReadBatch(root.getRecordBatch(), out.emplace<RecordBatch>());
     case wire::PeerMessage::RECORD_ACK:
-      out = RecordAck{root.getRecordAck().getSequence(),
-                      root.getRecordAck().getAccepted()};
+      out = RecordAck{ReadSequences(root.getRecordAck().getAccepted()),
+                      ReadSequences(root.getRecordAck().getRefused())};
       return true;
     case wire::PeerMessage::RECORD_PULL:
       return ReadPull(root.getRecordPull(), out.emplace<RecordPull>());
--- a/src/sapphirestream/link/wire_writer.cc
+++ b/src/sapphirestream/link/wire_writer.cc
@@ -129,13 +129,23 @@
   auto out = root.initRecordBatch();
   out.setSequence(message.sequence);
   out.setHandover(message.handover);
+  out.setUrgent(message.urgent);
   WriteRecords(message.records, out.initRecords(Size(message.records.size())));
 }
 
+void WriteSequences(const std::vector<std::uint64_t>& sequences,
+                    capnp::List<std::uint64_t>::Builder out) {
+  for (std::size_t i = 0; i < sequences.size(); ++i) {
+    out.set(Size(i), sequences[i]);
+  }
+}
+
 void Write(const RecordAck& message, wire::PeerMessage::Builder root) {
   auto out = root.initRecordAck();
-  out.setSequence(message.sequence);
-  out.setAccepted(message.accepted);
+  WriteSequences(message.accepted,
+                 out.initAccepted(Size(message.accepted.size())));
+  WriteSequences(message.refused,
+                 out.initRefused(Size(message.refused.size())));
 }
 
 void Write(const RecordPull& message, wire::PeerMessage::Builder root) {
