--- a/src/sapphirestream/target/lookup_table.cc
+++ b/src/sapphirestream/target/lookup_table.cc
@@ -14,8 +14,8 @@
   std::vector<internal::WeightedTarget> targets;
   targets.reserve(service.targets.size());
   for (const Target& target : service.targets) {
-    if (target.IsInTableOf(version))
-      targets.push_back({target.id, target.weight});
+    if (!target.IsInTableOf(version)) continue;
+    targets.push_back({target.id, target.weight});
   }
   LookupTable table;
   if (targets.empty()) return table;
--- a/src/sapphirestream/target/target_lifecycle.h
+++ b/src/sapphirestream/target/target_lifecycle.h
@@ -20,9 +20,9 @@
 };
 
 [[nodiscard]] constexpr std::string_view Name(TargetState state) noexcept {
-  constexpr std::string_view kNames[] = {"joining",  "warming", "active",
-                                         "draining", "failed",  "removed"};
-  return kNames[static_cast<std::size_t>(state)];
+  constexpr std::string_view names[] = {"joining",  "warming", "active",
+                                        "draining", "failed",  "removed"};
+  return names[static_cast<std::size_t>(state)];
 }
 
 enum class TargetEvent : std::uint8_t {
--- a/test/target/least_load_placer_test.cc
+++ b/test/target/least_load_placer_test.cc
@@ -44,7 +44,7 @@
   void PlaceMany(int count) {
     for (int i = 0; i < count; ++i) Place();
   }
-  std::uint32_t OpenOn(std::uint32_t target) const {
+  [[nodiscard]] std::uint32_t OpenOn(std::uint32_t target) const {
     for (const PlacementCount& count : placer->OwnCounts()) {
       if (count.target == TargetId{target}) return count.open;
     }
