--- /dev/null
+++ b/src/sapphirestream/platform/circuit_breaker.h
@@ -0,0 +1,54 @@
+// Stops calling a store that keeps failing and tries it again with single
+// calls (transition table in docs/lifecycles.md, section "Store connection").
+#ifndef SAPPHIRESTREAM_PLATFORM_CIRCUIT_BREAKER_H_
+#define SAPPHIRESTREAM_PLATFORM_CIRCUIT_BREAKER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+#include "sapphirestream/base/clock.h"
+
+namespace sapphirestream {
+
+enum class BreakerState : std::uint8_t {
+  kClosed,    // calls pass
+  kOpen,      // calls fail at once
+  kHalfOpen,  // one call passes and decides
+};
+
+[[nodiscard]] std::string_view Name(BreakerState state) noexcept;
+
+struct CircuitBreakerOptions {
+  // Consecutive failures after which the breaker opens.
+  std::uint32_t threshold = 5;
+  // Time for which it stays open; doubles with each failed probe up to the cap.
+  // The cap keeps the delay after an outage below the 5 s within which a change
+  // must be in force.
+  Duration open_period = std::chrono::milliseconds(500);
+  Duration max_open_period = std::chrono::seconds(2);
+};
+
+class CircuitBreaker {
+ public:
+  explicit CircuitBreaker(const CircuitBreakerOptions& options);
+  ~CircuitBreaker();
+  CircuitBreaker(CircuitBreaker&&) noexcept;
+  CircuitBreaker& operator=(CircuitBreaker&&) noexcept;
+
+  // Returns whether a call may be made now. In state half-open the caller of
+  // which this returned true is the probe; if its outcome is never reported,
+  // another probe is allowed after the open period.
+  [[nodiscard]] bool Allow(TimePoint now);
+  void OnSuccess(TimePoint now);
+  void OnFailure(TimePoint now);
+  [[nodiscard]] BreakerState state() const noexcept;
+
+ private:
+  class Machine;
+  std::unique_ptr<Machine> machine_;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_PLATFORM_CIRCUIT_BREAKER_H_
--- a/src/sapphirestream/platform/config_reader.cc
+++ b/src/sapphirestream/platform/config_reader.cc
@@ -128,12 +128,12 @@
   last_load_ = clock_.Now();
   head_version_ = head.version;
   LoadShards(store_, head, known_, options_.call_deadline,
-             InEpoch([](ConfigReader& r, LoadAnswer answer) {
-               r.OnLoaded(std::move(answer));
+             InEpoch([](ConfigReader& r, const LoadAnswer& answer) {
+               r.OnLoaded(answer);
              }));
 }
 
-void ConfigReader::OnLoaded(LoadAnswer answer) {
+void ConfigReader::OnLoaded(const LoadAnswer& answer) {
   if (answer.error.kind != ErrorKind::kNone) {
     RetryLater();
     return;
--- a/src/sapphirestream/platform/config_reader.h
+++ b/src/sapphirestream/platform/config_reader.h
@@ -75,7 +75,7 @@
   void OnHead(StoreAnswer<StoredObject> answer);
   void LoadAfterJitter(StoredObject head);
   void Load(const StoredObject& head);
-  void OnLoaded(LoadAnswer answer);
+  void OnLoaded(const LoadAnswer& answer);
   void Deliver(std::shared_ptr<const Configuration> configuration);
   void RetryLater();
   void WatchLater(Duration delay);
--- a/src/sapphirestream/platform/http_channel.cc
+++ b/src/sapphirestream/platform/http_channel.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "sapphirestream/platform/object_store.h"
+
 namespace sapphirestream::internal {
 
 namespace asio = boost::asio;
@@ -90,7 +92,7 @@
 
 void HttpChannel::Read() {
   parser_.emplace();
-  parser_->body_limit(kMaxAnswerBytes);
+  parser_->body_limit(kMaxValueBytes);
   http::async_read(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](const error_code& error, std::size_t) {
--- a/src/sapphirestream/platform/http_channel.h
+++ b/src/sapphirestream/platform/http_channel.h
@@ -32,9 +32,6 @@
   std::string body;
 };
 
-// Largest body of an answer, in bytes: the store's limit for a value.
-inline constexpr std::size_t kMaxAnswerBytes = std::size_t{1} << 20;
-
 class HttpChannel : public std::enable_shared_from_this<HttpChannel> {
  public:
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
--- a/src/sapphirestream/platform/http_object_store.cc
+++ b/src/sapphirestream/platform/http_object_store.cc
@@ -55,8 +55,9 @@
 }
 
 StoreAnswer<StoredObject> ToObject(HttpReply reply) {
-  if (reply.outcome == HttpOutcome::kTimedOut)
+  if (reply.outcome == HttpOutcome::kTimedOut) {
     return {ErrorKind::kTimedOut, {}};
+  }
   if (reply.outcome != HttpOutcome::kAnswered) {
     return {ErrorKind::kStoreUnavailable, {}};
   }
@@ -126,8 +127,9 @@
 }
 
 StoreAnswer<std::vector<ListedInstance>> ToInstances(const HttpReply& reply) {
-  if (reply.outcome == HttpOutcome::kTimedOut)
+  if (reply.outcome == HttpOutcome::kTimedOut) {
     return {ErrorKind::kTimedOut, {}};
+  }
   if (reply.outcome != HttpOutcome::kAnswered || reply.status != 200) {
     return {ErrorKind::kStoreUnavailable, {}};
   }
@@ -186,7 +188,7 @@
 void HttpObjectStore::Put(const std::string& name, ObjectVersion expected,
                           std::string value, Duration deadline,
                           PutCallback done) {
-  if (value.size() > internal::kMaxAnswerBytes) {
+  if (value.size() > kMaxValueBytes) {
     asio::post(context_, [done = std::move(done)] {
       done({ErrorKind::kOutOfRange, {}});
     });
--- a/src/sapphirestream/platform/object_store.h
+++ b/src/sapphirestream/platform/object_store.h
@@ -3,6 +3,7 @@
 #ifndef SAPPHIRESTREAM_PLATFORM_OBJECT_STORE_H_
 #define SAPPHIRESTREAM_PLATFORM_OBJECT_STORE_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -19,6 +20,9 @@
 // Condition of a write: the object must not exist yet.
 inline constexpr ObjectVersion kMustNotExist{0};
 
+// Largest value that the store takes, in bytes.
+inline constexpr std::size_t kMaxValueBytes = std::size_t{1} << 20;
+
 struct StoredObject {
   ObjectVersion version{};
   std::string value;
--- /dev/null
+++ b/src/sapphirestream/platform/resilient_store.h
@@ -0,0 +1,65 @@
+// Adds a deadline, retries within a budget and a circuit breaker to a store.
+#ifndef SAPPHIRESTREAM_PLATFORM_RESILIENT_STORE_H_
+#define SAPPHIRESTREAM_PLATFORM_RESILIENT_STORE_H_
+
+#include <memory>
+#include <string>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/counter.h"
+#include "sapphirestream/base/random.h"
+#include "sapphirestream/platform/backoff.h"
+#include "sapphirestream/platform/circuit_breaker.h"
+#include "sapphirestream/platform/object_store.h"
+#include "sapphirestream/platform/retry_budget.h"
+#include "sapphirestream/platform/timer.h"
+
+namespace sapphirestream {
+
+struct ResilientStoreOptions {
+  // One try of a read; a try that hangs leaves time for another one.
+  Duration read_try = std::chrono::milliseconds(800);
+  // Time after a try's deadline within which the inner store must answer.
+  Duration grace = std::chrono::milliseconds(600);
+  RetryBudgetOptions budget;
+  BackoffOptions backoff;
+  CircuitBreakerOptions breaker;
+};
+
+// Every call is answered once, at the latest `grace` after its deadline, even
+// if the inner store never answers. Reads are retried after any failure, writes
+// only when the store says that nothing was written: a write with an unknown
+// outcome is for the caller to resolve. Watches are not retried. While the
+// breaker is open, calls fail with kStoreUnavailable.
+class ResilientStore final : public ObjectStore {
+ public:
+  // The references must outlive the store.
+  ResilientStore(ObjectStore& inner, Timer& timer, const Clock& clock,
+                 Random& random, CounterSet& counters,
+                 const ResilientStoreOptions& options);
+  // Calls still open are dropped without calling back.
+  ~ResilientStore() override;
+  ResilientStore(const ResilientStore&) = delete;
+  ResilientStore& operator=(const ResilientStore&) = delete;
+
+  void Get(const std::string& name, Duration deadline,
+           GetCallback done) override;
+  void Watch(const std::string& name, ObjectVersion known, Duration deadline,
+             GetCallback done) override;
+  void Put(const std::string& name, ObjectVersion expected, std::string value,
+           Duration deadline, PutCallback done) override;
+  void ListInstances(Duration deadline, ListCallback done) override;
+
+  [[nodiscard]] BreakerState breaker_state() const noexcept;
+
+ private:
+  struct Shared;
+  template <typename T>
+  class Call;
+
+  std::shared_ptr<Shared> shared_;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_PLATFORM_RESILIENT_STORE_H_
--- a/src/sapphirestream/platform/shard_plan.h
+++ b/src/sapphirestream/platform/shard_plan.h
@@ -17,7 +17,7 @@
 // Size in bytes above which a shard is split. A reader reads the head and one
 // shard per change. With 120,000 targets in 16 MB and 65 bytes of the head per
 // shard, the sum of both is least near sqrt(16 MB * 65 B) = 32 KB.
-inline constexpr std::size_t kMaxShardBytes = 32 * 1024;
+inline constexpr std::size_t kMaxShardBytes = std::size_t{32} * 1024;
 
 struct ShardWrite {
   std::string name;
