--- a/src/sapphirestream/domain/message.h
+++ b/src/sapphirestream/domain/message.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "sapphirestream/base/id.h"
@@ -93,9 +94,15 @@
   std::uint32_t active = 0;
   // Live instances in the subtree.
   std::uint32_t live = 0;
+  // Some of those that have not prepared it, for the operators.
+  std::vector<InstanceId> lagging;
   bool operator==(const ConfigConfirm&) const = default;
 };
 
+using DomainMessage =
+    std::variant<Heartbeat, Probe, ProbeAck, Leave, ConfigChunk, ConfigDelta,
+                 ConfigPull, ConfigConfirm>;
+
 }  // namespace sapphirestream
 
 #endif  // SAPPHIRESTREAM_DOMAIN_MESSAGE_H_
