--- a/src/sapphired/main.cc
+++ b/src/sapphired/main.cc
@@ -10,6 +10,7 @@
 #include "sapphirestream/instance/instance.h"
 #include "sapphirestream/instance/settings.h"
 #include "sapphirestream/instance/system_clock.h"
+#include "sapphirestream/platform/http_object_store.h"
 
 namespace sapphirestream {
 namespace {
@@ -37,7 +38,12 @@
   EventLog log(sink, clock);
   return leaf::try_handle_all(
       [&]() -> leaf::result<int> {
-        BOOST_LEAF_AUTO(instance, Instance::Open(settings, clock, log));
+        BOOST_LEAF_AUTO(
+            instance, Instance::Open(settings, clock, log,
+                                     [&](boost::asio::io_context& io) {
+                                       return std::make_unique<HttpObjectStore>(
+                                           io, settings.object_api);
+                                     }));
         instance->Run();
         return kStopped;
       },
--- a/src/sapphirestream/instance/instance.cc
+++ b/src/sapphirestream/instance/instance.cc
@@ -39,7 +39,8 @@
 
 }  // namespace
 
-Instance::Instance(const Settings& settings, const Clock& clock, EventLog& log)
+Instance::Instance(const Settings& settings, const Clock& clock, EventLog& log,
+                   const StoreFactory& make_store)
     : settings_(settings),
       clock_(clock),
       log_(log),
@@ -51,25 +52,32 @@
       // The descriptor object closes its own copy.
       wakeup_readable_(io_, ::dup(wakeup_.fd())),
       api_(*this),
-      store_(io_, settings.object_api),
+      store_(make_store(io_)),
+      timer_(io_),
       membership_({.self = settings.instance_id,
                    .domain = settings.domain,
                    .incarnation = incarnation_,
                    .ready = false},
                   *this, random_, started_),
-      list_(store_, random_, log,
+      list_(*store_, random_, log,
             [this](auto instances, const auto& addresses) {
               OnInstances(instances, addresses);
-            }) {}
+            }),
+      config_({.self = settings.instance_id,
+               .domain = settings.domain,
+               .retention = settings.idle_timeout},
+              {*store_, timer_, clock, random_, counters_, *this, log},
+              [this] { OnConfiguration(); }) {}
 
 Instance::~Instance() {
   for (const auto& thread : threads_) thread->Stop();
 }
 
-leaf::result<std::unique_ptr<Instance>> Instance::Open(const Settings& settings,
-                                                       const Clock& clock,
-                                                       EventLog& log) {
-  std::unique_ptr<Instance> instance(new Instance(settings, clock, log));
+leaf::result<std::unique_ptr<Instance>> Instance::Open(
+    const Settings& settings, const Clock& clock, EventLog& log,
+    const StoreFactory& make_store) {
+  std::unique_ptr<Instance> instance(
+      new Instance(settings, clock, log, make_store));
   BOOST_LEAF_CHECK(instance->OpenSockets());
   return instance;
 }
@@ -164,22 +172,11 @@
   list_.OnTimer(now);
   membership_.OnTimer(now);
   UpdateMembers();
-  if (timeline_.newest() != nullptr) {
-    const ConfigVersion prepared = peer_versions_.PreparedByAll(
-        membership_.view(), settings_.instance_id, timeline_.newest()->version);
-    if (timeline_.OnTimer(prepared, now)) {
-      log_.Write(LogLevel::kInfo, "config_active",
-                 {{"version", Value(timeline_.active()->version)}});
-      publisher_->OnConfiguration();
-    }
-    membership_.SetConfigVersions(timeline_.newest()->version,
-                                  timeline_.active()->version);
-    publisher_->SetConfirmed(
-        peer_versions_.IsConfirmed(membership_.view(), settings_.instance_id,
-                                   timeline_.active()->version, now));
-  }
+  config_.OnTimer();
+  publisher_->SetConfirmed(config_.IsConfirmed(now));
   const TimePoint authority = membership_.AuthorityUntil();
-  publisher_->Update(timeline_, authority, now, clock_.WallNow());
+  publisher_->Update(config_.active(), config_.newest(), authority, now,
+                     clock_.WallNow());
   dispatcher_->SetAuthority(authority);
   dispatcher_->steering().OnTimer(now);
   FinishStopIfDue(now);
@@ -205,50 +202,43 @@
     return;
   }
   if (const auto* heartbeat = std::get_if<Heartbeat>(&message)) {
-    peer_versions_.OnHeartbeat(from, *heartbeat, now);
+    heartbeats_[from] = *heartbeat;
   }
   if (const auto flow = ConvertTo<FlowMessage>(message)) {
     dispatcher_->OnMessage(from, *flow);
   } else if (const auto domain = ConvertTo<DomainMessage>(message)) {
     membership_.OnMessage(from, *domain, now);
+    config_.OnMessage(from, *domain);
     UpdateMembers();
   }
 }
 
-void Instance::OnConfiguration(
-    std::shared_ptr<const Configuration> configuration) {
-  if (!timeline_.OnConfiguration(std::move(configuration), clock_.Now(),
-                                 clock_.WallNow())) {
-    return;
-  }
-  const Configuration& newest = *timeline_.newest();
+void Instance::OnConfiguration() {
+  const Configuration& newest = *config_.newest();
   std::vector<std::uint64_t> keys;
   keys.reserve(newest.services.size());
   for (const Service& service : newest.services) {
     keys.push_back(Value(service.id));
   }
   membership_.SetKeys(std::move(keys));
+  membership_.SetConfigVersions(newest.version, config_.active()->version);
   membership_.SetReady(!stop_began_);
   publisher_->OnConfiguration();
-  log_.Write(LogLevel::kInfo, "config_prepared",
-             {{"version", Value(newest.version)},
-              {"services", newest.services.size()},
-              {"preset", newest.preset}});
 }
 
 void Instance::OnTargetReport(const TargetReport& report) {
-  if (timeline_.newest() == nullptr) return;
+  if (config_.newest() == nullptr) return;
   const TimePoint now = clock_.Now();
-  for (const Service& service : timeline_.newest()->services) {
+  for (const Service& service : config_.newest()->services) {
     for (const Target& target : service.targets) {
       if (target.removed || target.tunnel != report.tunnel) continue;
-      dispatcher_->steering().OnReport(
-          {.target = target.id,
-           .busy_slots = report.busy_slots,
-           .open_connections = report.open_connections,
-           .shedding = report.shedding,
-           .taken = now},
-          now);
+      const LoadReport load{.target = target.id,
+                            .busy_slots = report.busy_slots,
+                            .open_connections = report.open_connections,
+                            .shedding = report.shedding,
+                            .taken = now};
+      config_.OnReport(load);
+      dispatcher_->steering().OnReport(load, now);
     }
   }
 }
@@ -265,7 +255,10 @@
   if (membership_.revision() == seen_revision_) return;
   seen_revision_ = membership_.revision();
   publisher_->OnMembers(membership_.view());
-  peer_versions_.OnView(membership_.view());
+  config_.OnView(membership_.view());
+  std::erase_if(heartbeats_, [this](const auto& entry) {
+    return membership_.view().Find(entry.first) == nullptr;
+  });
   std::string alive;
   for (const Member& member : membership_.view().members()) {
     if (!alive.empty()) alive += ',';
--- a/src/sapphirestream/instance/instance.h
+++ b/src/sapphirestream/instance/instance.h
@@ -7,6 +7,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,19 +16,19 @@
 #include "sapphirestream/base/counter.h"
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/domain/membership.h"
-#include "sapphirestream/instance/config_timeline.h"
+#include "sapphirestream/instance/config_service.h"
 #include "sapphirestream/instance/event_log.h"
 #include "sapphirestream/instance/flow_dispatcher.h"
 #include "sapphirestream/instance/http_server.h"
 #include "sapphirestream/instance/instance_list.h"
 #include "sapphirestream/instance/operator_api.h"
 #include "sapphirestream/instance/peer_transport.h"
-#include "sapphirestream/instance/peer_versions.h"
 #include "sapphirestream/instance/settings.h"
 #include "sapphirestream/instance/snapshot_publisher.h"
 #include "sapphirestream/instance/target_reports.h"
 #include "sapphirestream/instance/traffic_thread.h"
-#include "sapphirestream/platform/http_object_store.h"
+#include "sapphirestream/platform/asio_timer.h"
+#include "sapphirestream/platform/object_store.h"
 #include "sapphirestream/target/scheduler_factory.h"
 
 namespace sapphirestream {
@@ -39,10 +40,15 @@
   // How often timers are looked at.
   static constexpr std::chrono::milliseconds kTick{10};
 
+  // Makes the border to the platform on the instance's event loop.
+  using StoreFactory =
+      std::function<std::unique_ptr<ObjectStore>(boost::asio::io_context&)>;
+
   // Opens all sockets. Errors: kInternal. `clock` and `log` outlive the
   // instance.
   [[nodiscard]] static leaf::result<std::unique_ptr<Instance>> Open(
-      const Settings& settings, const Clock& clock, EventLog& log);
+      const Settings& settings, const Clock& clock, EventLog& log,
+      const StoreFactory& make_store);
   ~Instance() override;
 
   // Runs until a stop is complete.
@@ -68,17 +74,17 @@
     Counter& active;
   };
 
-  Instance(const Settings& settings, const Clock& clock, EventLog& log);
+  Instance(const Settings& settings, const Clock& clock, EventLog& log,
+           const StoreFactory& make_store);
   leaf::result<void> OpenSockets();
 
   // OperatorBackend (instance_report.cc).
   [[nodiscard]] std::shared_ptr<const Configuration> configuration()
       const override {
-    return timeline_.newest();
+    return config_.newest();
   }
   [[nodiscard]] bool is_ready() const override;
-  void Submit(const Change& change,
-              std::function<void(ChangeOutcome)> done) override;
+  void Submit(const Change& change, ConfigWriter::Done done) override;
   [[nodiscard]] boost::json::object Status() const override;
   [[nodiscard]] boost::json::object Dump() const override;
   [[nodiscard]] std::string Metrics() const override;
@@ -92,7 +98,7 @@
   void OnTick();
   void AwaitWakeup();
   void OnPeerMessage(InstanceId from, PeerMessage message);
-  void OnConfiguration(std::shared_ptr<const Configuration> configuration);
+  void OnConfiguration();
   void OnTargetReport(const TargetReport& report);
   void OnInstances(std::span<const InstanceListing> instances,
                    const InstanceList::Addresses& addresses);
@@ -122,14 +128,16 @@
   std::unique_ptr<HttpServer> http_;
 
   OperatorApi api_;
-  HttpObjectStore store_;
+  std::unique_ptr<ObjectStore> store_;
+  AsioTimer timer_;
   SchedulerFactory placers_;
   std::unique_ptr<FlowDispatcher> dispatcher_;
   std::unique_ptr<SnapshotPublisher> publisher_;
   Membership membership_;
   InstanceList list_;
-  ConfigTimeline timeline_;
-  PeerVersions peer_versions_;
+  ConfigService config_;
+  // Versions in the last heartbeat of each member that sends them here.
+  std::map<InstanceId, Heartbeat> heartbeats_;
   std::uint64_t seen_revision_ = 0;
   std::optional<TimePoint> stop_began_;
 };
--- a/src/sapphirestream/instance/instance_report.cc
+++ b/src/sapphirestream/instance/instance_report.cc
@@ -69,9 +69,9 @@
                    {"domain", Value(settings_.domain)},
                    {"ready", is_ready()},
                    {"leaving", stop_began_.has_value()}};
-  if (timeline_.newest() == nullptr) return out;
-  const ConfigVersion newest = timeline_.newest()->version;
-  const ConfigVersion active = timeline_.active()->version;
+  if (config_.newest() == nullptr) return out;
+  const ConfigVersion newest = config_.newest()->version;
+  const ConfigVersion active = config_.active()->version;
   std::size_t live = 0;
   std::size_t prepared = 0;
   std::size_t activated = 0;
@@ -79,11 +79,14 @@
   for (const Member& member : membership_.view().members()) {
     if (!MemberView::IsEligible(member)) continue;
     const bool is_self = member.id == settings_.instance_id;
-    const auto versions = is_self ? PeerVersions::Versions{newest, active, {}}
-                                  : peer_versions_.Of(member.id);
+    const auto heard = heartbeats_.find(member.id);
+    const bool is_unheard = !is_self && heard == heartbeats_.end();
     ++live;
-    if (versions.prepared >= newest) ++prepared;
-    if (versions.active >= newest) {
+    if (is_self || (!is_unheard && heard->second.prepared >= newest)) {
+      ++prepared;
+    }
+    if (is_self ? active >= newest
+                : !is_unheard && heard->second.active >= newest) {
       ++activated;
     } else {
       lagging.emplace_back(Value(member.id));
@@ -102,14 +105,15 @@
   json::object out = Status();
   json::array members;
   for (const Member& member : membership_.view().members()) {
-    const auto versions = peer_versions_.Of(member.id);
-    members.emplace_back(
-        json::object{{"instance", Value(member.id)},
-                     {"domain", Value(member.domain)},
-                     {"state", Name(member.state)},
-                     {"incarnation", Value(member.incarnation)},
-                     {"prepared", Value(versions.prepared)},
-                     {"active", Value(versions.active)}});
+    json::object item{{"instance", Value(member.id)},
+                      {"domain", Value(member.domain)},
+                      {"state", Name(member.state)},
+                      {"incarnation", Value(member.incarnation)}};
+    if (const auto it = heartbeats_.find(member.id); it != heartbeats_.end()) {
+      item["prepared"] = Value(it->second.prepared);
+      item["active"] = Value(it->second.active);
+    }
+    members.emplace_back(std::move(item));
   }
   out["members"] = std::move(members);
   const Steering::Stats stats = dispatcher_->steering().stats();
@@ -136,8 +140,8 @@
     }
     out["peers"] = std::move(peers);
   }
-  if (timeline_.newest() != nullptr) {
-    out["configuration"] = ToJson(*timeline_.newest());
+  if (config_.newest() != nullptr) {
+    out["configuration"] = ToJson(*config_.newest());
   }
   return out;
 }
@@ -147,18 +151,15 @@
   gauges_.owned.Set(stats.owned);
   gauges_.replicas.Set(stats.replicas);
   gauges_.held.Set(stats.held);
-  if (timeline_.newest() != nullptr) {
-    gauges_.prepared.Set(Value(timeline_.newest()->version));
-    gauges_.active.Set(Value(timeline_.active()->version));
+  if (config_.newest() != nullptr) {
+    gauges_.prepared.Set(Value(config_.newest()->version));
+    gauges_.active.Set(Value(config_.active()->version));
   }
   return RenderMetrics(counters_);
 }
 
-void Instance::Submit(const Change& /*change*/,
-                      std::function<void(ChangeOutcome)> done) {
-  ChangeOutcome outcome;
-  outcome.error.kind = ErrorKind::kNotReady;
-  done(outcome);
+void Instance::Submit(const Change& change, ConfigWriter::Done done) {
+  config_.Submit(change, std::move(done));
 }
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/instance/operator_api.cc
+++ b/src/sapphirestream/instance/operator_api.cc
@@ -6,6 +6,7 @@
 
 #include "sapphirestream/contract/change_json.h"
 #include "sapphirestream/contract/configuration_json.h"
+#include "sapphirestream/contract/effect.h"
 #include "sapphirestream/contract/find.h"
 
 namespace sapphirestream {
--- a/src/sapphirestream/instance/operator_api.h
+++ b/src/sapphirestream/instance/operator_api.h
@@ -12,21 +12,11 @@
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/contract/change.h"
 #include "sapphirestream/contract/configuration.h"
-#include "sapphirestream/contract/effect.h"
 #include "sapphirestream/instance/http_message.h"
+#include "sapphirestream/platform/config_writer.h"
 
 namespace sapphirestream {
 
-// What became of a change.
-struct ChangeOutcome {
-  // kNone if the change was accepted or, in a dry run, would be.
-  Error error{ErrorKind::kNone, {}};
-  // Version of the accepted change, or of the one that won a race.
-  ConfigVersion version{};
-  bool already_applied = false;
-  ChangeEffect effect;
-};
-
 // What the interface needs of the instance.
 class OperatorBackend {
  public:
@@ -37,8 +27,7 @@
   // Whether the instance forwards packets.
   [[nodiscard]] virtual bool is_ready() const = 0;
   // Calls `done` exactly once.
-  virtual void Submit(const Change& change,
-                      std::function<void(ChangeOutcome)> done) = 0;
+  virtual void Submit(const Change& change, ConfigWriter::Done done) = 0;
   [[nodiscard]] virtual boost::json::object Status() const = 0;
   [[nodiscard]] virtual boost::json::object Dump() const = 0;
   [[nodiscard]] virtual std::string Metrics() const = 0;
--- a/src/sapphirestream/instance/settings.cc
+++ b/src/sapphirestream/instance/settings.cc
@@ -279,10 +279,8 @@
   po::variables_map flags;
   try {
     const auto options = Options();
-    const po::positional_options_description no_positional;
     const auto parsed = po::command_line_parser(arguments)
                             .options(options)
-                            .positional(no_positional)
                             .style(po::command_line_style::default_style &
                                    ~po::command_line_style::allow_guessing)
                             .allow_unregistered()
--- a/src/sapphirestream/instance/snapshot_publisher.cc
+++ b/src/sapphirestream/instance/snapshot_publisher.cc
@@ -71,16 +71,17 @@
   unconfirmed_.Set(confirmed ? 0 : 1);
 }
 
-void SnapshotPublisher::Update(const ConfigTimeline& timeline,
-                               TimePoint authority_until, TimePoint now,
-                               WallTime wall_now) {
+void SnapshotPublisher::Update(
+    const std::shared_ptr<const Configuration>& active,
+    const std::shared_ptr<const Configuration>& newest,
+    TimePoint authority_until, TimePoint now, WallTime wall_now) {
   const bool must_refresh = now >= next_refresh_;
-  if (timeline.active() == nullptr || (!is_due_ && !must_refresh)) return;
+  if (active == nullptr || (!is_due_ && !must_refresh)) return;
   next_refresh_ = now + kRefreshInterval;
   const auto snapshot = builder_.Build({.self = options_.self,
                                         .own_domain = options_.own_domain,
-                                        .active = timeline.active(),
-                                        .newest = timeline.newest(),
+                                        .active = active,
+                                        .newest = newest,
                                         .members = members_,
                                         .previous_members = previous_members_,
                                         .confirmed = confirmed_,
--- a/src/sapphirestream/instance/snapshot_publisher.h
+++ b/src/sapphirestream/instance/snapshot_publisher.h
@@ -10,7 +10,6 @@
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/counter.h"
 #include "sapphirestream/flow/snapshot_builder.h"
-#include "sapphirestream/instance/config_timeline.h"
 #include "sapphirestream/instance/flow_dispatcher.h"
 #include "sapphirestream/instance/traffic_state.h"
 
@@ -38,9 +37,11 @@
   void SetPeers(Addresses peers);
   void SetConfirmed(bool confirmed) noexcept;
 
-  // Publishes a snapshot if one is due and there is a configuration.
-  void Update(const ConfigTimeline& timeline, TimePoint authority_until,
-              TimePoint now, WallTime wall_now);
+  // Publishes a snapshot if one is due. `active` is null, and nothing is
+  // published, before the first configuration.
+  void Update(const std::shared_ptr<const Configuration>& active,
+              const std::shared_ptr<const Configuration>& newest,
+              TimePoint authority_until, TimePoint now, WallTime wall_now);
 
   // The last snapshot, null before the first.
   [[nodiscard]] std::shared_ptr<const TrafficState> current() const noexcept {
--- a/test/instance/operator_api_test.cc
+++ b/test/instance/operator_api_test.cc
@@ -16,8 +16,7 @@
     return current;
   }
   bool is_ready() const override { return ready; }
-  void Submit(const Change& change,
-              std::function<void(ChangeOutcome)> done) override {
+  void Submit(const Change& change, ConfigWriter::Done done) override {
     submitted = change;
     done(outcome);
   }
