--- a/src/sapphirestream/instance/instance.cc
+++ b/src/sapphirestream/instance/instance.cc
@@ -3,6 +3,7 @@
 
 #include <unistd.h>
 
+#include <array>
 #include <csignal>
 #include <random>
 #include <type_traits>
@@ -189,8 +190,9 @@
                                 wakeup_.Reset();
                                 // Packets that are left wait behind the timers,
                                 // not before them.
-                                if (dispatcher_->TakeFromThreads())
+                                if (dispatcher_->TakeFromThreads()) {
                                   wakeup_.Notify();
+                                }
                                 AwaitWakeup();
                               });
 }
@@ -259,14 +261,21 @@
   std::erase_if(heartbeats_, [this](const auto& entry) {
     return membership_.view().Find(entry.first) == nullptr;
   });
-  std::string alive;
+  std::array<std::size_t, 6> counts{};
   for (const Member& member : membership_.view().members()) {
-    if (!alive.empty()) alive += ',';
-    alive += std::to_string(Value(member.id)) + ":" +
-             std::string(Name(member.state));
+    ++counts.at(static_cast<std::size_t>(member.state));
+  }
+  std::string text;
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    if (counts[i] == 0) continue;
+    if (!text.empty()) text += ',';
+    text.append(Name(static_cast<MemberState>(i)));
+    text.append(":").append(std::to_string(counts[i]));
   }
   log_.Write(LogLevel::kInfo, "members_changed",
-             {{"revision", seen_revision_}, {"members", alive}});
+             {{"revision", seen_revision_},
+              {"self", Name(membership_.state())},
+              {"states", text}});
 }
 
 void Instance::Send(InstanceId to, const DomainMessage& message) {
--- a/src/sapphirestream/instance/udp_socket.cc
+++ b/src/sapphirestream/instance/udp_socket.cc
@@ -34,7 +34,7 @@
   }
   if (options.receive_timeout_ms > 0) {
     const timeval timeout{.tv_sec = options.receive_timeout_ms / 1000,
-                          .tv_usec = options.receive_timeout_ms % 1000 * 1000};
+                          .tv_usec = options.receive_timeout_ms % 1000 * 1000L};
     if (::setsockopt(fd.get(), SOL_SOCKET, SO_RCVTIMEO, &timeout,
                      sizeof(timeout)) != 0) {
       return SystemError("setsockopt SO_RCVTIMEO", options.local);
--- a/test/instance/operator_api_test.cc
+++ b/test/instance/operator_api_test.cc
@@ -12,17 +12,22 @@
 namespace {
 
 struct Fixture : OperatorBackend {
-  std::shared_ptr<const Configuration> configuration() const override {
+  [[nodiscard]] std::shared_ptr<const Configuration> configuration()
+      const override {
     return current;
   }
-  bool is_ready() const override { return ready; }
+  [[nodiscard]] bool is_ready() const override { return ready; }
   void Submit(const Change& change, ConfigWriter::Done done) override {
     submitted = change;
     done(outcome);
   }
-  boost::json::object Status() const override { return {{"live", 1}}; }
-  boost::json::object Dump() const override { return {{"whole", true}}; }
-  std::string Metrics() const override { return "metrics"; }
+  [[nodiscard]] boost::json::object Status() const override {
+    return {{"live", 1}};
+  }
+  [[nodiscard]] boost::json::object Dump() const override {
+    return {{"whole", true}};
+  }
+  [[nodiscard]] std::string Metrics() const override { return "metrics"; }
 
   HttpResponse Handle(const std::string& method, const std::string& target,
                       const std::string& body = "") {
--- a/test/instance/settings_test.cc
+++ b/test/instance/settings_test.cc
@@ -17,7 +17,7 @@
                                      "--object-api=127.0.0.1:7400"};
   std::map<std::string, std::string> variables{{"SAPPHIRED_PEER_KEY", kKey}};
 
-  ParsedSettings Parse() const {
+  [[nodiscard]] ParsedSettings Parse() const {
     return ParseSettings(
         arguments,
         [this](const std::string& name) -> std::optional<std::string> {
@@ -26,7 +26,7 @@
           return it->second;
         });
   }
-  bool HasError(const std::string& part) const {
+  [[nodiscard]] bool HasError(const std::string& part) const {
     const auto errors = Parse().errors;
     return std::any_of(errors.begin(), errors.end(), [&](const auto& error) {
       return error.find(part) != std::string::npos;
