Measure instances that hear of a change late as having lost contact

Change: the fleet tells an instance after the prepare bound that a newer version exists, as heartbeats do, so that it asks the owners.

--- a/bench/fleet/fleet.cc
+++ b/bench/fleet/fleet.cc
@@ -171,6 +171,11 @@
       if (Node* n = Find(target)) n->Run(event);
     };
     queue_.After(heard, [run, prepare] { run(prepare); });
+    // Heartbeats name the new version within moments, so that an instance that
+    // lacks it finds no peer to confirm its own.
+    queue_.After(options_.prepare, [run, accepted] {
+      run([accepted](Node& n) { n.NoteNewer(accepted->version); });
+    });
     if (!options_.uses_prepare) continue;
     // All have confirmed once the slowest has heard, but none waits for longer
     // than the bound after its own preparation.
--- a/bench/fleet/node.cc
+++ b/bench/fleet/node.cc
@@ -51,6 +51,11 @@
   Rebuild();
 }
 
+void Node::NoteNewer(ConfigVersion version) {
+  heard_of_ = std::max(heard_of_, version);
+  if (newest_->version < heard_of_) Rebuild();
+}
+
 void Node::SetMembers(std::vector<Member> members) {
   MemberView view(std::move(members));
   const auto same = std::equal(view.members().begin(), view.members().end(),
@@ -73,7 +78,7 @@
                               .newest = newest_,
                               .members = view_,
                               .previous_members = previous_view_,
-                              .confirmed = true,
+                              .confirmed = newest_->version >= heard_of_,
                               .authority_until = authority_until_,
                               .now = fleet_.WallNow()});
   steering_.SetSnapshot(snapshot_, now());
--- a/bench/fleet/node.h
+++ b/bench/fleet/node.h
@@ -24,6 +24,8 @@
   void OnTick();
   void SetConfigurations(std::shared_ptr<const Configuration> active,
                          std::shared_ptr<const Configuration> newest);
+  // A configuration of this version exists; this node may not have it yet.
+  void NoteNewer(ConfigVersion version);
   void SetMembers(std::vector<Member> members);
   void SetLeaving();
   // Runs an event now, or after the end of a pause.
@@ -75,6 +77,7 @@
   SnapshotBuilder builder_;
   std::shared_ptr<const Configuration> active_;
   std::shared_ptr<const Configuration> newest_;
+  ConfigVersion heard_of_{};
   MemberView view_;
   MemberView previous_view_;
   std::shared_ptr<const Snapshot> snapshot_;
