Queue one request per target and free slots whose ends were lost

Lost ends kept slots taken.

Change: when no slot is free, a target of a request service takes one request more before kWait. Counted requests that three reports in a row miss are not counted as load, if a flow of the target made progress within 2 s. After a retry, one stall fails a target again. Counts are sampled every 50 ms.

--- a/src/sapphirestream/target/least_load_placer.cc
+++ b/src/sapphirestream/target/least_load_placer.cc
@@ -21,6 +21,8 @@
 // come from clients and paths.
 constexpr std::uint32_t kStallsToFail = 3;
 constexpr Duration kFailedTime = seconds(10);
+// How long progress of a flow shows that its target is alive.
+constexpr Duration kProgressLifetime = seconds(2);
 // Slow starts and retries are advanced this often, since it takes a pass over
 // all targets.
 constexpr Duration kAdvanceInterval = milliseconds(100);
@@ -30,6 +32,10 @@
 // slots and 50 ms gave the lowest 99th-percentile wait at 80% load.
 constexpr double kFirstReserve = 4.0;
 constexpr Duration kReserveStep = milliseconds(50);
+// Requests that a target may queue beyond its slots. A flow counts from its
+// first packet until its end is heard of, which is longer than it keeps a slot;
+// without a queue, slots would idle while requests wait at the scheduler.
+constexpr double kMaxQueued = 1.0;
 // Streams leave the own domain when its best target is loaded this much more
 // than the best elsewhere, and return at half of it: well inside the goal of
 // 1.05 for peak to mean.
@@ -167,7 +173,8 @@
   if (lifecycle.Apply(TargetEvent::kStarted) ||
       (is_due && lifecycle.Apply(TargetEvent::kRetried))) {
     entry.since = now;
-    entry.stalls = 0;
+    // The first stall after a retry fails the target again.
+    entry.stalls = is_due ? kStallsToFail - 1 : 0;
   }
   if (lifecycle.state() != TargetState::kWarming) return;
   const Duration whole = preset_.slow_start;
@@ -250,8 +257,11 @@
   }
 }
 
-void LeastLoadPlacer::Progressed(TargetId target, TimePoint /*now*/) {
-  if (Entry* entry = Find(target)) entry->stalls = 0;
+void LeastLoadPlacer::Progressed(TargetId target, TimePoint now) {
+  Entry* entry = Find(target);
+  if (entry == nullptr) return;
+  entry->stalls = 0;
+  entry->progressed = now;
 }
 
 void LeastLoadPlacer::Stalled(TargetId target, TimePoint now) {
@@ -275,7 +285,14 @@
 }
 
 double LeastLoadPlacer::Load(const Entry& entry, TimePoint now) const noexcept {
-  const double counted = entry.load.counted();
+  double counted = entry.load.counted();
+  if (kind_ == FlowKind::kRequest && entry.stalls == 0 &&
+      now - entry.progressed < kProgressLifetime) {
+    // Ends are lost with their packets. A dead target reports no load either,
+    // but its flows make no progress.
+    const double missing = entry.load.PersistentlyMissing(now);
+    counted = std::max(0.0, counted - missing);
+  }
   const double weight = entry.load.ReportWeight(kind_, now);
   // Counts are complete, unless schedulers have lost contact: then reports show
   // the flows of the others for as long as that lasts.
@@ -289,8 +306,9 @@
   return counted + weight * entry.load.uncounted() + (1 - weight) * expected;
 }
 
-bool LeastLoadPlacer::HasRoom(const Entry& entry, double load) const noexcept {
-  const double limit = std::max(1.0, Capacity(entry) * entry.ramp);
+bool LeastLoadPlacer::HasRoom(const Entry& entry, double load,
+                              double queued) const noexcept {
+  const double limit = std::max(1.0, Capacity(entry) * entry.ramp) + queued;
   // The estimate is rounded to whole flows.
   return load + 0.5 <= limit &&
          entry.load.reported_connections() < entry.connections;
@@ -326,12 +344,13 @@
 }
 
 void LeastLoadPlacer::Consider(Entry& entry, std::uint64_t flow_hash,
-                               TimePoint now, Choice& choice) const {
+                               TimePoint now, double queued,
+                               Choice& choice) const {
   const double load = Load(entry, now);
   const double capacity = Capacity(entry) * entry.ramp;
   choice.load += load;
   choice.capacity += capacity;
-  if (!HasRoom(entry, load) || entry.load.IsShedding(now)) return;
+  if (!HasRoom(entry, load, queued) || entry.load.IsShedding(now)) return;
   const double score = load / capacity;
   const double tie = static_cast<double>(entry.load.reported_connections()) /
                      entry.connections;
@@ -349,22 +368,22 @@
 }
 
 LeastLoadPlacer::Choice LeastLoadPlacer::ChooseOwn(
-    const PlacementRequest& request, TimePoint now) {
+    const PlacementRequest& request, double queued, TimePoint now) {
   Choice choice;
   Scan(own_group_, request.flow_hash, [&](std::size_t i) {
-    Consider(entries_[i], request.flow_hash, now, choice);
+    Consider(entries_[i], request.flow_hash, now, queued, choice);
   });
   return choice;
 }
 
 LeastLoadPlacer::Choice LeastLoadPlacer::ChooseOther(
-    const PlacementRequest& request, TimePoint now) {
+    const PlacementRequest& request, double queued, TimePoint now) {
   Choice choice;
   const double reserve = Reserve(request.waited);
   if (reserve > 1.0) MeasureRoom(request.flow_hash, now);
   Scan(other_group_, request.flow_hash, [&](std::size_t i) {
     if (reserve > 1.0 && RoomIn(entries_[i].domain) < reserve) return;
-    Consider(entries_[i], request.flow_hash, now, choice);
+    Consider(entries_[i], request.flow_hash, now, queued, choice);
   });
   return choice;
 }
@@ -392,7 +411,7 @@
     if (reserve > 1.0 && RoomIn(entry->domain) < reserve) return nullptr;
   }
   Choice alone;
-  Consider(*entry, request.flow_hash, now, alone);
+  Consider(*entry, request.flow_hash, now, 0.0, alone);
   if (alone.best == nullptr) return nullptr;
   if (kind_ == FlowKind::kStream &&
       alone.score > best.score * (1 + kStreamHashMargin)) {
@@ -403,18 +422,25 @@
 
 LeastLoadPlacer::Entry* LeastLoadPlacer::Decide(const PlacementRequest& request,
                                                 TimePoint now) {
-  const Choice own = ChooseOwn(request, now);
-  const Choice other = ChooseOther(request, now);
+  const Choice own = ChooseOwn(request, 0.0, now);
+  const Choice other = ChooseOther(request, 0.0, now);
   const bool spilling = ShouldSpill(own, other);
   const bool take_other =
       own.best == nullptr ||
       (spilling && other.best != nullptr && other.score < own.score);
   const Choice& best = take_other ? other : own;
-  if (best.best == nullptr) return nullptr;
+  if (best.best == nullptr) return Enqueue(request, now);
   Entry* hash_target = TakeHashTarget(request, best, now);
   return hash_target != nullptr ? hash_target : best.best;
 }
 
+LeastLoadPlacer::Entry* LeastLoadPlacer::Enqueue(
+    const PlacementRequest& request, TimePoint now) {
+  if (kind_ != FlowKind::kRequest) return nullptr;
+  Entry* own = ChooseOwn(request, kMaxQueued, now).best;
+  return own != nullptr ? own : ChooseOther(request, kMaxQueued, now).best;
+}
+
 Placement LeastLoadPlacer::Place(const PlacementRequest& request,
                                  TimePoint now) {
   Advance(now);
--- a/src/sapphirestream/target/least_load_placer.h
+++ b/src/sapphirestream/target/least_load_placer.h
@@ -56,6 +56,8 @@
     double ramp = 1.0;
     // Flows that stalled since the last one that made progress.
     std::uint32_t stalls = 0;
+    // When a flow last made progress.
+    TimePoint progressed;
     // Start of the slow start or time of the failure.
     TimePoint since;
     TargetLifecycle lifecycle;
@@ -90,22 +92,26 @@
   [[nodiscard]] double Capacity(const Entry& entry) const noexcept;
   // Estimated open flows.
   [[nodiscard]] double Load(const Entry& entry, TimePoint now) const noexcept;
-  [[nodiscard]] bool HasRoom(const Entry& entry, double load) const noexcept;
+  [[nodiscard]] bool HasRoom(const Entry& entry, double load,
+                             double queued) const noexcept;
   // Free slots that a domain must have before another domain's flow takes one.
   [[nodiscard]] double Reserve(Duration waited) const noexcept;
   void MeasureRoom(std::uint64_t flow_hash, TimePoint now);
   [[nodiscard]] double RoomIn(DomainId domain) const noexcept;
 
-  [[nodiscard]] Choice ChooseOwn(const PlacementRequest& request,
+  // `queued` requests may wait at a target beyond its slots.
+  [[nodiscard]] Choice ChooseOwn(const PlacementRequest& request, double queued,
                                  TimePoint now);
   [[nodiscard]] Choice ChooseOther(const PlacementRequest& request,
-                                   TimePoint now);
+                                   double queued, TimePoint now);
   void Consider(Entry& entry, std::uint64_t flow_hash, TimePoint now,
-                Choice& choice) const;
+                double queued, Choice& choice) const;
   [[nodiscard]] bool ShouldSpill(const Choice& own, const Choice& other);
   // Returns the hash target if the flow may go there, otherwise nothing.
   [[nodiscard]] Entry* TakeHashTarget(const PlacementRequest& request,
                                       const Choice& best, TimePoint now);
+  // Returns a target whose slots are taken but that may queue a request.
+  [[nodiscard]] Entry* Enqueue(const PlacementRequest& request, TimePoint now);
   [[nodiscard]] Entry* Decide(const PlacementRequest& request, TimePoint now);
 
   FlowKind kind_;
--- a/src/sapphirestream/target/target_load.cc
+++ b/src/sapphirestream/target/target_load.cc
@@ -15,8 +15,10 @@
 constexpr Duration kStreamHalfLife = seconds(600);
 // A target that sheds repeats its report at least this often.
 constexpr Duration kSheddingLifetime = seconds(5);
-// Eight samples cover two seconds of report delay.
-constexpr Duration kSampleInterval = milliseconds(250);
+// 32 samples cover 1.6 seconds of report delay.
+constexpr Duration kSampleInterval = milliseconds(50);
+// Older reports say nothing about lost ends.
+constexpr Duration kMissingLifetime = seconds(3);
 
 // Whether the report shows clearly fewer flows than are counted. Counts may be
 // ahead by flows whose end or first packet is still under way.
@@ -70,8 +72,8 @@
   const std::uint32_t reported =
       kind == FlowKind::kRequest ? report.busy_slots : report.open_connections;
   const std::uint32_t counted_then = CountedAt(taken);
-  std::shift_right(uncounted_.begin(), uncounted_.end(), 1);
-  uncounted_[0] = reported > counted_then ? reported - counted_then : 0;
+  std::shift_right(excess_.begin(), excess_.end(), 1);
+  excess_[0] = std::int64_t{reported} - counted_then;
   // Trust is lost faster than it is regained.
   trust_ = Contradicts(kind, reported, counted_then)
                ? trust_ / 2
@@ -79,7 +81,14 @@
 }
 
 std::uint32_t TargetLoad::PersistentlyUncounted() const noexcept {
-  return *std::min_element(uncounted_.begin(), uncounted_.end());
+  const std::int64_t least = *std::min_element(excess_.begin(), excess_.end());
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, least));
+}
+
+std::uint32_t TargetLoad::PersistentlyMissing(TimePoint now) const noexcept {
+  if (!has_report_ || now - taken_ >= kMissingLifetime) return 0;
+  const std::int64_t most = *std::max_element(excess_.begin(), excess_.end());
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, -most));
 }
 
 double TargetLoad::ReportWeight(FlowKind kind, TimePoint now) const noexcept {
--- a/src/sapphirestream/target/target_load.h
+++ b/src/sapphirestream/target/target_load.h
@@ -30,11 +30,15 @@
   [[nodiscard]] std::uint32_t counted() const noexcept { return own_ + peers_; }
   // Flows that the last report shows beyond the counted ones.
   [[nodiscard]] std::uint32_t uncounted() const noexcept {
-    return uncounted_[0];
+    return excess_[0] > 0 ? static_cast<std::uint32_t>(excess_[0]) : 0;
   }
   // Flows that each of the last three reports shows beyond the counted ones;
   // free of the noise of flows that began or ended around a report.
   [[nodiscard]] std::uint32_t PersistentlyUncounted() const noexcept;
+  // Counted flows that are missing from each of the last three reports: their
+  // ends were lost, unless the target reports falsely. Zero if the last report
+  // is old.
+  [[nodiscard]] std::uint32_t PersistentlyMissing(TimePoint now) const noexcept;
   [[nodiscard]] std::uint32_t reported_connections() const noexcept {
     return reported_connections_;
   }
@@ -61,13 +65,13 @@
   bool shedding_ = false;
   std::uint32_t own_ = 0;
   std::uint32_t peers_ = 0;
-  // Newest first.
-  std::array<std::uint32_t, 3> uncounted_{};
+  // Reported minus counted flows, newest report first.
+  std::array<std::int64_t, 3> excess_{};
   std::uint32_t reported_connections_ = 0;
   double trust_ = 1.0;
   TimePoint taken_;
   // Ring of past counts; each holds until its time.
-  std::array<Sample, 8> samples_{};
+  std::array<Sample, 32> samples_{};
   std::size_t next_sample_ = 0;
 };
 
