--- a/src/sapphirestream/instance/instance.cc
+++ b/src/sapphirestream/instance/instance.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <random>
 #include <type_traits>
@@ -152,7 +153,7 @@
               {"domain", Value(settings_.domain)},
               {"incarnation", Value(incarnation_)},
               {"data", ToString(data_endpoint())},
-              {"peer", ToString(peers_->local())},
+              {"peer", ToString(peer_endpoint())},
               {"http", ToString(http_endpoint())},
               {"threads", threads_.size()}});
   io_.run();
@@ -286,6 +287,10 @@
   return packets_->SendTo(to, datagram);
 }
 
+void Instance::RequestStop() {
+  boost::asio::post(io_, [this] { BeginStop(); });
+}
+
 void Instance::BeginStop() {
   if (stop_began_) {
     io_.stop();
--- a/src/sapphirestream/instance/instance.h
+++ b/src/sapphirestream/instance/instance.h
@@ -53,12 +53,14 @@
 
   // Runs until a stop is complete.
   void Run();
-  // Starts a planned stop: announces it, hands over the records and forwards
-  // until the drain time has passed. A second call ends Run at once.
-  void BeginStop();
+  // Starts a planned stop, as SIGTERM does: announces it, hands over the
+  // records and forwards until the drain time has passed. A second call ends
+  // Run at once. May be called by any thread.
+  void RequestStop();
 
   // The bound endpoints, for tests that let the system choose ports.
   [[nodiscard]] Endpoint http_endpoint() const { return http_->local(); }
+  [[nodiscard]] Endpoint peer_endpoint() const { return peers_->local(); }
   [[nodiscard]] Endpoint data_endpoint() const {
     return threads_.front()->data_endpoint();
   }
@@ -103,6 +105,7 @@
   void OnInstances(std::span<const InstanceListing> instances,
                    const InstanceList::Addresses& addresses);
   void UpdateMembers();
+  void BeginStop();
   void FinishStopIfDue(TimePoint now);
 
   const Settings settings_;
--- /dev/null
+++ b/testing/loop_store.h
@@ -0,0 +1,89 @@
+// In-memory object store on an event loop, for sessions in real time. It never
+// fails; FakeStore has the failures.
+#ifndef SAPPHIRESTREAM_TESTING_LOOP_STORE_H_
+#define SAPPHIRESTREAM_TESTING_LOOP_STORE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sapphirestream/platform/object_store.h"
+
+namespace sapphirestream::testing {
+
+// Shared by the instances of a session, each of which has its own thread.
+struct LoopObjects {
+  std::mutex mutex;
+  std::map<std::string, StoredObject> objects;
+  std::vector<ListedInstance> instances;
+};
+
+class LoopStore final : public ObjectStore {
+ public:
+  LoopStore(boost::asio::io_context& io, LoopObjects& shared)
+      : io_(io), shared_(shared) {}
+
+  void Get(const std::string& name, Duration, GetCallback done) override {
+    Post(std::move(done), Read(name));
+  }
+  void Watch(const std::string& name, ObjectVersion known, Duration deadline,
+             GetCallback done) override {
+    // Looks again in short intervals instead of waiting for writers.
+    auto answer = Read(name);
+    const bool has_changed = answer.value.version != known;
+    if (has_changed || deadline <= Duration::zero()) {
+      if (!has_changed) answer.error = ErrorKind::kTimedOut;
+      Post(std::move(done), std::move(answer));
+      return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_, kStep);
+    timer->async_wait([this, timer, name, known, deadline,
+                       done = std::move(done)](auto error) {
+      if (!error) Watch(name, known, deadline - kStep, done);
+    });
+  }
+  void Put(const std::string& name, ObjectVersion expected, std::string value,
+           Duration, PutCallback done) override {
+    const std::scoped_lock lock(shared_.mutex);
+    StoredObject& object = shared_.objects[name];
+    StoreAnswer<ObjectVersion> answer{.error = ErrorKind::kVersionConflict};
+    if (object.version == expected) {
+      object = {ObjectVersion{Value(expected) + 1}, std::move(value)};
+      answer = {.value = object.version};
+    }
+    Post(std::move(done), answer);
+  }
+  void ListInstances(Duration, ListCallback done) override {
+    const std::scoped_lock lock(shared_.mutex);
+    Post(std::move(done),
+         StoreAnswer<std::vector<ListedInstance>>{.value = shared_.instances});
+  }
+
+ private:
+  static constexpr std::chrono::milliseconds kStep{20};
+
+  StoreAnswer<StoredObject> Read(const std::string& name) {
+    const std::scoped_lock lock(shared_.mutex);
+    const auto it = shared_.objects.find(name);
+    if (it == shared_.objects.end()) return {.error = ErrorKind::kNotFound};
+    return {.value = it->second};
+  }
+  template <typename Callback, typename Answer>
+  void Post(Callback done, Answer answer) {
+    boost::asio::post(io_, [done = std::move(done),
+                            answer = std::move(answer)] { done(answer); });
+  }
+
+  boost::asio::io_context& io_;
+  LoopObjects& shared_;
+};
+
+}  // namespace sapphirestream::testing
+
+#endif  // SAPPHIRESTREAM_TESTING_LOOP_STORE_H_
