Add client library and sapphirectl

Cause: operators need changes that are safe to repeat and that end only when they are in force. Change: module client (command table, failover with a constant change id, wait for the rollout, tables, messages by error kind), thin program, error kind 'unreachable' for a change that no instance got.

--- a/src/sapphirestream/base/error.cc
+++ b/src/sapphirestream/base/error.cc
@@ -68,6 +68,8 @@
      "this instance has no configuration yet"},
     {kTimedOut, "timed_out", 504, 24, kSilence,
      "the change was accepted but is not in force everywhere yet"},
+    {kUnreachable, "unreachable", 0, 25, kSilence,
+     "no instance could be reached; nothing was changed"},
     {kBadSetting, "bad_setting", 0, 2, kSilence, "a setting is invalid"},
     {kInternal, "internal", 500, 1, kSilence, "internal error"},
 }};
--- a/src/sapphirestream/base/error.h
+++ b/src/sapphirestream/base/error.h
@@ -57,6 +57,7 @@
   kOutcomeUnknown,
   kNotReady,
   kTimedOut,
+  kUnreachable,
   kBadSetting,
   kInternal,
 };
--- /dev/null
+++ b/src/sapphirestream/client/beast_transport.cc
@@ -0,0 +1,83 @@
+// Runs each call on an event loop of its own, since Beast's synchronous
+// functions have no deadlines.
+#include "sapphirestream/client/beast_transport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace sapphirestream {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using ErrorCode = boost::system::error_code;
+
+// A dump holds every service and target.
+constexpr std::size_t kMaxAnswerBytes = 256U << 20;
+
+class Exchange {
+ public:
+  Exchange(const Endpoint& instance, const HttpCall& call)
+      : endpoint_(asio::ip::make_address(ToString(instance.address)),
+                  instance.port),
+        stream_(io_),
+        request_(call.body.empty() ? http::verb::get : http::verb::post,
+                 call.path, 11) {
+    request_.set(http::field::host, ToString(instance));
+    request_.set(http::field::connection, "close");
+    if (!call.body.empty()) {
+      request_.set(http::field::content_type, "application/json");
+      request_.body() = call.body;
+    }
+    request_.prepare_payload();
+    parser_.body_limit(kMaxAnswerBytes);
+  }
+
+  HttpAnswer Run(Duration deadline) {
+    stream_.expires_after(deadline);
+    stream_.async_connect(endpoint_, [this](ErrorCode error) {
+      if (!error) Write();
+    });
+    io_.run();
+    return std::move(answer_);
+  }
+
+ private:
+  void Write() {
+    answer_.delivery = Delivery::kLost;
+    http::async_write(stream_, request_, [this](ErrorCode error, std::size_t) {
+      if (!error) Read();
+    });
+  }
+
+  void Read() {
+    http::async_read(stream_, buffer_, parser_,
+                     [this](ErrorCode error, std::size_t) {
+                       if (error) return;
+                       answer_ = {Delivery::kAnswered,
+                                  static_cast<int>(parser_.get().result_int()),
+                                  std::move(parser_.get().body())};
+                     });
+  }
+
+  asio::io_context io_{1};
+  asio::ip::tcp::endpoint endpoint_;
+  beast::tcp_stream stream_;
+  http::request<http::string_body> request_;
+  beast::flat_buffer buffer_;
+  http::response_parser<http::string_body> parser_;
+  HttpAnswer answer_;
+};
+
+}  // namespace
+
+HttpAnswer BeastTransport::Send(const Endpoint& instance, const HttpCall& call,
+                                Duration deadline) {
+  return Exchange(instance, call).Run(deadline);
+}
+
+}  // namespace sapphirestream
