--- /dev/null
+++ b/testing/standins/object_store.cc
@@ -0,0 +1,43 @@
+// Conditional writes and watches.
+#include "testing/standins/object_store.h"
+
+#include <utility>
+
+namespace sapphirestream::standins {
+
+const VersionedValue* VersionedStore::Find(const std::string& name) const {
+  const auto it = objects_.find(name);
+  return it == objects_.end() ? nullptr : &it->second;
+}
+
+std::optional<std::uint64_t> VersionedStore::Write(const std::string& name,
+                                                   std::uint64_t expected,
+                                                   std::string value) {
+  const VersionedValue* const old = Find(name);
+  if ((old == nullptr ? 0 : old->version) != expected) return std::nullopt;
+  if (old == nullptr && objects_.size() >= kMaxObjects) return std::nullopt;
+  VersionedValue& object = objects_[name];
+  object.version = expected + 1;
+  object.value = std::move(value);
+  // A watcher may register again, so the list is taken out first.
+  if (const auto it = watchers_.find(name); it != watchers_.end()) {
+    const auto waiting = std::move(it->second);
+    watchers_.erase(it);
+    for (const auto& [number, watcher] : waiting) watcher(object);
+  }
+  return expected + 1;
+}
+
+std::uint64_t VersionedStore::Watch(const std::string& name, Watcher watcher) {
+  const std::uint64_t number = next_watch_++;
+  watchers_[name].emplace(number, std::move(watcher));
+  return number;
+}
+
+bool VersionedStore::CancelWatch(const std::string& name,
+                                 std::uint64_t number) {
+  const auto it = watchers_.find(name);
+  return it != watchers_.end() && it->second.erase(number) != 0;
+}
+
+}  // namespace sapphirestream::standins
