--- a/src/sapphirestream/target/least_load_placer.cc
+++ b/src/sapphirestream/target/least_load_placer.cc
@@ -21,6 +21,9 @@
 // come from clients and paths.
 constexpr std::uint32_t kStallsToFail = 3;
 constexpr Duration kFailedTime = seconds(10);
+// Slow starts and retries are advanced this often, since it takes a pass over
+// all targets.
+constexpr Duration kAdvanceInterval = milliseconds(100);
 // Counts of other domains are up to 100 ms old, so a slot that looks free may
 // be taken already. A new flow leaves the own domain only towards a domain with
 // this many free slots; the number falls by one with each step of waiting. Four
@@ -30,10 +33,10 @@
 // Streams leave the own domain when its best target is loaded this much more
 // than the best elsewhere, and return at half of it: well inside the goal of
 // 1.05 for peak to mean.
-constexpr double kStreamSpillMargin = 0.02;
+constexpr double kStreamSpillMargin = 0.01;
 // A stream takes its hash target if that is at most this much more loaded than
 // the best target.
-constexpr double kStreamHashMargin = 0.01;
+constexpr double kStreamHashMargin = 0.005;
 
 std::uint32_t Scale(std::uint32_t limit, std::uint32_t permille) {
   return std::max(
@@ -105,6 +108,9 @@
     }
   }
   EraseLeft(service);
+  // A peer may have known a new target before.
+  SumPeerCounts(last_counts_);
+  next_advance_ = {};
   SumReports();
   RebuildGroups();
 }
@@ -176,7 +182,8 @@
 }
 
 void LeastLoadPlacer::Advance(TimePoint now) {
-  if (has_transient_) {
+  if (has_transient_ && now >= next_advance_) {
+    next_advance_ = now + kAdvanceInterval;
     for (Entry& entry : entries_) AdvanceLifecycle(entry, now);
     RebuildGroups();
   }
@@ -185,7 +192,7 @@
 
 void LeastLoadPlacer::SumPeerCounts(TimePoint now) {
   for (Entry& entry : entries_) {
-    const std::uint32_t open = peers_.Of(entry.id);
+    const std::uint32_t open = peers_.SumOf(entry.id);
     if (open != entry.load.peers()) entry.load.SetPeers(open, now);
   }
 }
@@ -193,8 +200,22 @@
 void LeastLoadPlacer::SetPeerCounts(InstanceId peer,
                                     std::span<const PlacementCount> counts,
                                     TimePoint now) {
+  // Only targets that the peer uses or used are touched: a message arrives for
+  // each peer every 100 ms, and a service may have thousands of targets.
+  const auto add = [this, now](std::span<const PlacementCount> shares,
+                               bool is_gain) {
+    for (const PlacementCount& share : shares) {
+      Entry* entry = Find(share.target);
+      if (entry == nullptr) continue;
+      const std::uint32_t open = entry->load.peers();
+      entry->load.SetPeers(is_gain ? open + share.open : open - share.open,
+                           now);
+    }
+  };
+  last_counts_ = now;
+  add(peers_.Of(peer), false);
   peers_.Set(peer, counts, now);
-  SumPeerCounts(now);
+  add(peers_.Of(peer), true);
 }
 
 void LeastLoadPlacer::Adopt(TargetId target, TimePoint now) {
@@ -255,9 +276,12 @@
 
 double LeastLoadPlacer::Load(const Entry& entry, TimePoint now) const noexcept {
   const double counted = entry.load.counted();
-  // Counts are complete then, and newer than any report.
-  if (all_counted_ && !peers_.has_lost()) return counted;
   const double weight = entry.load.ReportWeight(kind_, now);
+  // Counts are complete, unless schedulers have lost contact: then reports show
+  // the flows of the others for as long as that lasts.
+  if (all_counted_) {
+    return counted + weight * entry.load.PersistentlyUncounted();
+  }
   const double expected =
       uncounted_capacity_ > 0.0
           ? uncounted_sum_ / uncounted_capacity_ * Capacity(entry)
