--- a/bench/dissemination_table.cc
+++ b/bench/dissemination_table.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::uint64_t kSeed = 20261204;
+// Domains and instances in each.
+constexpr std::uint32_t kSizes[][2] = {{3, 1}, {3, 3}, {3, 6}, {4, 9}};
 
 struct Scenario {
   std::uint32_t domains;
@@ -150,7 +152,6 @@
       "| sent, worst | received, worst | store calls/s |\n"
       "|---|---|---|---|---|---|---|---|---|---|\n",
       static_cast<unsigned long long>(kSeed));
-  constexpr std::uint32_t kSizes[][2] = {{3, 1}, {3, 3}, {3, 6}, {4, 9}};
   for (const bool everyone : {false, true}) {
     for (const auto& [domains, size] : kSizes) {
       for (const double loss : {0.0, 0.02, 0.1}) {
