--- a/src/sapphirestream/domain/membership_send.cc
+++ b/src/sapphirestream/domain/membership_send.cc
@@ -74,9 +74,9 @@
 
 void Membership::AddNews(InstanceId to, const MemberRecord* record,
                          TimePoint now, std::vector<Member>& out) {
-  // The receiver's own state comes first, so that it can refute it.
-  if (record != nullptr && (record->state() == MemberState::kDead ||
-                            record->state() == MemberState::kSuspect)) {
+  // The receiver learns first that it is held dead, so that it can refute it. A
+  // suspicion ends with its next heartbeat anyway.
+  if (record != nullptr && record->state() == MemberState::kDead) {
     AddOnce(Describe(to, *record), out);
   }
   for (const InstanceId id : table_.Recent(now, kMaxChanges)) {
@@ -92,7 +92,10 @@
   const std::size_t count =
       std::min(own.size(), is_newcomer ? kMaxForNewcomer : 1);
   for (std::size_t i = 0; i < count; ++i) {
-    const InstanceId id = own[news_cursor_++ % own.size()];
+    InstanceId id = own[news_cursor_++ % own.size()];
+    // Skipping the receiver must not use up its turn: a round goes through the
+    // members in the same order as this.
+    if (id == to) id = own[news_cursor_++ % own.size()];
     if (id != to) AddOnce(Describe(id, *table_.Find(id)), out);
   }
   if (record == nullptr || record->domain == domain_) return;
