--- a/bench/fleet/node.cc
+++ b/bench/fleet/node.cc
@@ -48,6 +48,7 @@
                              std::shared_ptr<const Configuration> newest) {
   active_ = std::move(active);
   newest_ = std::move(newest);
+  fleet_.observer_.OnConfigurations(id_, *active_, *newest_);
   Rebuild();
 }
 
--- a/bench/fleet/system.h
+++ b/bench/fleet/system.h
@@ -38,6 +38,11 @@
                             InstanceId /*from*/, InstanceId /*to*/) {}
   virtual void OnMessage(InstanceId /*from*/, InstanceId /*to*/,
                          const FlowMessage& /*message*/) {}
+  // The instance takes configurations into use: one for its decisions, and the
+  // newest one, which it has prepared.
+  virtual void OnConfigurations(InstanceId /*at*/,
+                                const Configuration& /*active*/,
+                                const Configuration& /*newest*/) {}
 };
 
 class System {
