--- a/test/session/session_test.cc
+++ b/test/session/session_test.cc
@@ -1,131 +1,129 @@
-// Guards against flows that break by a drained target or a planned stop,
-// against malformed packets that harm an instance, and against refusals that
-// clients never hear of. Runs whole instances over real sockets.
-#include "test/session/session_fixture.h"
+// Golden files of whole sessions: each test/session/golden/NAME.in is a script,
+// and NAME.out the record that playing it must give, byte for byte. Guards
+// against changes of decisions that no test of a single module notices.
+// SAPPHIRE_REGENERATE=1 writes the records anew; the promises are checked
+// nevertheless. docs/sessions.md describes the format.
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <set>
+#include <sstream>
 
-namespace sapphirestream {
+#include "test/session/script.h"
+
+namespace sapphirestream::session {
 namespace {
 
-constexpr ServiceId kBoard{1};
-constexpr ServiceId kEmpty{2};
-const char* const kBoardAddress = "10.9.0.1:443";
-const char* const kEmptyAddress = "10.9.0.2:443";
+namespace fs = std::filesystem;
+namespace ut = boost::unit_test;
 
-PacketSpec Spec(std::uint16_t port, const char* server) {
-  PacketSpec spec;
-  spec.source = {MakeV4(10, 0, 0, 1), port};
-  spec.destination = *ParseEndpoint(server);
-  return spec;
-}
+constexpr const char* kFolder = "test/session/golden";
 
-std::vector<std::byte> Syn(std::uint16_t port, const char* server) {
-  PacketSpec spec = Spec(port, server);
-  spec.syn = true;
-  return BuildPacket(spec);
+std::string ReadFile(const fs::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
 }
 
-std::vector<std::byte> Data(std::uint16_t port, std::uint32_t sequence) {
-  PacketSpec spec = Spec(port, kBoardAddress);
-  spec.ack = true;
-  spec.sequence = sequence;
-  spec.payload = "data";
-  return BuildPacket(spec);
+bool IsRegenerating() {
+  // NOLINTNEXTLINE(concurrency-mt-unsafe)
+  const char* value = std::getenv("SAPPHIRE_REGENERATE");
+  return value != nullptr && std::string(value) == "1";
 }
 
-struct Fixture : testing::Session {
-  void Configure() {
-    Change("1",
-           R"({"op":"set_domains","domains":[1,2]},)"
-           R"({"op":"create_service","name":"board","id":1,"kind":"stream",)"
-           R"("address":"10.9.0.1:443","idempotent":true},)"
-           R"({"op":"create_service","name":"empty","id":2,"kind":"request",)"
-           R"("address":"10.9.0.2:443","idempotent":false},)" +
-               AddTarget("board", 0) + "," + AddTarget("board", 1) + "," +
-               AddTarget("board", 2));
+// Returns the first line that differs, with its number.
+std::string FirstDifference(const std::string& expected,
+                            const std::string& actual) {
+  std::istringstream a(expected);
+  std::istringstream b(actual);
+  std::ostringstream text;
+  for (int number = 1;; ++number) {
+    std::string x;
+    std::string y;
+    const bool has_x = static_cast<bool>(std::getline(a, x));
+    const bool has_y = static_cast<bool>(std::getline(b, y));
+    if (has_x && has_y && x == y) continue;
+    text << "line " << number << "\n  expected: " << (has_x ? x : "(end)")
+         << "\n  actual:   " << (has_y ? y : "(end)");
+    return text.str();
   }
-  // Opens a flow through one instance and continues it through both.
-  std::size_t Open(std::uint16_t port) {
-    const std::size_t target = DeliverToTarget(
-        instances[port % 2]->data(), kBoard, Syn(port, kBoardAddress));
-    Continue(port, target, 100);
-    return target;
+}
+
+// Whether KNOWN-RED.txt says that the session breaks a promise.
+bool IsKnownRed(const std::string& name) {
+  std::istringstream lines(ReadFile("KNOWN-RED.txt"));
+  for (std::string line; std::getline(lines, line);) {
+    if (line == "test: session_test sessions/" + name) return true;
   }
-  void Continue(std::uint16_t port, std::size_t target,
-                std::uint32_t sequence) {
-    for (const auto& instance : instances) {
-      BOOST_TEST(DeliverToTarget(instance->data(), kBoard,
-                                 Data(port, ++sequence)) == target);
+  return false;
+}
+
+void CheckPromises(const std::string& name, const Outcome& outcome) {
+  const bool is_known = IsKnownRed(name);
+  for (const std::string& violation : outcome.violations) {
+    if (is_known) {
+      std::cout << "known red: " << name << ": " << violation << '\n';
+    } else {
+      BOOST_ERROR(violation);
     }
   }
-};
-
-BOOST_FIXTURE_TEST_SUITE(session, Fixture)
-
-BOOST_AUTO_TEST_CASE(flows_survive_a_drain_and_a_planned_stop) {
-  constexpr std::uint16_t kFirst = 4000;
-  constexpr std::uint16_t kFlows = 30;
-  Configure();
-  std::vector<std::size_t> placed;
-  for (std::uint16_t i = 0; i < kFlows; ++i) {
-    placed.push_back(Open(static_cast<std::uint16_t>(kFirst + i)));
+  if (is_known && outcome.violations.empty()) {
+    BOOST_ERROR("keeps its promises; remove it from KNOWN-RED.txt");
   }
-  Change("2", R"({"op":"drain_target","service":"board","tunnel":")" +
-                  ToString(targets[0].local()) + R"("})");
-  for (std::uint16_t i = 0; i < kFlows; ++i) {
-    Continue(static_cast<std::uint16_t>(kFirst + i), placed[i], 200);
-    BOOST_TEST(Open(static_cast<std::uint16_t>(kFirst + kFlows + i)) != 0U);
+}
+
+void CheckSession(const std::string& name) {
+  const std::string text = ReadFile(fs::path(kFolder) / (name + ".in"));
+  BOOST_TEST(text.starts_with("# Guards against "));
+  const Script script = ParseScript(text);
+  const Outcome outcome =
+      script.system == "store" ? PlayStore(script) : PlayFleet(script);
+  CheckPromises(name, outcome);
+  const fs::path golden = fs::path(kFolder) / (name + ".out");
+  if (IsRegenerating()) {
+    std::ofstream(golden, std::ios::binary) << outcome.record;
+    return;
   }
-  instances[0]->Stop();
-  instances.erase(instances.begin());
-  for (std::uint16_t i = 0; i < kFlows; ++i) {
-    Continue(static_cast<std::uint16_t>(kFirst + i), placed[i], 300);
+  const std::string expected = ReadFile(golden);
+  if (outcome.record == expected) return;
+  BOOST_ERROR(golden.string()
+              << " differs at " << FirstDifference(expected, outcome.record));
+}
+
+std::set<std::string> Names(const std::string& extension) {
+  std::set<std::string> names;
+  std::error_code error;
+  for (const auto& entry : fs::directory_iterator(fs::path(kFolder), error)) {
+    if (entry.path().extension() == extension) {
+      names.insert(entry.path().stem().string());
+    }
   }
+  return names;
 }
 
-BOOST_AUTO_TEST_CASE(malformed_packets_are_counted_and_refusals_answered) {
-  Configure();
-  const Endpoint to = instances[0]->data();
-  auto bad_version = EncapsulateInGeneve(kBoard, Syn(1, kBoardAddress));
-  bad_version[0] = std::byte{0x40};
-  const std::vector<std::byte> oversized(3'000);
-  const std::pair<std::string, std::vector<std::byte>> malformed[] = {
-      {"truncated", {}},
-      {"bad_geneve_version", bad_version},
-      {"oversized", oversized},
-      {"unknown_service",
-       EncapsulateInGeneve(ServiceId{99}, Syn(1, kBoardAddress))},
-      {"address_mismatch", EncapsulateInGeneve(kBoard, Syn(1, kEmptyAddress))}};
-  for (const auto& [reason, datagram] : malformed) {
-    fabric.SendTo(to, datagram);
-    WaitFor(reason.c_str(), [&] {
-      return instances[0]
-                 ->Call("GET", "/metrics")
-                 .body.find("reason=\"" + reason + "\",thread=\"0\"} 1") !=
-             std::string::npos;
-    });
+bool RegisterSessions() {
+  for (const std::string& name : Names(".in")) {
+    ut::framework::current_auto_test_suite().add(ut::make_test_case(
+        [name] { CheckSession(name); }, name, __FILE__, __LINE__));
   }
-  // A service without targets refuses; the reset carries the service's address.
-  Deliver({&clients}, to, kEmpty, Syn(4000, kEmptyAddress),
-          [](std::span<const std::byte> got, const auto&) {
-            InnerPacket answer;
-            return ParseInnerPacket(got.subspan(kGeneveHeaderSize), kEmpty,
-                                    answer) == ErrorKind::kNone &&
-                   answer.packet.rst && answer.destination.port == 4000 &&
-                   answer.packet.key.client_port == 443;
-          });
-  BOOST_TEST(Open(4001) < targets.size());
+  return true;
 }
 
-BOOST_AUTO_TEST_CASE(http_bodies_are_bounded) {
-  const auto response = instances[0]->Call(
-      "POST", "/v1/changes", std::string(HttpServer::kMaxBodySize + 1, ' '));
-  BOOST_TEST(response.status == 400);
-  BOOST_TEST(response.body.find("out_of_range") != std::string::npos);
-  BOOST_TEST(instances[0]->Call("GET", "/healthz").status == 200);
-  BOOST_TEST(instances[0]->Call("GET", "/readyz").status == 503);
+BOOST_AUTO_TEST_SUITE(sessions)
+
+const bool kIsRegistered = RegisterSessions();
+
+// Guards against a run in the wrong folder, which would find no session.
+BOOST_AUTO_TEST_CASE(every_script_has_a_record) {
+  BOOST_TEST(kIsRegistered);
+  BOOST_TEST(Names(".in").size() >= 12U);
+  BOOST_TEST((Names(".in") == Names(".out")));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
-}  // namespace sapphirestream
+}  // namespace sapphirestream::session
