Show the imbalance of orders per phase in the demo

Cause: the table had no imbalance for orders, and the one of open flows counted targets that take no new flows.

--- a/scripts/demo_figures.py
+++ b/scripts/demo_figures.py
@@ -16,7 +16,7 @@
 import time
 import urllib.request
 
-STREAMS = {"board": "1", "feed": "2", "upload": "3"}
+SERVICES = {"board": "1", "feed": "2", "upload": "3", "orders": "4"}
 
 
 def call(url, method="GET", body=None):
@@ -84,6 +84,7 @@
                 "told_not_run": json.loads(call(load + "/refused")),
                 "targets": json.loads(call(targets + "/stats")),
                 "runs": json.loads(call(targets + "/orders")),
+                "eligible": eligible_targets(instances[0]),
                 "instances": {}}
     for instance in instances:
         try:
@@ -94,13 +95,31 @@
         file.write(json.dumps(snapshot) + "\n")
 
 
-def imbalance(snapshot, service, eligible):
+def eligible_targets(instance):
+    """Targets that take new flows, by service."""
+    return {service: [t["tunnel"] for t in json.loads(
+        call(f"http://{instance}/v1/services/{service}/targets"))
+        if not t.get("drained")] for service in SERVICES}
+
+
+def peak_to_mean(values):
+    return max(values) * len(values) / sum(values) if sum(values) else 0
+
+
+def imbalance(snapshot, service):
     """Peak to mean of open flows over the targets that take new flows."""
-    values = [t["open_by_service"].get(service, 0)
-              for t in snapshot["targets"]["targets"]
-              if t["target"] in eligible]
-    mean = sum(values) / len(values) if values else 0
-    return max(values) / mean if mean else 0
+    return peak_to_mean([t["open_by_service"].get(SERVICES[service], 0)
+                         for t in snapshot["targets"]["targets"]
+                         if t["target"] in snapshot["eligible"][service]])
+
+
+def order_imbalance(before, after):
+    """Peak to mean of the orders run in a phase, over the targets that take
+    new flows at its end."""
+    old = {t["target"]: t["orders_run"] for t in before["targets"]["targets"]}
+    return peak_to_mean([t["orders_run"] - old[t["target"]]
+                         for t in after["targets"]["targets"]
+                         if t["target"] in after["eligible"]["orders"]])
 
 
 def total(snapshot, field):
@@ -130,6 +149,7 @@
             new["refusals"] - old["refusals"],
             new["failed"] + new["unanswered"]
             - old["failed"] - old["unanswered"],
+            f"{order_imbalance(before, after):.2f}",
             f"{max(rates(before, after, 'control')):.0f}",
             f"{100 * redirects / packets if packets else 0:.1f}"]
 
@@ -172,20 +192,18 @@
     with open(path, encoding="utf-8") as file:
         snapshots = [json.loads(line) for line in file]
     print_table([["phase", "flows held", "broken", "orders sent", "answered",
-                  "ran twice", "not run", "unanswered", "control B/s",
-                  "redirected %"]]
+                  "ran twice", "not run", "unanswered", "orders imbalance",
+                  "control B/s", "redirected %"]]
                 + [row(a, b) for a, b in zip(snapshots, snapshots[1:])])
     first, last = snapshots[1], snapshots[-1]
     orders = last["load"]["orders"]
     print(f"\norders: p50 {orders['p50_ms']:.1f} ms, p99 "
           f"{orders['p99_ms']:.1f} ms, {orders['given_up']} given up after "
           "five refusals")
-    for name, service in STREAMS.items():
-        eligible = [t["target"] for t in first["targets"]["targets"]
-                    if t["open_by_service"].get(service, 0)]
-        print(f"imbalance of {name} after the start: "
-              f"{imbalance(first, service, eligible):.2f} over "
-              f"{len(eligible)} targets")
+    for name in ("board", "feed", "upload"):
+        print(f"imbalance of open {name} flows after the start: "
+              f"{imbalance(first, name):.2f} over "
+              f"{len(first['eligible'][name])} targets")
     found = problems(first, last)
     for problem in found:
         print("FAILED:", problem)
