Count confirmations of all domains in the status

Cause: heartbeats cross domains to one instance only, so that an instance could report others as lagging that had the newest version. The session test waits for both domains.

--- a/src/sapphirestream/instance/instance.cc
+++ b/src/sapphirestream/instance/instance.cc
@@ -69,7 +69,8 @@
                .domain = settings.domain,
                .retention = settings.idle_timeout},
               {*store_, timer_, clock, random_, counters_, *this, log},
-              [this] { OnConfiguration(); }) {}
+              [this] { OnConfiguration(); }),
+      board_(*store_) {}
 
 Instance::~Instance() {
   for (const auto& thread : threads_) thread->Stop();
@@ -176,6 +177,7 @@
   UpdateMembers();
   config_.OnTimer();
   publisher_->SetConfirmed(config_.IsConfirmed(now));
+  WriteStatus(now);
   const TimePoint authority = membership_.AuthorityUntil();
   publisher_->Update(config_.active(), config_.newest(), authority, now,
                      clock_.WallNow());
--- a/src/sapphirestream/instance/instance.h
+++ b/src/sapphirestream/instance/instance.h
@@ -25,6 +25,7 @@
 #include "sapphirestream/instance/peer_transport.h"
 #include "sapphirestream/instance/settings.h"
 #include "sapphirestream/instance/snapshot_publisher.h"
+#include "sapphirestream/instance/status_board.h"
 #include "sapphirestream/instance/target_reports.h"
 #include "sapphirestream/instance/traffic_thread.h"
 #include "sapphirestream/platform/asio_timer.h"
@@ -87,10 +88,16 @@
   }
   [[nodiscard]] bool is_ready() const override;
   void Submit(const Change& change, ConfigWriter::Done done) override;
-  [[nodiscard]] boost::json::object Status() const override;
+  void ReadStatus(std::function<void(boost::json::object)> done) override;
   [[nodiscard]] boost::json::object Dump() const override;
   [[nodiscard]] std::string Metrics() const override;
 
+  // What this instance knows by itself.
+  [[nodiscard]] boost::json::object OwnStatus() const;
+  // The own domain, from the heartbeats that its members exchange.
+  [[nodiscard]] DomainStatus OwnDomainStatus() const;
+  void WriteStatus(TimePoint now);
+
   // DomainSink.
   void Send(InstanceId to, const DomainMessage& message) override;
   // PacketOutput.
@@ -139,6 +146,7 @@
   Membership membership_;
   InstanceList list_;
   ConfigService config_;
+  StatusBoard board_;
   // Versions in the last heartbeat of each member that sends them here.
   std::map<InstanceId, Heartbeat> heartbeats_;
   std::uint64_t seen_revision_ = 0;
--- a/src/sapphirestream/instance/instance_report.cc
+++ b/src/sapphirestream/instance/instance_report.cc
@@ -1,6 +1,7 @@
 // What an instance tells its operators.
 #include <unistd.h>
 
+#include <set>
 #include <utility>
 
 #include "sapphirestream/contract/configuration_json.h"
@@ -64,45 +65,96 @@
   return publisher_->current() != nullptr && !stop_began_;
 }
 
-json::object Instance::Status() const {
+json::object Instance::OwnStatus() const {
   json::object out{{"instance", Value(settings_.instance_id)},
                    {"domain", Value(settings_.domain)},
                    {"ready", is_ready()},
                    {"leaving", stop_began_.has_value()}};
-  if (config_.newest() == nullptr) return out;
-  const ConfigVersion newest = config_.newest()->version;
-  const ConfigVersion active = config_.active()->version;
-  std::size_t live = 0;
-  std::size_t prepared = 0;
-  std::size_t activated = 0;
-  json::array lagging;
+  if (config_.newest() != nullptr) {
+    out["version"] = Value(config_.newest()->version);
+    out["active_version"] = Value(config_.active()->version);
+  }
+  return out;
+}
+
+DomainStatus Instance::OwnDomainStatus() const {
+  DomainStatus status;
+  status.domain = settings_.domain;
+  status.version = config_.newest()->version;
   for (const Member& member : membership_.view().members()) {
+    if (member.domain != settings_.domain) continue;
     if (!MemberView::IsEligible(member)) continue;
-    const bool is_self = member.id == settings_.instance_id;
-    const auto heard = heartbeats_.find(member.id);
-    const bool is_unheard = !is_self && heard == heartbeats_.end();
-    ++live;
-    if (is_self || (!is_unheard && heard->second.prepared >= newest)) {
-      ++prepared;
+    ConfigVersion prepared = status.version;
+    ConfigVersion active = config_.active()->version;
+    if (member.id != settings_.instance_id) {
+      const auto heard = heartbeats_.find(member.id);
+      const bool is_heard = heard != heartbeats_.end();
+      prepared = is_heard ? heard->second.prepared : ConfigVersion{};
+      active = is_heard ? heard->second.active : ConfigVersion{};
     }
-    if (is_self ? active >= newest
-                : !is_unheard && heard->second.active >= newest) {
-      ++activated;
+    ++status.live;
+    if (prepared >= status.version) ++status.prepared;
+    if (active >= status.version) {
+      ++status.active;
     } else {
-      lagging.emplace_back(Value(member.id));
+      status.lagging.push_back(member.id);
     }
   }
-  out["version"] = Value(newest);
-  out["active_version"] = Value(active);
-  out["live"] = live;
-  out["prepared"] = prepared;
-  out["active"] = activated;
-  out["lagging"] = std::move(lagging);
-  return out;
+  return status;
+}
+
+void Instance::WriteStatus(TimePoint now) {
+  if (config_.newest() == nullptr) return;
+  // The first eligible instance of the domain writes for all.
+  for (const Member& member : membership_.view().members()) {
+    if (member.domain != settings_.domain) continue;
+    if (!MemberView::IsEligible(member)) continue;
+    if (member.id == settings_.instance_id) {
+      board_.Write(OwnDomainStatus(), now);
+    }
+    return;
+  }
+}
+
+void Instance::ReadStatus(std::function<void(json::object)> done) {
+  if (config_.newest() == nullptr) {
+    done(OwnStatus());
+    return;
+  }
+  std::set<DomainId> others;
+  std::size_t live = 0;
+  for (const Member& member : membership_.view().members()) {
+    if (!MemberView::IsEligible(member)) continue;
+    ++live;
+    if (member.domain != settings_.domain) others.insert(member.domain);
+  }
+  const std::vector<DomainId> domains(others.begin(), others.end());
+  board_.Read(domains, [this, live, done = std::move(done)](
+                           std::vector<DomainStatus> statuses) {
+    statuses.push_back(OwnDomainStatus());
+    json::object out = OwnStatus();
+    std::uint64_t prepared = 0;
+    std::uint64_t active = 0;
+    json::array lagging;
+    for (const DomainStatus& status : statuses) {
+      // Counts of an earlier version say nothing about the newest one.
+      if (status.version < config_.newest()->version) continue;
+      prepared += status.prepared;
+      active += status.active;
+      for (const InstanceId id : status.lagging) {
+        lagging.emplace_back(Value(id));
+      }
+    }
+    out["live"] = live;
+    out["prepared"] = prepared;
+    out["active"] = active;
+    out["lagging"] = std::move(lagging);
+    done(std::move(out));
+  });
 }
 
 json::object Instance::Dump() const {
-  json::object out = Status();
+  json::object out = OwnStatus();
   json::array members;
   for (const Member& member : membership_.view().members()) {
     json::object item{{"instance", Value(member.id)},
--- a/src/sapphirestream/instance/operator_api.cc
+++ b/src/sapphirestream/instance/operator_api.cc
@@ -74,6 +74,11 @@
     Change(request, reply);
     return;
   }
+  if (request.method == "GET" && path == "/v1/status") {
+    backend_.ReadStatus(
+        [reply](const json::object& status) { reply(MakeJson(status)); });
+    return;
+  }
   reply(leaf::try_handle_all(
       [&]() -> leaf::result<HttpResponse> {
         if (request.method != "GET") {
@@ -97,7 +102,6 @@
     if (!backend_.is_ready()) return MakeError(ErrorKind::kNotReady);
     return MakeText("ready\n");
   }
-  if (path == "/v1/status") return MakeJson(backend_.Status());
   return ReadConfiguration(path);
 }
 
--- a/src/sapphirestream/instance/operator_api.h
+++ b/src/sapphirestream/instance/operator_api.h
@@ -28,7 +28,8 @@
   [[nodiscard]] virtual bool is_ready() const = 0;
   // Calls `done` exactly once.
   virtual void Submit(const Change& change, ConfigWriter::Done done) = 0;
-  [[nodiscard]] virtual boost::json::object Status() const = 0;
+  // Calls `done` exactly once.
+  virtual void ReadStatus(std::function<void(boost::json::object)> done) = 0;
   [[nodiscard]] virtual boost::json::object Dump() const = 0;
   [[nodiscard]] virtual std::string Metrics() const = 0;
 };
--- a/test/instance/operator_api_test.cc
+++ b/test/instance/operator_api_test.cc
@@ -21,8 +21,8 @@
     submitted = change;
     done(outcome);
   }
-  [[nodiscard]] boost::json::object Status() const override {
-    return {{"live", 1}};
+  void ReadStatus(std::function<void(boost::json::object)> done) override {
+    done({{"live", 1}});
   }
   [[nodiscard]] boost::json::object Dump() const override {
     return {{"whole", true}};
--- a/test/session/session_fixture.h
+++ b/test/session/session_fixture.h
@@ -154,7 +154,7 @@
             boost::json::parse(instance->Call("GET", "/v1/status").body);
         const auto* active = status.as_object().if_contains("active_version");
         if (active == nullptr || active->to_number<int>() < version ||
-            status.at("live").to_number<int>() != 2) {
+            status.at("active").to_number<int>() != 2) {
           return false;
         }
       }
--- a/test/session/session_test.cc
+++ b/test/session/session_test.cc
@@ -8,6 +8,9 @@
 
 constexpr ServiceId kBoard{1};
 constexpr ServiceId kEmpty{2};
+// Client ports of the flows that are held through all changes.
+constexpr std::uint16_t kFirst = 4000;
+constexpr std::uint16_t kFlows = 30;
 const char* const kBoardAddress = "10.9.0.1:443";
 const char* const kEmptyAddress = "10.9.0.2:443";
 
@@ -62,8 +65,6 @@
 BOOST_FIXTURE_TEST_SUITE(session, Fixture)
 
 BOOST_AUTO_TEST_CASE(flows_survive_a_drain_and_a_planned_stop) {
-  constexpr std::uint16_t kFirst = 4000;
-  constexpr std::uint16_t kFlows = 30;
   Configure();
   std::vector<std::size_t> placed;
   for (std::uint16_t i = 0; i < kFlows; ++i) {
@@ -95,8 +96,9 @@
       {"unknown_service",
        EncapsulateInGeneve(ServiceId{99}, Syn(1, kBoardAddress))},
       {"address_mismatch", EncapsulateInGeneve(kBoard, Syn(1, kEmptyAddress))}};
-  for (const auto& [reason, datagram] : malformed) {
-    fabric.SendTo(to, datagram);
+  for (const auto& entry : malformed) {
+    const std::string& reason = entry.first;
+    fabric.SendTo(to, entry.second);
     WaitFor(reason.c_str(), [&] {
       return instances[0]
                  ->Call("GET", "/metrics")
