--- a/src/sapphirestream/instance/peer_transport.cc
+++ b/src/sapphirestream/instance/peer_transport.cc
@@ -28,7 +28,8 @@
 
 PeerTransport::Counters::Counters(CounterSet& set)
     : received_bytes(set.Emplace("peer_received_bytes_total")),
-      send_failures(set.Emplace("peer_send_failures_total")) {
+      send_failures(set.Emplace("peer_send_failures_total")),
+      oversized(set.Emplace("peer_messages_oversized_total")) {
   for (std::size_t i = 0; i < kNames.size(); ++i) {
     const std::string label = "{message=\"" + std::string(kNames[i]) + "\"}";
     sent[i] = &set.Emplace("peer_messages_sent_total" + label);
@@ -85,6 +86,10 @@
   out_.assign(kPeerHeaderSize, std::byte{0});
   EncodePeerMessage(message, out_);
   sealer_.Seal(to, out_);
+  if (out_.size() > kMaxPeerDatagramSize &&
+      !std::holds_alternative<Redirect>(message)) {
+    counters_.oversized.Add();
+  }
   if (!socket_.SendTo(peer->second, out_)) {
     counters_.send_failures.Add();
     return;
--- a/src/sapphirestream/instance/peer_transport.h
+++ b/src/sapphirestream/instance/peer_transport.h
@@ -61,6 +61,9 @@
     std::array<Counter*, kErrorKindCount> refused{};
     Counter& received_bytes;
     Counter& send_failures;
+    // Messages other than redirects above kMaxPeerDatagramSize; zero unless a
+    // module's batches are too large.
+    Counter& oversized;
   };
 
   PeerTransport(boost::asio::io_context& io, const Options& options,
