--- a/test/session/session_fixture.h
+++ b/test/session/session_fixture.h
@@ -178,6 +178,7 @@
     for (int i = 0; i < kPatienceSteps; ++i) {
       fabric.SendTo(to, datagram);
       std::vector<pollfd> waiting;
+      waiting.reserve(sockets.size());
       for (const UdpSocket* socket : sockets) {
         waiting.push_back({.fd = socket->fd(), .events = POLLIN, .revents = 0});
       }
