--- a/src/sapphirestream/flow/flow_record.h
+++ b/src/sapphirestream/flow/flow_record.h
@@ -39,6 +39,8 @@
   // Marked copies of the same bytes, and when the first of them came.
   std::uint8_t repeats = 0;
   TimePoint first_repeat;
+  // Sequence number of these bytes.
+  std::uint32_t repeat_sequence = 0;
   // Sequence number of the first packet.
   std::uint32_t initial_sequence = 0;
   // Bit `id % 32` of each instance that redirected a packet.
--- a/src/sapphirestream/flow/steering.cc
+++ b/src/sapphirestream/flow/steering.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "sapphirestream/flow/fast_path.h"
 #include "sapphirestream/flow/steering_impl.h"
 
 namespace sapphirestream {
@@ -72,6 +73,7 @@
     if (was_alive && !IsAlive(member.id)) OnGone(member.id, now);
   }
   NoteHealing(*previous, now);
+  NoteActivations(*previous, now);
   std::erase_if(service_placers_, [&](const auto& entry) {
     if (snapshot_->services.contains(entry.first)) return false;
     counts_.Erase(entry.first);
@@ -100,6 +102,17 @@
   }
 }
 
+void Steering::Impl::NoteActivations(const Snapshot& previous, TimePoint now) {
+  std::erase_if(activated_, [&](const auto& entry) {
+    return !snapshot_->services.contains(entry.first);
+  });
+  for (const auto& [id, view] : snapshot_->services) {
+    const auto it = previous.services.find(id);
+    if (it == previous.services.end()) continue;
+    if (it->second.active.version != view.active.version) activated_[id] = now;
+  }
+}
+
 void Steering::Impl::OnGone(InstanceId id, TimePoint now) {
   for (const DeliveredBatch& lost : replicator_.Abandon(id)) {
     OnDelivered(lost, now);
@@ -111,6 +124,7 @@
 }
 
 void Steering::Impl::OnTimer(TimePoint now) {
+  NotePause(now);
   for (const DeliveredBatch& given_up : replicator_.OnTimer(now)) {
     OnDelivered(given_up, now);
   }
@@ -307,9 +321,10 @@
 }
 
 Verdict Steering::OnPacket(const Packet& packet, bool repeated, TimePoint now) {
-  // Two redirects: the fast path spends the first.
-  constexpr std::uint8_t kHops = 2;
-  return impl_->Decide(packet, repeated, kNoInstance, kNoInstance, kHops, now);
+  // As many as for a packet that the fast path redirects: the owner asks the
+  // previous owner, that one the replica, which may name the owner again.
+  return impl_->Decide(packet, repeated, kNoInstance, kNoInstance,
+                       kRedirectHopLimit, now);
 }
 
 Verdict Steering::OnRedirect(const Packet& packet, bool repeated,
--- a/src/sapphirestream/flow/steering_impl.h
+++ b/src/sapphirestream/flow/steering_impl.h
@@ -70,6 +70,11 @@
   };
   struct Counters;
 
+  // Notices that this process did not run for a while.
+  void NotePause(TimePoint now) noexcept;
+  // Whether a target may run a request when it gets this packet as the first.
+  [[nodiscard]] static bool MayRun(const Event& event) noexcept;
+
   // Packets.
   Verdict OnKnown(FlowRecord& record, const Event& event);
   Verdict OnRefused(FlowRecord& record, const Event& event);
@@ -79,6 +84,7 @@
   Verdict OnConsulted(const Event& event);
   Verdict OnFirst(const Event& event);
   Verdict OnUnrecorded(const Event& event);
+  [[nodiscard]] bool IsNewlyActive(const Event& event) const noexcept;
   // Returns where an established flow without a record may go, or kNoTarget.
   [[nodiscard]] TargetId TargetWithoutRecord(const Event& event) const noexcept;
   Verdict PlaceFirst(const Event& event);
@@ -127,6 +133,7 @@
   bool MoveRecord(FlowRecord& record, TimePoint now);
 
   // Drops what belongs to an instance that is gone.
+  void NoteActivations(const Snapshot& previous, TimePoint now);
   void NoteHealing(const Snapshot& previous, TimePoint now);
   void OnGone(InstanceId id, TimePoint now);
 
@@ -167,6 +174,11 @@
   std::size_t move_left_ = 0;
   TimePoint last_move_;
   bool is_leaving_ = false;
+  // When a service's version in use last changed.
+  std::unordered_map<ServiceId, TimePoint> activated_;
+  // Last call with a time, and the end of the last pause.
+  TimePoint last_run_;
+  TimePoint awake_since_;
   // Whether some domain has no eligible instance, so that it may be cut off.
   bool has_missing_domain_ = false;
   // When a domain without an eligible instance last got one again.
--- a/src/sapphirestream/flow/steering_packet.cc
+++ b/src/sapphirestream/flow/steering_packet.cc
@@ -16,6 +16,14 @@
 constexpr Duration kRecordDeadline = std::chrono::seconds(3);
 // Time over which records come back after a partition has healed.
 constexpr Duration kHealWindow = std::chrono::seconds(10);
+// The control loop runs every 10 ms; a longer gap than this was a pause.
+constexpr Duration kLongestGap = std::chrono::milliseconds(500);
+// Time after a pause until this instance has heard what happened meanwhile.
+constexpr Duration kEchoTime = std::chrono::seconds(1);
+// A datagram doesn't tell whether it is the first of its flow. For this time
+// after a change an unknown one belongs to a flow on the former target; a
+// leaving target may get new flows for 3 s in all.
+constexpr Duration kDatagramGrace = std::chrono::milliseconds(2500);
 constexpr Duration kUdpRefusalLifetime = std::chrono::seconds(1);
 
 Verdict Forward(TargetId target) noexcept {
@@ -44,6 +52,7 @@
 Verdict Steering::Impl::Decide(const Packet& packet, bool repeated,
                                InstanceId asker, InstanceId from,
                                std::uint8_t hop_limit, TimePoint now) {
+  NotePause(now);
   const ServiceView* view = ViewOf(packet.key.service);
   if (view == nullptr) return Drop(ErrorKind::kUnknownService);
   Event event{.packet = packet,
@@ -60,6 +69,17 @@
   return OnKnown(*record, event);
 }
 
+void Steering::Impl::NotePause(TimePoint now) noexcept {
+  if (last_run_ != TimePoint{} && now - last_run_ > kLongestGap) {
+    awake_since_ = now;
+  }
+  last_run_ = now;
+}
+
+bool Steering::Impl::MayRun(const Event& event) noexcept {
+  return !event.view.service.idempotent && event.packet.payload_size > 0;
+}
+
 Verdict Steering::Impl::OnKnown(FlowRecord& record, const Event& event) {
   const Packet& packet = event.packet;
   if (record.state == RecordState::kRefused) return OnRefused(record, event);
@@ -115,6 +135,8 @@
 }
 
 Verdict Steering::Impl::OnRepeated(FlowRecord& record, const Event& event) {
+  if (record.repeat_sequence != event.packet.sequence) record.repeats = 0;
+  record.repeat_sequence = event.packet.sequence;
   if (record.repeats == 0) record.first_repeat = event.now;
   if (record.repeats < UINT8_MAX) ++record.repeats;
   const bool is_silent = record.repeats >= kSilentRepeats &&
@@ -159,7 +181,10 @@
     return Forward(target);
   }
   if (!event.repeated) {
-    record.repeats = 0;
+    // A copy that reaches an instance for the first time is not marked.
+    const bool is_new_data =
+        packet.payload_size > 0 && packet.sequence != record.repeat_sequence;
+    if (is_new_data) record.repeats = 0;
     NoteProgress(event, target);
   }
   RecordState state = record.state;
@@ -202,7 +227,12 @@
 }
 
 Verdict Steering::Impl::OnConsulted(const Event& event) {
-  if (event.owners.owner == kNoInstance && MayBeFirst(event.packet)) {
+  // The sender may be an owner whose member view differs, so that this is no
+  // consultation: only the owner by both views may run a request.
+  const bool needs_owner = event.owners.owner == kNoInstance ||
+                           RunsOnFirstPacket(event.view, event.packet.key) ||
+                           MayRun(event);
+  if (needs_owner && MayBeFirst(event.packet)) {
     return Drop(ErrorKind::kOwnerUnreachable);
   }
   const Owners previous = OwnersOf(*snapshot_, event.view, event.packet.key,
@@ -227,7 +257,8 @@
       recovery_.StateOf(event.view.service.id) == OwnershipState::kRecovering;
   if (event.packet.opens()) return OnFirst(event);
   if (event.packet.key.protocol == Protocol::kUdp &&
-      !(is_recovering && event.view.service.idempotent)) {
+      !(event.view.service.idempotent &&
+        (is_recovering || IsNewlyActive(event)))) {
     return OnFirst(event);
   }
   // An established flow: its record may be at the owner by the previous view or
@@ -246,17 +277,22 @@
 
 TargetId Steering::Impl::TargetWithoutRecord(
     const Event& event) const noexcept {
-  // The target of a load-placed flow can't be guessed. If its record may be on
-  // the other side of a partition, the client's retransmissions find it later,
-  // whereas a wrong target would reset the flow.
+  // The target of a flow that has a record can't be guessed. If the record may
+  // be on the other side of a partition, the client's retransmissions find it
+  // later, whereas a wrong target would reset the flow.
   const bool may_be_elsewhere =
       has_missing_domain_ || event.now - last_heal_ < kHealWindow;
-  if (may_be_elsewhere && !IsHashPlaced(event.view, event.packet.hash)) {
+  if (may_be_elsewhere && !IsStateless(event.view, event.packet.hash)) {
     return kNoTarget;
   }
   return UnrecordedTarget(event.view, event.packet.hash);
 }
 
+bool Steering::Impl::IsNewlyActive(const Event& event) const noexcept {
+  const auto it = activated_.find(event.view.service.id);
+  return it != activated_.end() && event.now - it->second < kDatagramGrace;
+}
+
 Verdict Steering::Impl::OnUnrecorded(const Event& event) {
   const TargetId target = TargetWithoutRecord(event);
   if (target == kNoTarget) return Drop(ErrorKind::kOwnerUnreachable);
@@ -272,10 +308,12 @@
   const ServiceView& view = event.view;
   if (view.service.idempotent) return PlaceFirst(event);
   // Silence is the only truthful answer of an instance that doesn't know
-  // whether another one forwarded a copy of the packet.
-  if (event.now >= snapshot_->authority_until || is_leaving_) {
-    return Drop(ErrorKind::kNoAuthority);
-  }
+  // whether another one forwarded a copy of the packet. A first packet without
+  // data runs nothing, so that a domain with a single instance decides it even
+  // when cut off; after a pause, though, another instance may have taken over.
+  const bool may_decide = MayRun(event) ? event.now < snapshot_->authority_until
+                                        : event.now >= awake_since_ + kEchoTime;
+  if (!may_decide || is_leaving_) return Drop(ErrorKind::kNoAuthority);
   if (!IsRecovered(event.packet, view, event.now)) {
     return Hold(recovering_, event, event.now + kRecordDeadline);
   }
@@ -341,9 +379,7 @@
       placement.target == event.view.active.table->At(event.packet.hash) &&
       IsBucketStable(event.view, event.packet.hash);
   if (!is_implied) counters_->placed_elsewhere.Add();
-  const bool may_run =
-      !event.view.service.idempotent && event.packet.payload_size > 0;
-  if (!may_run || is_implied) {
+  if (!MayRun(event) || is_implied) {
     Replicate(*record, event.owners, event.now);
     return ForwardRecorded(*record, event);
   }
--- a/src/sapphirestream/flow/steering_records.cc
+++ b/src/sapphirestream/flow/steering_records.cc
@@ -290,8 +290,9 @@
   while (!queue.empty()) {
     const Held held = queue.front();
     FlowRecord* record = table_.Find(held.packet.key, held.packet.hash);
-    const bool may_decide =
-        view.service.idempotent || now < snapshot_->authority_until;
+    const bool may_decide = held.packet.payload_size == 0 ||
+                            view.service.idempotent ||
+                            now < snapshot_->authority_until;
     const bool is_over = record == nullptr || now >= held.deadline;
     if (!is_over && !may_decide) return;
     Verdict verdict{.kind = VerdictKind::kDrop,
