--- a/test/flow/steering_test.cc
+++ b/test/flow/steering_test.cc
@@ -304,6 +304,35 @@
   }
 }
 
+// A datagram of a flow on a drained target looks like the first of a new flow.
+BOOST_AUTO_TEST_CASE(datagrams_keep_a_drained_target_for_a_while) {
+  const Configuration next =
+      fleet::DrainTarget(site, kBoard, WallTime(std::chrono::seconds(990)));
+  const ServiceView& before = snapshot->services.at(kBoard);
+  const TargetId drained = before.service.targets.front().id;
+  std::vector<Packet> packets;
+  for (std::uint32_t i = 0; packets.size() < 2; ++i) {
+    const Packet packet = MakeFirst(kBoard, i, Protocol::kUdp);
+    const Owners owners = OwnersOf(*snapshot, before, packet.key, packet.hash);
+    const bool is_hash_placed = IsHashPlaced(before, packet.hash);
+    if (owners.owner != InstanceId{1} || !is_hash_placed) continue;
+    if (before.active.table->At(packet.hash) == drained) {
+      packets.push_back(packet);
+    }
+  }
+  Use(next, next, members);
+  // Asked by the replica, which has no record either.
+  const auto target = [&](const Packet& packet) {
+    return steering
+        .OnRedirect(packet, false, ReplicaOf(packet), ReplicaOf(packet), 3, now)
+        .target;
+  };
+  BOOST_TEST((target(packets[0]) == drained));
+  Advance(std::chrono::seconds(3));
+  BOOST_TEST((target(packets[0]) == drained));
+  BOOST_TEST((target(packets[1]) != drained));
+}
+
 BOOST_AUTO_TEST_CASE(a_redirect_without_hops_left_is_dropped) {
   for (std::uint32_t i = 0; i < 100; ++i) {
     const Packet packet = MakeFirst(kBoard, i);
