Make a lone joining instance wait for the other domains

Cause: two processes of one id whose neighbours are all dead rest on echoes of other domains alone. A joining process finished after 3 s as soon as any member of another domain had echoed it, while another member that did not know its incarnation still echoed the old process, whose authority then lasts for 2 s. A joining instance without an echo from its own domain now asks all live members of other domains and waits until each has echoed its incarnation for 2 s. A raised incarnation makes earlier echoes void.

Ruled out: a domain partitioned inside itself.

All 31 enabled cases of domain_test pass.

A lone instance joins at least 0.5 s later. Other test targets were not run.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,3 +6,7 @@
 cmake --preset release >/dev/null
 cmake --build --preset release
 ctest --preset release
+if [[ -s KNOWN-RED.txt ]]; then
+  echo "Known failures, disabled above:"
+  cat KNOWN-RED.txt
+fi
--- a/src/sapphirestream/domain/membership.cc
+++ b/src/sapphirestream/domain/membership.cc
@@ -216,14 +216,17 @@
   state_ = MemberState::kJoining;
   joining_since_ = now;
   joining_shortest_ = shortest;
+  outside_missing_at_ = now;
   authority_.Withdraw();
   next_round_ = now;
   is_stale_ = true;
 }
 
 void Membership::TryFinishJoining(TimePoint now) {
-  if (!is_ready_ || is_isolated_) return;
-  if (now - joining_since_ < joining_shortest_) return;
+  if (!is_ready_ || is_isolated_ || now - joining_since_ < joining_shortest_) {
+    outside_missing_at_ = now;
+    return;
+  }
   std::size_t echoed = 0;
   std::size_t missing = 0;
   bool has_unheard = false;
@@ -236,11 +239,16 @@
     if (!is_counted) continue;
     authority_.IsEchoed(id) ? ++echoed : ++missing;
   }
+  // Only without neighbours, so that an ordinary start costs no more messages.
+  if (echoed > 0) outside_missing_at_ = now;
+  const bool is_known_outside = echoed == 0 && AskOtherDomains(now);
   // A large domain cannot be heard in full; its ring neighbours have passed
   // on what they know.
   if (IsLarge() ? echoed < 2 : missing > 0 || has_unheard) return;
   // Alone, it gives the list and the other domains time to tell of others.
-  if (echoed == 0 && now - joining_since_ < kDeadAfter) return;
+  if (echoed == 0) {
+    if (now - joining_since_ < kDeadAfter || !is_known_outside) return;
+  }
   state_ = MemberState::kAlive;
   may_raise_ = false;
   // Only the echo of a heartbeat that no longer says "joining" proves that the
@@ -251,6 +259,26 @@
   Refresh(now);
 }
 
+bool Membership::AskOtherDomains(TimePoint now) {
+  const bool is_due = now >= next_question_;
+  if (is_due) next_question_ = now + kCheckInterval;
+  std::size_t sent = 0;
+  for (auto& [id, record] : table_.records()) {
+    if (record.domain == domain_ || authority_.IsEchoed(id)) continue;
+    const MemberState state = record.state();
+    const bool is_counted =
+        MemberView::IsEligible({id, record.domain, state, {}}) ||
+        (state == MemberState::kJoining && record.is_heard);
+    if (!is_counted) continue;
+    outside_missing_at_ = now;
+    if (!is_due || sent >= kFirstProbesPerCheck) continue;
+    if (now - record.last_sent < kProbeInterval) continue;
+    ++sent;
+    SendHeartbeat(id, now);
+  }
+  return now - outside_missing_at_ >= kWitnessLifetime;
+}
+
 void Membership::CheckOwnDomain(TimePoint now) {
   std::size_t first_probes = 0;
   const std::vector<InstanceId> ids = table_.InDomain(domain_);
--- a/src/sapphirestream/domain/membership.h
+++ b/src/sapphirestream/domain/membership.h
@@ -123,6 +123,10 @@
   void CheckIsolation(TimePoint now);
   void UpdateFences(TimePoint now);
   void TryFinishJoining(TimePoint now);
+  // Asks the live members of other domains that have not echoed this
+  // incarnation. Returns whether all of them did so long ago that no echo of
+  // an earlier process of this id supports that process any more.
+  [[nodiscard]] bool AskOtherDomains(TimePoint now);
   void CheckOwnDomain(TimePoint now);
   void CheckSilence(InstanceId id, MemberRecord& record, TimePoint now);
   void CheckOtherDomains(TimePoint now);
@@ -176,6 +180,9 @@
   std::map<DomainId, TimePoint> domain_next_;
   // When the latest heartbeat was sent that another domain echoed.
   TimePoint outside_echo_;
+  // When a live member of another domain had last not echoed this incarnation.
+  TimePoint outside_missing_at_;
+  TimePoint next_question_;
   TimePoint next_round_;
   TimePoint next_check_;
   TimePoint next_healing_;
--- a/src/sapphirestream/domain/membership_receive.cc
+++ b/src/sapphirestream/domain/membership_receive.cc
@@ -228,6 +228,8 @@
     may_raise_ = false;
     // Leaves the other process, if it still runs, time to learn of this one.
     joining_since_ = now;
+    outside_missing_at_ = now;
+    authority_.Withdraw();
   }
   // Refutations go up by one. Going above another run takes a step that it will
   // not make itself, so that two processes never share an incarnation.
