--- a/bench/role_slopes.cc
+++ b/bench/role_slopes.cc
@@ -128,8 +128,9 @@
   std::size_t bytes = 0;
 };
 
-SnapshotInputs MakeInputs(std::shared_ptr<const Configuration> configuration,
-                          std::size_t members) {
+SnapshotInputs MakeInputs(
+    const std::shared_ptr<const Configuration>& configuration,
+    std::size_t members) {
   return {.self = InstanceId{1},
           .own_domain = DomainId{1},
           .active = configuration,
@@ -236,9 +237,9 @@
                                   2, now);
       }
     });
-    constexpr int kTicks = 100;
+    constexpr int tick_count = 100;
     const double ticks = Timed([&] {
-      for (int i = 0; i < kTicks; ++i) {
+      for (int i = 0; i < tick_count; ++i) {
         now += milliseconds(10);
         steering.OnTimer(now);
       }
@@ -247,7 +248,7 @@
     const auto records = static_cast<double>(owned);
     std::printf("%9zu %12.0f %14.2f %14.2f %12.1f %14.1f\n", owned,
                 bytes / records, first * 1e6 / count, redirect * 1e6 / count,
-                ticks * 1e6 / kTicks,
+                ticks * 1e6 / tick_count,
                 static_cast<double>(sink.bytes) / records);
   }
 }
@@ -327,9 +328,9 @@
     run(400);
     domain.messages = 0;
     domain.bytes = 0;
-    constexpr double kSeconds = 10;
+    constexpr double measured_seconds = 10;
     const double cpu = Timed([&] { run(100); });
-    const auto per = static_cast<double>(size) * kSeconds;
+    const auto per = static_cast<double>(size) * measured_seconds;
     std::printf("%9zu %14.0f %14.1f %12.4f %12.1f\n", size,
                 static_cast<double>(domain.bytes) / per,
                 static_cast<double>(domain.messages) / per, cpu / per * 100,
--- a/src/sapphirestream/flow/ownership_machine.h
+++ b/src/sapphirestream/flow/ownership_machine.h
@@ -14,8 +14,8 @@
 enum class OwnershipState : std::uint8_t { kIdle, kRecovering, kDeciding };
 
 [[nodiscard]] constexpr std::string_view Name(OwnershipState state) noexcept {
-  constexpr std::string_view kNames[] = {"idle", "recovering", "deciding"};
-  return kNames[static_cast<std::size_t>(state)];
+  constexpr std::string_view names[] = {"idle", "recovering", "deciding"};
+  return names[static_cast<std::size_t>(state)];
 }
 
 namespace internal {
--- a/src/sapphirestream/flow/replicator.h
+++ b/src/sapphirestream/flow/replicator.h
@@ -5,7 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
+#include <tuple>
 #include <vector>
 
 #include "sapphirestream/base/clock.h"
@@ -59,7 +59,9 @@
   struct OpenKey {
     InstanceId to = kNoInstance;
     bool handover = false;
-    auto operator<=>(const OpenKey&) const = default;
+    bool operator<(const OpenKey& other) const noexcept {
+      return std::tie(to, handover) < std::tie(other.to, other.handover);
+    }
   };
   struct OpenBatch {
     TimePoint due;
--- a/src/sapphirestream/flow/steering_packet.cc
+++ b/src/sapphirestream/flow/steering_packet.cc
@@ -336,8 +336,9 @@
         event.now);
     return OnPlaced(event, placement);
   }
-  if (hash_target == kNoTarget)
+  if (hash_target == kNoTarget) {
     return Refuse(event, ErrorKind::kNoTargetAvailable);
+  }
   return OnPlaced(event,
                   {.kind = PlacementKind::kPlaced, .target = hash_target});
 }
--- a/src/sapphirestream/flow/steering_records.cc
+++ b/src/sapphirestream/flow/steering_records.cc
@@ -196,7 +196,7 @@
   }
   const auto it = unacknowledged_.find(delivered.batch.sequence);
   if (it == unacknowledged_.end()) return;
-  const Held held = std::move(it->second);
+  const Held held = it->second;
   unacknowledged_.erase(it);
   --held_;
   FlowRecord* record = table_.Find(held.packet.key, held.packet.hash);
@@ -219,9 +219,8 @@
     if (!delivered.accepted || record.role != RecordRole::kOwner) return;
     const ServiceView* view = ViewOf(record.key.service);
     if (view == nullptr) return;
-    if (OwnersOf(*snapshot_, *view, record.key, record.hash).owner !=
-        delivered.to)
-      return;
+    const Owners owners = OwnersOf(*snapshot_, *view, record.key, record.hash);
+    if (owners.owner != delivered.to) return;
     StopCounting(record, now);
     record.role = RecordRole::kReplica;
     return;
@@ -345,7 +344,7 @@
 void Steering::Impl::ServeRecovered(TimePoint now) {
   std::deque<Held> later;
   while (!recovering_.empty()) {
-    Held held = std::move(recovering_.front());
+    const Held held = recovering_.front();
     recovering_.pop_front();
     const ServiceView* view = ViewOf(held.packet.key.service);
     if (view == nullptr || now >= held.deadline) {
@@ -355,7 +354,7 @@
       continue;
     }
     if (!IsRecovered(held.packet, *view, now)) {
-      later.push_back(std::move(held));
+      later.push_back(held);
       continue;
     }
     --held_;
--- a/src/sapphirestream/flow/verdict.h
+++ b/src/sapphirestream/flow/verdict.h
@@ -20,9 +20,9 @@
 };
 
 [[nodiscard]] constexpr std::string_view Name(VerdictKind kind) noexcept {
-  constexpr std::string_view kNames[] = {"forward", "escalate", "redirect",
-                                         "hold",    "answer",   "drop"};
-  return kNames[static_cast<std::size_t>(kind)];
+  constexpr std::string_view names[] = {"forward", "escalate", "redirect",
+                                        "hold",    "answer",   "drop"};
+  return names[static_cast<std::size_t>(kind)];
 }
 
 struct Verdict {
