--- a/bench/fleet/fleet.cc
+++ b/bench/fleet/fleet.cc
@@ -121,7 +121,7 @@
 }
 
 void Fleet::Transmit(InstanceId from, InstanceId to,
-                     std::function<void(Node&)> deliver) {
+                     const std::function<void(Node&)>& deliver) {
   const DomainId a = DomainOf(from);
   const DomainId b = DomainOf(to);
   if (IsCut(a, b) || random_.Unit() < options_.loss) return;
@@ -167,7 +167,8 @@
       if (n.active()->version >= accepted->version) return;
       n.SetConfigurations(accepted, n.newest());
     };
-    const auto run = [this, target = id](std::function<void(Node&)> event) {
+    const auto run = [this,
+                      target = id](const std::function<void(Node&)>& event) {
       if (Node* n = Find(target)) n->Run(event);
     };
     queue_.After(heard, [run, prepare] { run(prepare); });
--- a/bench/fleet/fleet.h
+++ b/bench/fleet/fleet.h
@@ -105,7 +105,7 @@
 
   // Runs `deliver` at `to` after the link's delay, unless the datagram is lost.
   void Transmit(InstanceId from, InstanceId to,
-                std::function<void(Node&)> deliver);
+                const std::function<void(Node&)>& deliver);
   void SendMessage(InstanceId from, InstanceId to, const FlowMessage& message);
   [[nodiscard]] Duration DelayBetween(DomainId a, DomainId b);
   [[nodiscard]] Node* Find(InstanceId id) const;
