Find records of flows whose owner has just changed

Ruled out: lost record copies; both flows had theirs. Change: waiting packets are passed on to the new owner; an owner asks the next in rank and the replica, whoever got the packet from the fabric; the former owner without a record lets the replica look.

--- a/src/sapphirestream/flow/steering.h
+++ b/src/sapphirestream/flow/steering.h
@@ -23,7 +23,7 @@
   virtual ~SteeringSink() = default;
   // Sends a message to another instance; may be lost.
   virtual void Send(InstanceId to, const FlowMessage& message) = 0;
-  // Ends the hold of a packet: kForward, kAnswer or kDrop.
+  // Ends the hold of a packet: kForward, kRedirect, kAnswer or kDrop.
   virtual void Release(std::uint64_t token, const Verdict& verdict) = 0;
   // Tells the traffic threads where the flow's packets go.
   virtual void Learned(const FlowKey& key, TargetId target) = 0;
--- a/src/sapphirestream/flow/steering_impl.h
+++ b/src/sapphirestream/flow/steering_impl.h
@@ -80,6 +80,8 @@
   Verdict OnRefused(FlowRecord& record, const Event& event);
   Verdict OnRepeated(FlowRecord& record, const Event& event);
   Verdict OnUnknown(const Event& event);
+  [[nodiscard]] DomainSchedulers SchedulersOf(const ServiceView& view,
+                                              DomainId domain) const noexcept;
   Verdict OnUnknownAsOwner(const Event& event);
   Verdict OnConsulted(const Event& event);
   Verdict OnFirst(const Event& event);
@@ -142,6 +144,9 @@
   void ServeWaiting(const ServiceView& view, std::deque<Held>& queue,
                     TimePoint now);
   void ServeRecovered(TimePoint now);
+  // Sends a held packet on if another instance owns its flow by now; returns
+  // whether it did.
+  bool PassOn(const Held& held, const ServiceView& view, TimePoint now);
   void ExpireHeld(TimePoint now);
 
   [[nodiscard]] const ServiceView* ViewOf(ServiceId service) const noexcept;
--- a/src/sapphirestream/flow/steering_packet.cc
+++ b/src/sapphirestream/flow/steering_packet.cc
@@ -235,10 +235,8 @@
   if (needs_owner && MayBeFirst(event.packet)) {
     return Drop(ErrorKind::kOwnerUnreachable);
   }
-  const Owners previous = OwnersOf(*snapshot_, event.view, event.packet.key,
-                                   event.packet.hash, ViewAge::kPrevious);
-  const bool was_owner = previous.owner == snapshot_->self;
-  if (was_owner && event.owners.replica != snapshot_->self &&
+  // The former owner without a record lets the replica look.
+  if (event.owners.replica != snapshot_->self &&
       event.owners.replica != kNoInstance && event.hop_limit > 0) {
     return RedirectTo(event.owners.replica, event);
   }
@@ -252,6 +250,14 @@
   return Forward(target);
 }
 
+DomainSchedulers Steering::Impl::SchedulersOf(const ServiceView& view,
+                                              DomainId domain) const noexcept {
+  for (std::size_t i = 0; i < view.schedulers.size(); ++i) {
+    if (snapshot_->domains[i] == domain) return view.schedulers[i];
+  }
+  return {};
+}
+
 Verdict Steering::Impl::OnUnknownAsOwner(const Event& event) {
   const bool is_recovering =
       recovery_.StateOf(event.view.service.id) == OwnershipState::kRecovering;
@@ -261,15 +267,21 @@
         (is_recovering || IsNewlyActive(event)))) {
     return OnFirst(event);
   }
-  // An established flow: its record may be at the owner by the previous view or
-  // at the replica. The one that redirected the packet was asked already.
+  // An established flow: its record may be at the owner by the previous view,
+  // at the next in rank if this instance has just joined, or at the replica.
+  // One that got the packet from the fabric has not looked among its records
+  // yet.
   const Owners previous = OwnersOf(*snapshot_, event.view, event.packet.key,
                                    event.packet.hash, ViewAge::kPrevious);
-  for (const InstanceId other : {previous.owner, event.owners.replica}) {
+  const bool has_joined =
+      previous.owner == kNoInstance || previous.owner == snapshot_->self;
+  const InstanceId former =
+      has_joined ? SchedulersOf(event.view, snapshot_->own_domain).second
+                 : previous.owner;
+  for (const InstanceId other : {former, event.owners.replica}) {
     if (other == kNoInstance || other == snapshot_->self) continue;
-    if (other == event.from || other == event.asker || !IsAlive(other)) {
-      continue;
-    }
+    const bool was_asked = other == event.from && event.from != event.asker;
+    if (was_asked || !IsAlive(other)) continue;
     if (event.hop_limit > 0) return RedirectTo(other, event);
   }
   return OnUnrecorded(event);
--- a/src/sapphirestream/flow/steering_records.cc
+++ b/src/sapphirestream/flow/steering_records.cc
@@ -3,6 +3,7 @@
 #include <utility>
 #include <variant>
 
+#include "sapphirestream/flow/fast_path.h"
 #include "sapphirestream/flow/stateless_rule.h"
 #include "sapphirestream/flow/steering_impl.h"
 
@@ -288,6 +289,10 @@
                                   std::deque<Held>& queue, TimePoint now) {
   while (!queue.empty()) {
     const Held held = queue.front();
+    if (PassOn(held, view, now)) {
+      queue.pop_front();
+      continue;
+    }
     FlowRecord* record = table_.Find(held.packet.key, held.packet.hash);
     const bool may_decide = held.packet.payload_size == 0 ||
                             view.service.idempotent ||
@@ -341,6 +346,23 @@
   }
 }
 
+bool Steering::Impl::PassOn(const Held& held, const ServiceView& view,
+                            TimePoint now) {
+  const Owners owners =
+      OwnersOf(*snapshot_, view, held.packet.key, held.packet.hash);
+  if (owners.owner == snapshot_->self || owners.owner == kNoInstance) {
+    return false;
+  }
+  if (FlowRecord* record = table_.Find(held.packet.key, held.packet.hash)) {
+    EraseRecord(*record, now);
+  }
+  --held_;
+  sink_.Release(held.token, {.kind = VerdictKind::kRedirect,
+                             .instance = owners.owner,
+                             .hop_limit = kRedirectHopLimit - 1});
+  return true;
+}
+
 void Steering::Impl::ServeRecovered(TimePoint now) {
   std::deque<Held> later;
   while (!recovering_.empty()) {
@@ -353,6 +375,7 @@
                                  .reason = ErrorKind::kOwnerUnreachable});
       continue;
     }
+    if (PassOn(held, *view, now)) continue;
     if (!IsRecovered(held.packet, *view, now)) {
       later.push_back(held);
       continue;
