--- a/bench/policy_table.cc
+++ b/bench/policy_table.cc
@@ -125,8 +125,9 @@
 }  // namespace sapphirestream::fleet
 
 int main(int argc, char** argv) {
-  using namespace sapphirestream::
-      fleet;  // NOLINT(google-build-using-namespace)
+  using sapphirestream::fleet::EventScenarios;
+  using sapphirestream::fleet::RunAll;
+  using sapphirestream::fleet::SizeScenarios;
   std::vector<std::string> sites{"rubikon", "palco"};
   int event = -1;
   bool only_product = false;
