Keep flows when a whole domain leaves in good order

Change: a domain is missing only if it has dead instances; an owner asks the former owner, then the replica, then steers by the former table.

--- a/src/sapphirestream/flow/steering.cc
+++ b/src/sapphirestream/flow/steering.cc
@@ -89,16 +89,22 @@
 }
 
 void Steering::Impl::NoteHealing(const Snapshot& previous, TimePoint now) {
-  const auto has_eligible = [](const Snapshot& snapshot, DomainId domain) {
-    return FirstInstance(snapshot.members, domain, 0) != kNoInstance;
-  };
-  has_missing_domain_ = !std::all_of(
-      snapshot_->domains.begin(), snapshot_->domains.end(),
-      [&](DomainId domain) { return has_eligible(*snapshot_, domain); });
-  for (const DomainId domain : previous.domains) {
-    if (!has_eligible(previous, domain) && has_eligible(*snapshot_, domain)) {
-      last_heal_ = now;
+  // A domain whose instances all left in good order has handed its records
+  // over.
+  const auto is_missing = [](const Snapshot& snapshot, DomainId domain) {
+    bool has_dead = false;
+    for (const Member& member : snapshot.members.members()) {
+      if (member.domain != domain) continue;
+      if (MemberView::IsEligible(member)) return false;
+      has_dead |= member.state == MemberState::kDead;
     }
+    return has_dead;
+  };
+  has_missing_domain_ = false;
+  for (const DomainId domain : snapshot_->domains) {
+    const bool is_missing_now = is_missing(*snapshot_, domain);
+    has_missing_domain_ |= is_missing_now;
+    if (is_missing(previous, domain) && !is_missing_now) last_heal_ = now;
   }
 }
 
--- a/src/sapphirestream/flow/steering_impl.h
+++ b/src/sapphirestream/flow/steering_impl.h
@@ -14,6 +14,7 @@
 #include "sapphirestream/flow/ack_collector.h"
 #include "sapphirestream/flow/count_exchange.h"
 #include "sapphirestream/flow/flow_table.h"
+#include "sapphirestream/flow/lookup_log.h"
 #include "sapphirestream/flow/ownership.h"
 #include "sapphirestream/flow/recovery.h"
 #include "sapphirestream/flow/replicator.h"
@@ -184,12 +185,13 @@
   // Last call with a time, and the end of the last pause.
   TimePoint last_run_;
   TimePoint awake_since_;
-  // Whether some domain has no eligible instance, so that it may be cut off.
+  // Whether some domain has dead and no eligible instances: it may be cut off.
   bool has_missing_domain_ = false;
-  // When a domain without an eligible instance last got one again.
+  // When such a domain last came back.
   TimePoint last_heal_;
   // When a target last made progress with some flow.
   std::unordered_map<TargetId, TimePoint> progress_;
+  LookupLog lookups_;
   TokenBucket reset_budget_;
   std::unique_ptr<Counters, void (*)(Counters*)> counters_;
 };
--- a/src/sapphirestream/flow/steering_packet.cc
+++ b/src/sapphirestream/flow/steering_packet.cc
@@ -278,11 +278,13 @@
   const InstanceId former =
       has_joined ? SchedulersOf(event.view, snapshot_->own_domain).second
                  : previous.owner;
+  std::size_t to_skip = lookups_.Next(event.packet.hash, event.now);
   for (const InstanceId other : {former, event.owners.replica}) {
     if (other == kNoInstance || other == snapshot_->self) continue;
     const bool was_asked = other == event.from && event.from != event.asker;
-    if (was_asked || !IsAlive(other)) continue;
-    if (event.hop_limit > 0) return RedirectTo(other, event);
+    if (was_asked || !IsAlive(other) || event.hop_limit == 0) continue;
+    if (to_skip == 0) return RedirectTo(other, event);
+    --to_skip;
   }
   return OnUnrecorded(event);
 }
--- a/test/flow/steering_test.cc
+++ b/test/flow/steering_test.cc
@@ -362,6 +362,20 @@
   BOOST_TEST((verdict.instance == replica));
 }
 
+// An instance that has stopped may be listed as leaving for long.
+BOOST_AUTO_TEST_CASE(a_replica_that_does_not_answer_is_not_asked_for_ever) {
+  const Packet packet = MakeData(Owned(kBoard, 0));
+  const auto kind = [&] {
+    return steering
+        .OnRedirect(packet, false, InstanceId{2}, InstanceId{2}, 3, now)
+        .kind;
+  };
+  BOOST_TEST((kind() == VerdictKind::kRedirect));
+  BOOST_TEST((kind() == VerdictKind::kRedirect));
+  Advance(std::chrono::milliseconds(250));
+  BOOST_TEST((kind() == VerdictKind::kForward));
+}
+
 BOOST_AUTO_TEST_CASE(a_redirect_without_hops_left_is_dropped) {
   for (std::uint32_t i = 0; i < 100; ++i) {
     const Packet packet = MakeFirst(kBoard, i);
