Share the verdict makers and the handling of held tokens

Change: ForwardTo and DropFor stand in flow/verdict.h; KeepToken serves both places that hold a packet again; the comment on ended flows is corrected.

--- a/src/sapphirestream/flow/fast_path.cc
+++ b/src/sapphirestream/flow/fast_path.cc
@@ -7,14 +7,6 @@
 namespace sapphirestream {
 namespace {
 
-Verdict Forward(TargetId target) noexcept {
-  return {.kind = VerdictKind::kForward, .target = target};
-}
-
-Verdict Drop(ErrorKind reason) noexcept {
-  return {.kind = VerdictKind::kDrop, .reason = reason};
-}
-
 // Steers a packet that needs the flow's owner.
 Verdict ToOwner(const Packet& packet, const Snapshot& snapshot,
                 const ServiceView& view) noexcept {
@@ -29,11 +21,11 @@
   }
   if (next == kNoInstance) {
     if (RunsOnFirstPacket(view, packet.key)) {
-      return Drop(ErrorKind::kOwnerUnreachable);
+      return DropFor(ErrorKind::kOwnerUnreachable);
     }
     const TargetId target = UnrecordedTarget(view, packet.hash);
-    return target == kNoTarget ? Drop(ErrorKind::kNoTargetAvailable)
-                               : Forward(target);
+    return target == kNoTarget ? DropFor(ErrorKind::kNoTargetAvailable)
+                               : ForwardTo(target);
   }
   return {.kind = VerdictKind::kRedirect,
           .instance = next,
@@ -49,13 +41,13 @@
 Verdict FastPath::OnPacket(const Packet& packet, const Snapshot& snapshot,
                            TimePoint now, bool& repeated) {
   const auto it = snapshot.services.find(packet.key.service);
-  if (it == snapshot.services.end()) return Drop(ErrorKind::kUnknownService);
+  if (it == snapshot.services.end()) return DropFor(ErrorKind::kUnknownService);
   const ServiceView& view = it->second;
   repeated = repeats_.IsRepeat(packet) && view.service.idempotent;
   // The owner counts repeats, since the copies reach many instances.
   if (repeated) return ToOwner(packet, snapshot, view);
   if (snapshot.confirmed && IsStateless(view, packet.hash)) {
-    return Forward(view.active.table->At(packet.hash));
+    return ForwardTo(view.active.table->At(packet.hash));
   }
   const LearnedTable::Entry* entry = learned_.Find(packet.key, packet.hash);
   const bool is_usable = entry != nullptr && !packet.opens() &&
@@ -63,11 +55,11 @@
   if (!is_usable) return ToOwner(packet, snapshot, view);
   const TargetId target = entry->target;
   if (packet.fin || packet.rst) {
-    // The owner must hear of the end: the entry goes and the packet with it.
+    // The owner hears of the end through TakeEnded.
     ended_ = packet.key;
     if (packet.rst) learned_.Erase(packet.key, packet.hash);
   }
-  return Forward(target);
+  return ForwardTo(target);
 }
 
 void FastPath::Learn(const FlowKey& key, std::uint64_t hash, TargetId target,
--- a/src/sapphirestream/flow/steering_impl.h
+++ b/src/sapphirestream/flow/steering_impl.h
@@ -145,6 +145,8 @@
   void ServeWaiting(const ServiceView& view, std::deque<Held>& queue,
                     TimePoint now);
   void ServeRecovered(TimePoint now);
+  // Lets a packet that is held again go by the token that its holder knows.
+  void KeepToken(const Held& held, std::uint64_t new_token);
   // Sends a held packet on if another instance owns its flow by now; returns
   // whether it did.
   bool PassOn(const Held& held, const ServiceView& view, TimePoint now);
--- a/src/sapphirestream/flow/steering_packet.cc
+++ b/src/sapphirestream/flow/steering_packet.cc
@@ -26,14 +26,6 @@
 constexpr Duration kDatagramGrace = std::chrono::milliseconds(2500);
 constexpr Duration kUdpRefusalLifetime = std::chrono::seconds(1);
 
-Verdict Forward(TargetId target) noexcept {
-  return {.kind = VerdictKind::kForward, .target = target};
-}
-
-Verdict Drop(ErrorKind reason) noexcept {
-  return {.kind = VerdictKind::kDrop, .reason = reason};
-}
-
 Verdict Answer(ErrorKind reason) noexcept {
   return {.kind = VerdictKind::kAnswer, .reason = reason};
 }
@@ -54,7 +46,7 @@
                                std::uint8_t hop_limit, TimePoint now) {
   NotePause(now);
   const ServiceView* view = ViewOf(packet.key.service);
-  if (view == nullptr) return Drop(ErrorKind::kUnknownService);
+  if (view == nullptr) return DropFor(ErrorKind::kUnknownService);
   Event event{.packet = packet,
               .view = *view,
               .owners = OwnersOf(*snapshot_, *view, packet.key, packet.hash),
@@ -84,13 +76,13 @@
   const Packet& packet = event.packet;
   if (record.state == RecordState::kRefused) return OnRefused(record, event);
   // A copy of a held packet: the held one will be forwarded.
-  if (record.is_pending) return Drop(ErrorKind::kNone);
+  if (record.is_pending) return DropFor(ErrorKind::kNone);
   if (record.role == RecordRole::kReplica &&
       event.owners.owner == snapshot_->self) {
     Promote(record, event.view, event.now);
   }
   if (!event.view.targets.contains(record.target)) {
-    return Drop(ErrorKind::kNoTargetAvailable);
+    return DropFor(ErrorKind::kNoTargetAvailable);
   }
   if (packet.opens() && MayReuse(record, event)) {
     Event reuse = event;
@@ -124,7 +116,7 @@
 
 Verdict Steering::Impl::OnRefused(FlowRecord& record, const Event& event) {
   const ErrorKind reason = record.reason;
-  if (!MayBeFirst(event.packet)) return Drop(reason);
+  if (!MayBeFirst(event.packet)) return DropFor(reason);
   if (event.packet.key.protocol == Protocol::kUdp &&
       event.view.service.idempotent &&
       event.now - record.last_seen > kUdpRefusalLifetime) {
@@ -178,7 +170,7 @@
                       event.now);
     }
     table_.Touch(record, record.state, event.now);
-    return Forward(target);
+    return ForwardTo(target);
   }
   if (!event.repeated) {
     // A copy that reaches an instance for the first time is not marked.
@@ -206,7 +198,7 @@
     }
     record.askers |= AskerBit(event.asker);
   }
-  return Forward(target);
+  return ForwardTo(target);
 }
 
 Verdict Steering::Impl::OnUnknown(const Event& event) {
@@ -220,7 +212,7 @@
 }
 
 Verdict Steering::Impl::RedirectTo(InstanceId to, const Event& event) {
-  if (event.hop_limit == 0) return Drop(ErrorKind::kHopLimitExceeded);
+  if (event.hop_limit == 0) return DropFor(ErrorKind::kHopLimitExceeded);
   return {.kind = VerdictKind::kRedirect,
           .instance = to,
           .hop_limit = static_cast<std::uint8_t>(event.hop_limit - 1)};
@@ -233,7 +225,7 @@
                            RunsOnFirstPacket(event.view, event.packet.key) ||
                            MayRun(event);
   if (needs_owner && MayBeFirst(event.packet)) {
-    return Drop(ErrorKind::kOwnerUnreachable);
+    return DropFor(ErrorKind::kOwnerUnreachable);
   }
   // The former owner without a record lets the replica look.
   if (event.owners.replica != snapshot_->self &&
@@ -241,13 +233,13 @@
     return RedirectTo(event.owners.replica, event);
   }
   const TargetId target = TargetWithoutRecord(event);
-  if (target == kNoTarget) return Drop(ErrorKind::kOwnerUnreachable);
+  if (target == kNoTarget) return DropFor(ErrorKind::kOwnerUnreachable);
   if (event.owners.owner != kNoInstance) {
     replicator_.Add(event.from,
                     {event.packet.key, target, RecordState::kOpening}, true,
                     event.now);
   }
-  return Forward(target);
+  return ForwardTo(target);
 }
 
 DomainSchedulers Steering::Impl::SchedulersOf(const ServiceView& view,
@@ -309,10 +301,10 @@
 
 Verdict Steering::Impl::OnUnrecorded(const Event& event) {
   const TargetId target = TargetWithoutRecord(event);
-  if (target == kNoTarget) return Drop(ErrorKind::kOwnerUnreachable);
+  if (target == kNoTarget) return DropFor(ErrorKind::kOwnerUnreachable);
   FlowRecord* record =
       EmplaceRecord(event.packet, RecordState::kOpening, event.now);
-  if (record == nullptr) return Forward(target);
+  if (record == nullptr) return ForwardTo(target);
   record->target = target;
   Replicate(*record, event.owners, event.now);
   return ForwardRecorded(*record, event);
@@ -327,7 +319,7 @@
   // when cut off; after a pause, though, another instance may have taken over.
   const bool may_decide = MayRun(event) ? event.now < snapshot_->authority_until
                                         : event.now >= awake_since_ + kEchoTime;
-  if (!may_decide || is_leaving_) return Drop(ErrorKind::kNoAuthority);
+  if (!may_decide || is_leaving_) return DropFor(ErrorKind::kNoAuthority);
   if (!IsRecovered(event.packet, view, event.now)) {
     return Hold(recovering_, event, event.now + kRecordDeadline);
   }
@@ -381,7 +373,7 @@
     const bool is_safe = event.view.service.idempotent &&
                          IsBucketStable(event.view, event.packet.hash);
     if (!is_safe) return Answer(ErrorKind::kQueueFull);
-    return Forward(event.view.active.table->At(event.packet.hash));
+    return ForwardTo(event.view.active.table->At(event.packet.hash));
   }
   record->target = placement.target;
   record->is_counted = was_counted;
@@ -408,7 +400,7 @@
     // A copy that was sent before may have arrived, and names this target.
     if (record.replica != kNoInstance ||
         !IsBucketStable(view, event.packet.hash)) {
-      return Drop(ErrorKind::kOwnerUnreachable);
+      return DropFor(ErrorKind::kOwnerUnreachable);
     }
     // Nobody can keep a copy. A new owner would choose the hash target, so that
     // only it is safe.
@@ -419,7 +411,7 @@
     record.is_counted = true;
     return ForwardRecorded(record, event);
   }
-  if (held_ >= options_.hold_capacity) return Drop(ErrorKind::kQueueFull);
+  if (held_ >= options_.hold_capacity) return DropFor(ErrorKind::kQueueFull);
   counters_->exceptions.Add();
   record.is_pending = true;
   record.replica = event.owners.replica;
@@ -441,7 +433,7 @@
                              TimePoint deadline) {
   if (held_ >= options_.hold_capacity) {
     FlowRecord* record = table_.Find(event.packet.key, event.packet.hash);
-    if (record == nullptr) return Drop(ErrorKind::kQueueFull);
+    if (record == nullptr) return DropFor(ErrorKind::kQueueFull);
     EraseRecord(*record, event.now);
     return Refuse(event, ErrorKind::kQueueFull);
   }
@@ -462,7 +454,7 @@
       EmplaceRecord(event.packet, RecordState::kRefused, event.now);
   // Without a record, a later copy could run after the client was told "not
   // run", so the client is told nothing.
-  if (record == nullptr) return Drop(reason);
+  if (record == nullptr) return DropFor(reason);
   record->reason = reason;
   return Answer(reason);
 }
--- a/src/sapphirestream/flow/steering_records.cc
+++ b/src/sapphirestream/flow/steering_records.cc
@@ -336,16 +336,21 @@
         .now = now};
     verdict = OnPlaced(event, placement);
     if (verdict.kind == VerdictKind::kHold) {
-      // The packet goes on under the token that its holder knows.
-      for (auto& [sequence, waiting] : unacknowledged_) {
-        if (waiting.token == verdict.token) waiting.token = held.token;
-      }
+      KeepToken(held, verdict.token);
       continue;
     }
     sink_.Release(held.token, verdict);
   }
 }
 
+void Steering::Impl::KeepToken(const Held& held, std::uint64_t new_token) {
+  const auto keep = [&](Held& other) {
+    if (other.token == new_token) other.token = held.token;
+  };
+  for (auto& [sequence, other] : unacknowledged_) keep(other);
+  for (Held& other : waiting_[held.packet.key.service]) keep(other);
+}
+
 bool Steering::Impl::PassOn(const Held& held, const ServiceView& view,
                             TimePoint now) {
   const Owners owners =
@@ -387,12 +392,7 @@
       sink_.Release(held.token, verdict);
       continue;
     }
-    for (auto& [sequence, waiting] : unacknowledged_) {
-      if (waiting.token == verdict.token) waiting.token = held.token;
-    }
-    for (Held& waiting : waiting_[held.packet.key.service]) {
-      if (waiting.token == verdict.token) waiting.token = held.token;
-    }
+    KeepToken(held, verdict.token);
   }
   recovering_.insert(recovering_.end(), later.begin(), later.end());
 }
--- a/src/sapphirestream/flow/verdict.h
+++ b/src/sapphirestream/flow/verdict.h
@@ -36,6 +36,14 @@
   std::uint8_t hop_limit = 0;
 };
 
+[[nodiscard]] constexpr Verdict ForwardTo(TargetId target) noexcept {
+  return {.kind = VerdictKind::kForward, .target = target};
+}
+
+[[nodiscard]] constexpr Verdict DropFor(ErrorKind reason) noexcept {
+  return {.kind = VerdictKind::kDrop, .reason = reason};
+}
+
 }  // namespace sapphirestream
 
 #endif  // SAPPHIRESTREAM_FLOW_VERDICT_H_
