--- a/bench/config_calls.cc
+++ b/bench/config_calls.cc
@@ -13,9 +13,9 @@
 
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/contract/delta.h"
-#include "sapphirestream/platform/config_writer.h"
-#include "sapphirestream/platform/shard_plan.h"
-#include "test/platform/large_configuration.h"
+#include "sapphirestream/store/config_writer.h"
+#include "sapphirestream/store/shard_plan.h"
+#include "test/store/large_configuration.h"
 #include "testing/fake_store.h"
 #include "testing/virtual_time.h"
 
--- /dev/null
+++ b/src/sapphire_edge/main.cc
@@ -0,0 +1,107 @@
+// The edge program: settings, log, and the instance until it is stopped.
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "platform/edge_platform.h"
+#include "sapphirestream/base/system_clock.h"
+#include "sapphirestream/edge_io/edge_instance.h"
+#include "sapphirestream/edge_io/edge_settings.h"
+
+namespace sapphirestream {
+namespace {
+
+// Exit codes, as printed by --help.
+enum ExitCode : int {
+  kStopped = 0,
+  kInternalError = 1,
+  kBadSettings = 2,
+  kCannotOpen = 3,
+};
+
+constexpr const char* kVersion = "sapphire_edge 0.1.0";
+
+std::optional<std::string> ReadEnvironment(const std::string& name) {
+  const char* value =
+      std::getenv(name.c_str());  // NOLINT(concurrency-mt-unsafe)
+  if (value == nullptr) return std::nullopt;
+  return value;
+}
+
+ParsedEdgeSettings ReadSettings(const std::vector<std::string>& arguments) {
+  std::string text;
+  const auto path = ReadEnvironment(platform::kSettingsPathVariable);
+  if (path) {
+    std::ifstream file(*path);
+    text.assign(std::istreambuf_iterator<char>(file), {});
+  }
+  return ParseEdgeSettings(arguments, ReadEnvironment, text);
+}
+
+int RunInstance(const std::vector<std::string>& arguments,
+                const EdgeSettings& settings) {
+  const SystemClock clock;
+  LineWriter lines(STDOUT_FILENO, clock, settings.log_level);
+  EventLog log(lines, clock, static_cast<int>(settings.log_lines));
+  const auto platform = platform::MakeEdgePlatform();
+  const auto reload = [&]() -> std::optional<EdgeSettings> {
+    const ParsedEdgeSettings parsed = ReadSettings(arguments);
+    for (const std::string& error : parsed.errors) {
+      log.Write(LogLevel::kError, "bad_setting", {{"detail", error}});
+    }
+    if (!parsed.errors.empty()) return std::nullopt;
+    return parsed.settings;
+  };
+  return leaf::try_handle_all(
+      [&]() -> leaf::result<int> {
+        BOOST_LEAF_AUTO(instance, EdgeInstance::Open(settings, *platform, clock,
+                                                     lines, log, reload));
+        instance->Run();
+        return kStopped;
+      },
+      [&](const Error& error) -> int {
+        log.Write(LogLevel::kError, "start_failed", {{"detail", error.detail}});
+        lines.Flush();
+        return kCannotOpen;
+      },
+      [] { return static_cast<int>(kInternalError); });
+}
+
+int Main(const std::vector<std::string>& arguments) {
+  const ParsedEdgeSettings parsed = ReadSettings(arguments);
+  if (parsed.mode == EdgeStartMode::kHelp) {
+    std::cout << EdgeSettingsHelp();
+    return kStopped;
+  }
+  if (parsed.mode == EdgeStartMode::kVersion) {
+    std::cout << kVersion << "\n";
+    return kStopped;
+  }
+  for (const std::string& error : parsed.errors) {
+    std::cerr << "error=bad_setting " << error << "\n";
+  }
+  if (!parsed.errors.empty()) return kBadSettings;
+  if (parsed.mode == EdgeStartMode::kCheck) {
+    std::cout << "settings are valid\n";
+    return kStopped;
+  }
+  return RunInstance(arguments, parsed.settings);
+}
+
+}  // namespace
+}  // namespace sapphirestream
+
+int main(int argc, char** argv) {
+  try {
+    return sapphirestream::Main({argv + 1, argv + argc});
+  } catch (const std::exception& error) {
+    std::cerr << "error=internal detail=\"" << error.what() << "\"\n";
+    return 1;
+  }
+}
--- a/src/sapphired/main.cc
+++ b/src/sapphired/main.cc
@@ -6,11 +6,12 @@
 #include <string>
 #include <vector>
 
-#include "sapphirestream/instance/event_log.h"
+#include "sapphirestream/base/event_log.h"
+#include "sapphirestream/instance/console_log_sink.h"
 #include "sapphirestream/instance/instance.h"
 #include "sapphirestream/instance/settings.h"
-#include "sapphirestream/instance/system_clock.h"
-#include "sapphirestream/platform/http_object_store.h"
+#include "sapphirestream/base/system_clock.h"
+#include "sapphirestream/store/http_object_store.h"
 
 namespace sapphirestream {
 namespace {
--- a/src/sapphirestream/instance/http_message.cc
+++ b/src/sapphirestream/admin/http_message.cc
@@ -1,5 +1,5 @@
 // Requests and responses of the operators' interface.
-#include "sapphirestream/instance/http_message.h"
+#include "sapphirestream/admin/http_message.h"
 
 #include <boost/json.hpp>
 
--- a/src/sapphirestream/instance/http_message.h
+++ b/src/sapphirestream/admin/http_message.h
@@ -1,6 +1,6 @@
 // Requests and responses of the operators' interface, without a protocol.
-#ifndef SAPPHIRESTREAM_INSTANCE_HTTP_MESSAGE_H_
-#define SAPPHIRESTREAM_INSTANCE_HTTP_MESSAGE_H_
+#ifndef SAPPHIRESTREAM_ADMIN_HTTP_MESSAGE_H_
+#define SAPPHIRESTREAM_ADMIN_HTTP_MESSAGE_H_
 
 #include <string>
 
@@ -29,4 +29,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_INSTANCE_HTTP_MESSAGE_H_
+#endif  // SAPPHIRESTREAM_ADMIN_HTTP_MESSAGE_H_
--- a/src/sapphirestream/instance/http_server.cc
+++ b/src/sapphirestream/admin/http_server.cc
@@ -1,5 +1,5 @@
 // The HTTP server of the operators' interface.
-#include "sapphirestream/instance/http_server.h"
+#include "sapphirestream/admin/http_server.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/core.hpp>
--- a/src/sapphirestream/instance/http_server.h
+++ b/src/sapphirestream/admin/http_server.h
@@ -1,7 +1,7 @@
 // The HTTP server of the operators' interface: bounded bodies, connections and
 // times, no routing.
-#ifndef SAPPHIRESTREAM_INSTANCE_HTTP_SERVER_H_
-#define SAPPHIRESTREAM_INSTANCE_HTTP_SERVER_H_
+#ifndef SAPPHIRESTREAM_ADMIN_HTTP_SERVER_H_
+#define SAPPHIRESTREAM_ADMIN_HTTP_SERVER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -12,7 +12,7 @@
 
 #include "sapphirestream/base/endpoint.h"
 #include "sapphirestream/base/error.h"
-#include "sapphirestream/instance/http_message.h"
+#include "sapphirestream/admin/http_message.h"
 
 namespace sapphirestream {
 
@@ -50,4 +50,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_INSTANCE_HTTP_SERVER_H_
+#endif  // SAPPHIRESTREAM_ADMIN_HTTP_SERVER_H_
--- a/src/sapphirestream/instance/metrics.cc
+++ b/src/sapphirestream/admin/metrics.cc
@@ -1,5 +1,5 @@
 // Text form of the counters for Prometheus.
-#include "sapphirestream/instance/metrics.h"
+#include "sapphirestream/admin/metrics.h"
 
 #include <map>
 #include <string_view>
--- a/src/sapphirestream/instance/metrics.h
+++ b/src/sapphirestream/admin/metrics.h
@@ -1,6 +1,6 @@
 // Text form of the counters for Prometheus.
-#ifndef SAPPHIRESTREAM_INSTANCE_METRICS_H_
-#define SAPPHIRESTREAM_INSTANCE_METRICS_H_
+#ifndef SAPPHIRESTREAM_ADMIN_METRICS_H_
+#define SAPPHIRESTREAM_ADMIN_METRICS_H_
 
 #include <string>
 
@@ -15,4 +15,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_INSTANCE_METRICS_H_
+#endif  // SAPPHIRESTREAM_ADMIN_METRICS_H_
--- a/src/sapphirestream/base/error.cc
+++ b/src/sapphirestream/base/error.cc
@@ -64,6 +64,8 @@
      "the platform's store cannot be reached; nothing was changed"},
     {kOutcomeUnknown, "outcome_unknown", 504, 22, kSilence,
      "the store's answer was lost; repeat with the same change id"},
+    {kHistoryLost, "history_lost", 0, 0, kSilence,
+     "the store no longer has the changes since this revision"},
     {kNotReady, "not_ready", 503, 23, kSilence,
      "this instance has no configuration yet"},
     {kTimedOut, "timed_out", 504, 24, kSilence,
--- a/src/sapphirestream/base/error.h
+++ b/src/sapphirestream/base/error.h
@@ -55,6 +55,7 @@
   kNotAnnounced,
   kStoreUnavailable,
   kOutcomeUnknown,
+  kHistoryLost,
   kNotReady,
   kTimedOut,
   kUnreachable,
--- a/src/sapphirestream/instance/event_log.cc
+++ b/src/sapphirestream/base/event_log.cc
@@ -1,13 +1,8 @@
 // The log: one line of key=value pairs per event.
-#include "sapphirestream/instance/event_log.h"
-
-#include <log4cxx/consoleappender.h>
-#include <log4cxx/logger.h>
-#include <log4cxx/patternlayout.h>
+#include "sapphirestream/base/event_log.h"
 
 #include <algorithm>
 #include <array>
-#include <memory>
 
 namespace sapphirestream {
 namespace {
@@ -15,22 +10,6 @@
 constexpr std::array<std::string_view, 4> kLevelNames{"debug", "info", "warn",
                                                       "error"};
 
-log4cxx::LevelPtr ToLog4cxx(LogLevel level) {
-  switch (level) {
-    case LogLevel::kDebug:
-      return log4cxx::Level::getDebug();
-    case LogLevel::kInfo:
-      return log4cxx::Level::getInfo();
-    case LogLevel::kWarn:
-      return log4cxx::Level::getWarn();
-    case LogLevel::kError:
-      break;
-  }
-  return log4cxx::Level::getError();
-}
-
-log4cxx::LoggerPtr RootLogger() { return log4cxx::Logger::getRootLogger(); }
-
 // Without quotes a value could pose as another field or another line.
 void AppendValue(const std::string& value, std::string& line) {
   const bool is_plain =
@@ -52,6 +31,10 @@
 
 }  // namespace
 
+std::string_view Name(LogLevel level) noexcept {
+  return kLevelNames[static_cast<std::size_t>(level)];
+}
+
 std::optional<LogLevel> ParseLogLevel(std::string_view name) {
   const auto* const it =
       std::find(kLevelNames.begin(), kLevelNames.end(), name);
@@ -59,21 +42,6 @@
   return static_cast<LogLevel>(it - kLevelNames.begin());
 }
 
-ConsoleLogSink::ConsoleLogSink(LogLevel threshold) {
-  const auto layout = std::make_shared<log4cxx::PatternLayout>(
-      LOG4CXX_STR("time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ} level=%p %m%n"));
-  const auto appender = std::make_shared<log4cxx::ConsoleAppender>(
-      layout, log4cxx::ConsoleAppender::getSystemErr());
-  RootLogger()->removeAllAppenders();
-  RootLogger()->addAppender(appender);
-  RootLogger()->setLevel(ToLog4cxx(threshold));
-}
-
-void ConsoleLogSink::Write(LogLevel level, const std::string& line) {
-  RootLogger()->log(ToLog4cxx(level), line,
-                    log4cxx::spi::LocationInfo::getLocationUnavailable());
-}
-
 void EventLog::Write(LogLevel level, std::string_view event,
                      std::initializer_list<LogField> fields) {
   const TimePoint now = clock_.Now();
@@ -86,7 +54,7 @@
     rate.period_start = now;
     rate.written = 0;
   }
-  if (rate.written >= kLinesPerPeriod) {
+  if (rate.written >= lines_per_period_) {
     ++rate.suppressed;
     return;
   }
--- a/src/sapphirestream/instance/event_log.h
+++ b/src/sapphirestream/base/event_log.h
@@ -1,7 +1,7 @@
-// The log: one line of key=value pairs per event, on standard error. Repeated
-// events are limited to a few lines per period, with a count of the others.
-#ifndef SAPPHIRESTREAM_INSTANCE_EVENT_LOG_H_
-#define SAPPHIRESTREAM_INSTANCE_EVENT_LOG_H_
+// The log: one line of key=value pairs per event. Repeated events are limited to
+// a few lines per period, with a count of the others; sinks write the lines.
+#ifndef SAPPHIRESTREAM_BASE_EVENT_LOG_H_
+#define SAPPHIRESTREAM_BASE_EVENT_LOG_H_
 
 #include <concepts>
 #include <cstdint>
@@ -19,6 +19,7 @@
 
 // Returns the level with the given name.
 [[nodiscard]] std::optional<LogLevel> ParseLogLevel(std::string_view name);
+[[nodiscard]] std::string_view Name(LogLevel level) noexcept;
 
 // One key=value pair. Values with spaces, quotes or control characters are
 // quoted.
@@ -39,13 +40,6 @@
   virtual void Write(LogLevel level, const std::string& line) = 0;
 };
 
-// Writes lines through log4cxx, with time and level in front.
-class ConsoleLogSink final : public LogSink {
- public:
-  explicit ConsoleLogSink(LogLevel threshold);
-  void Write(LogLevel level, const std::string& line) override;
-};
-
 // Used by one thread.
 class EventLog {
  public:
@@ -53,7 +47,10 @@
   static constexpr int kLinesPerPeriod = 10;
   static constexpr Duration kPeriod = std::chrono::seconds(10);
 
-  EventLog(LogSink& sink, const Clock& clock) : sink_(sink), clock_(clock) {}
+  // `lines_per_period` bounds each event name separately.
+  EventLog(LogSink& sink, const Clock& clock,
+           int lines_per_period = kLinesPerPeriod)
+      : sink_(sink), clock_(clock), lines_per_period_(lines_per_period) {}
 
   // Writes `event=<name> key=value...`. The first line of a period carries
   // `suppressed=<n>` if n lines of the event were left out before it. Event
@@ -70,9 +67,10 @@
 
   LogSink& sink_;
   const Clock& clock_;
+  int lines_per_period_;
   std::map<std::string, Rate, std::less<>> rates_;
 };
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_INSTANCE_EVENT_LOG_H_
+#endif  // SAPPHIRESTREAM_BASE_EVENT_LOG_H_
--- a/src/sapphirestream/instance/file_descriptor.h
+++ b/src/sapphirestream/base/file_descriptor.h
@@ -1,6 +1,6 @@
 // Owner of a file descriptor.
-#ifndef SAPPHIRESTREAM_INSTANCE_FILE_DESCRIPTOR_H_
-#define SAPPHIRESTREAM_INSTANCE_FILE_DESCRIPTOR_H_
+#ifndef SAPPHIRESTREAM_BASE_FILE_DESCRIPTOR_H_
+#define SAPPHIRESTREAM_BASE_FILE_DESCRIPTOR_H_
 
 #include <unistd.h>
 
@@ -35,4 +35,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_INSTANCE_FILE_DESCRIPTOR_H_
+#endif  // SAPPHIRESTREAM_BASE_FILE_DESCRIPTOR_H_
--- a/src/sapphirestream/instance/system_clock.h
+++ b/src/sapphirestream/base/system_clock.h
@@ -1,6 +1,6 @@
 // The clock of the running process.
-#ifndef SAPPHIRESTREAM_INSTANCE_SYSTEM_CLOCK_H_
-#define SAPPHIRESTREAM_INSTANCE_SYSTEM_CLOCK_H_
+#ifndef SAPPHIRESTREAM_BASE_SYSTEM_CLOCK_H_
+#define SAPPHIRESTREAM_BASE_SYSTEM_CLOCK_H_
 
 #include "sapphirestream/base/clock.h"
 
@@ -19,4 +19,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_INSTANCE_SYSTEM_CLOCK_H_
+#endif  // SAPPHIRESTREAM_BASE_SYSTEM_CLOCK_H_
--- /dev/null
+++ b/src/sapphirestream/edge/edge_log.cc
@@ -0,0 +1,139 @@
+#include "sapphirestream/edge/edge_log.h"
+
+#include <array>
+#include <charconv>
+#include <chrono>
+
+#include "sapphirestream/base/id.h"
+
+namespace sapphirestream {
+namespace {
+
+std::int64_t Milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+std::string FlowText(V4Endpoint client, V4Endpoint service) {
+  return ToString(client) + ">" + ToString(service);
+}
+
+std::string FlowText(const EdgePacket& packet) {
+  return FlowText(packet.client, packet.service);
+}
+
+std::string FlowText(const WatchedFlow& flow) {
+  return FlowText(flow.client, flow.service);
+}
+
+}  // namespace
+
+std::string ToString(TargetKey key) {
+  std::array<char, 16> text{};
+  const auto [end, error] = std::to_chars(
+      text.data(), text.data() + text.size(), Value(key), /*base=*/16);
+  return {text.data(), end};
+}
+
+std::int64_t EdgeLog::ViewAge(TimePoint now) const noexcept {
+  return Milliseconds(now - targets_read_);
+}
+
+void EdgeLog::Placed(const EdgePacket& packet, const EdgePlacement& placement,
+                     FlowToken token, TimePoint now) {
+  const EdgeTarget& target = *placement.target;
+  log_.Write(LogLevel::kInfo, "placed",
+             {{"flow", FlowText(packet)},
+              {"copy", packet.acknowledged},
+              {"service", routes_.NameOf(target.service)},
+              {"target", ToString(target.record.key)},
+              {"token", Value(token)},
+              {"tier", Name(placement.tier)},
+              {"outstanding", target.outstanding},
+              {"config", routes_.version()},
+              {"view_age_ms", ViewAge(now)}});
+}
+
+void EdgeLog::Refused(const EdgePacket& packet, std::string_view reason,
+                      TimePoint now) {
+  log_.Write(LogLevel::kWarn, "refused",
+             {{"flow", FlowText(packet)},
+              {"reason", reason},
+              {"opens", packet.opens ? 1 : 0},
+              {"config", routes_.version()},
+              {"view_age_ms", ViewAge(now)}});
+}
+
+void EdgeLog::Moved(const WatchedFlow& flow, const EdgeTarget& from,
+                    const EdgePlacement& to, TimePoint now) {
+  log_.Write(LogLevel::kWarn, "moved",
+             {{"flow", FlowText(flow)},
+              {"from", ToString(from.record.key)},
+              {"from_state", Name(from.health.state())},
+              {"to", ToString(to.target->record.key)},
+              {"tier", Name(to.tier)},
+              {"view_age_ms", ViewAge(now)}});
+}
+
+void EdgeLog::Request(const EdgePacket& packet, const EdgeTarget& target,
+                      TimePoint now) {
+  log_.Write(LogLevel::kInfo, "request",
+             {{"request", packet.request_id},
+              {"flow", FlowText(packet)},
+              {"target", ToString(target.record.key)},
+              {"outstanding", target.outstanding},
+              {"view_age_ms", ViewAge(now)}});
+}
+
+void EdgeLog::Repeated(const EdgePacket& packet, const WatchedFlow& flow,
+                       const EdgeTarget& target, TimePoint now) {
+  log_.Write(LogLevel::kWarn, "repeated",
+             {{"request", packet.request_id},
+              {"flow", FlowText(packet)},
+              {"opens", packet.opens ? 1 : 0},
+              {"copies", flow.repeats},
+              {"waiting_ms", Milliseconds(now - flow.waiting_since)},
+              {"target", ToString(target.record.key)},
+              {"presence", Name(target.presence)},
+              {"state", Name(target.health.state())},
+              {"life_age_ms", Milliseconds(now - target.health.last_life())},
+              {"view_age_ms", ViewAge(now)}});
+}
+
+void EdgeLog::Reset(const WatchedFlow& flow, const EdgeTarget& target,
+                    std::string_view request_id, TimePoint now) {
+  log_.Write(LogLevel::kWarn, "reset",
+             {{"request", request_id},
+              {"flow", FlowText(flow)},
+              {"target", ToString(target.record.key)},
+              {"presence", Name(target.presence)},
+              {"state", Name(target.health.state())},
+              {"failed_probes", target.health.failed_probes()},
+              {"copies", flow.repeats},
+              {"waiting_ms", Milliseconds(now - flow.waiting_since)},
+              {"view_age_ms", ViewAge(now)}});
+}
+
+void EdgeLog::Dropped(const EdgePacket& packet, std::string_view reason,
+                      TimePoint now) {
+  log_.Write(LogLevel::kWarn, "dropped",
+             {{"request", packet.request_id},
+              {"flow", FlowText(packet)},
+              {"reason", reason},
+              {"token", Value(packet.token)},
+              {"config", routes_.version()},
+              {"view_age_ms", ViewAge(now)}});
+}
+
+void EdgeLog::Probed(const EdgeTarget& target, ProbeOutcome outcome,
+                     TimePoint begun, TimePoint now) {
+  log_.Write(LogLevel::kInfo, "probed",
+             {{"target", ToString(target.record.key)},
+              {"address", ToString(target.record.address)},
+              {"outcome", Name(outcome)},
+              {"state", Name(target.health.state())},
+              {"took_ms", Milliseconds(now - begun)},
+              {"life_age_ms", Milliseconds(now - target.health.last_life())}});
+}
+
+}  // namespace sapphirestream
--- /dev/null
+++ b/src/sapphirestream/edge/edge_placement.cc
@@ -0,0 +1,75 @@
+#include "sapphirestream/edge/edge_placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <tuple>
+
+#include "sapphirestream/base/hash.h"
+#include "sapphirestream/base/id.h"
+
+namespace sapphirestream {
+namespace {
+
+// A cold target takes about half of its usual load.
+std::uint32_t FreeSlots(const EdgeTarget& target, const PlacementQuery& query) {
+  const std::uint32_t slots = std::max(1U, target.record.slots);
+  if (query.now < target.cold_until) return std::max(1U, slots / 2);
+  return slots + (query.kind == RequestKind::kUpload ? kUploadQueue : 0);
+}
+
+PlacementTier TierOf(const EdgeTarget& target, const PlacementQuery& query) {
+  if (target.presence == TargetPresence::kGone || target.record.draining ||
+      target.record.key == query.excluded) {
+    return PlacementTier::kNone;
+  }
+  if (target.health.state() == Reachability::kUnreachable) {
+    return PlacementTier::kNone;
+  }
+  if (query.now < target.usable_from || !target.health.accepts(query.now)) {
+    return PlacementTier::kUnproven;
+  }
+  if (target.outstanding < FreeSlots(target, query)) {
+    return target.is_local ? PlacementTier::kLocalSlot
+                           : PlacementTier::kRemoteSlot;
+  }
+  return target.is_local ? PlacementTier::kLocalQueue
+                         : PlacementTier::kRemoteQueue;
+}
+
+// Load that decides within a tier. Targets with a free slot count as equal.
+std::uint32_t QueueOf(const EdgeTarget& target, PlacementTier tier) {
+  if (tier == PlacementTier::kLocalSlot || tier == PlacementTier::kRemoteSlot) {
+    return 0;
+  }
+  return target.outstanding / std::max(1U, target.record.slots);
+}
+
+}  // namespace
+
+std::string_view Name(PlacementTier tier) noexcept {
+  constexpr std::array<std::string_view, 6> names{
+      "local_slot",   "remote_slot", "local_queue",
+      "remote_queue", "unproven",    "none"};
+  return names[static_cast<std::size_t>(tier)];
+}
+
+EdgePlacement PlaceFlow(const std::vector<EdgeTarget*>& targets,
+                        const PlacementQuery& query) {
+  using Rank = std::tuple<PlacementTier, std::uint32_t, std::uint64_t>;
+  EdgePlacement best;
+  Rank best_rank{PlacementTier::kNone, 0, 0};
+  for (EdgeTarget* const target : targets) {
+    const PlacementTier tier = TierOf(*target, query);
+    if (tier == PlacementTier::kNone) continue;
+    const Rank rank{tier, QueueOf(*target, tier),
+                    HashPair(query.flow_hash, Value(target->record.key))};
+    if (best.target == nullptr || rank < best_rank) {
+      best = {target, tier};
+      best_rank = rank;
+    }
+  }
+  return best;
+}
+
+}  // namespace sapphirestream
--- /dev/null
+++ b/src/sapphirestream/edge/edge_sink.h
@@ -0,0 +1,34 @@
+// What the steering of an instance has its surroundings do.
+#ifndef SAPPHIRESTREAM_EDGE_EDGE_SINK_H_
+#define SAPPHIRESTREAM_EDGE_EDGE_SINK_H_
+
+#include <cstddef>
+#include <optional>
+#include <span>
+
+#include "sapphirestream/edge/edge_packet.h"
+#include "sapphirestream/edge/fwd.h"
+
+namespace sapphirestream {
+
+class EdgeSink {
+ public:
+  virtual ~EdgeSink() = default;
+  // Sends a client's packet to a target; with `token`, after the packet's
+  // token was replaced by it.
+  virtual void Forward(TargetKey target, V4Endpoint address,
+                       std::span<const std::byte> packet,
+                       std::optional<FlowToken> token) = 0;
+  virtual void Reset(const ClientReset& reset) = 0;
+  // Tries `connections` connections to a target at the same time and reports
+  // by EdgeSteering::OnProbe.
+  virtual void Probe(TargetKey target, V4Endpoint address,
+                     unsigned connections) = 0;
+  // Asks for the newest list of targets, since a packet names one that is not
+  // known here.
+  virtual void RefreshTargets() = 0;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_EDGE_EDGE_SINK_H_
--- /dev/null
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -0,0 +1,145 @@
+#include "sapphirestream/edge/target_directory.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sapphirestream {
+
+std::string_view Name(TargetPresence presence) noexcept {
+  constexpr std::array<std::string_view, 3> names{"listed", "missing", "gone"};
+  return names[static_cast<std::size_t>(presence)];
+}
+
+bool TargetDirectory::Upsert(const TargetRecord& record, std::uint64_t revision,
+                             bool settled, TimePoint now) {
+  auto it = targets_.find(record.key);
+  const bool is_new = it == targets_.end();
+  if (!is_new && revision <= it->second.revision) return false;
+  if (is_new) it = targets_.try_emplace(record.key).first;
+  EdgeTarget& target = it->second;
+  const bool restarted =
+      is_new || target.record.incarnation != record.incarnation;
+  const bool changed = restarted ||
+                       target.presence != TargetPresence::kListed ||
+                       target.record.draining != record.draining ||
+                       target.record.address != record.address ||
+                       target.record.service != record.service;
+  if (!is_new) Unlink(target);
+  if (restarted) {
+    target.usable_from = settled ? now : now + kSettleTime;
+    target.health = {};
+    RetireFormerOwner(record, now);
+  }
+  target.record = record;
+  target.revision = revision;
+  target.service = routes_.Number(record.service);
+  target.presence = TargetPresence::kListed;
+  target.is_local = record.domain == domain_;
+  target.cold_until = now + record.cold_remaining;
+  Link(target);
+  return changed;
+}
+
+void TargetDirectory::RetireFormerOwner(const TargetRecord& record,
+                                        TimePoint now) {
+  for (auto& [key, other] : targets_) {
+    const bool is_former = key != record.key &&
+                           other.record.address == record.address &&
+                           other.record.incarnation < record.incarnation;
+    if (is_former && other.presence != TargetPresence::kGone) {
+      other.presence = TargetPresence::kGone;
+      other.left = now;
+    }
+  }
+}
+
+bool TargetDirectory::Erase(TargetKey key, std::uint64_t revision,
+                            bool store_was_away, TimePoint now) {
+  EdgeTarget* target = Find(key);
+  if (target == nullptr || revision < target->revision) return false;
+  target->revision = revision;
+  if (target->presence != TargetPresence::kListed) return false;
+  const bool may_return = store_was_away && !target->record.draining;
+  target->presence =
+      may_return ? TargetPresence::kMissing : TargetPresence::kGone;
+  target->left = now;
+  return true;
+}
+
+void TargetDirectory::Expire(TimePoint now) {
+  for (auto it = targets_.begin(); it != targets_.end();) {
+    EdgeTarget& target = it->second;
+    if (target.presence == TargetPresence::kMissing &&
+        now - target.left >= kReturnGrace) {
+      target.presence = TargetPresence::kGone;
+    }
+    if (target.presence == TargetPresence::kGone &&
+        now - target.left >= kGoneRetention) {
+      Unlink(target);
+      it = targets_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+EdgeTarget* TargetDirectory::Find(TargetKey key) noexcept {
+  const auto it = targets_.find(key);
+  return it == targets_.end() ? nullptr : &it->second;
+}
+
+EdgeTarget* TargetDirectory::FindByToken(FlowToken token, const Route& route) {
+  EdgeTarget* found = nullptr;
+  const auto [begin, end] = by_token_.equal_range(token);
+  for (auto it = begin; it != end; ++it) {
+    EdgeTarget* candidate = it->second;
+    if (!route.Allows(candidate->service)) continue;
+    // Of two targets with a token in common, the older one got flows under it
+    // before the younger one was known.
+    if (found == nullptr ||
+        candidate->record.incarnation < found->record.incarnation) {
+      found = candidate;
+    }
+  }
+  return found;
+}
+
+FlowToken TargetDirectory::TokenOf(TargetKey key) const noexcept {
+  const FlowToken first = MakeToken(key, 0);
+  return by_token_.count(first) > 1 ? MakeToken(key, 1) : first;
+}
+
+const std::vector<EdgeTarget*>& TargetDirectory::OfService(
+    ServiceNumber service) const noexcept {
+  static const std::vector<EdgeTarget*> kNone;
+  const auto it = by_service_.find(service);
+  return it == by_service_.end() ? kNone : it->second;
+}
+
+std::size_t TargetDirectory::listed() const noexcept {
+  return static_cast<std::size_t>(
+      std::count_if(targets_.begin(), targets_.end(), [](const auto& entry) {
+        return entry.second.presence == TargetPresence::kListed;
+      }));
+}
+
+void TargetDirectory::Link(EdgeTarget& target) {
+  for (unsigned variant = 0; variant < kTokensPerTarget; ++variant) {
+    by_token_.emplace(MakeToken(target.record.key, variant), &target);
+  }
+  by_service_[target.service].push_back(&target);
+}
+
+void TargetDirectory::Unlink(EdgeTarget& target) {
+  for (unsigned variant = 0; variant < kTokensPerTarget; ++variant) {
+    const auto [begin, end] =
+        by_token_.equal_range(MakeToken(target.record.key, variant));
+    const auto it = std::find_if(begin, end, [&target](const auto& entry) {
+      return entry.second == &target;
+    });
+    if (it != end) by_token_.erase(it);
+  }
+  std::erase(by_service_[target.service], &target);
+}
+
+}  // namespace sapphirestream
--- /dev/null
+++ b/src/sapphirestream/edge/target_record.h
@@ -0,0 +1,34 @@
+// What discovery says of a target.
+#ifndef SAPPHIRESTREAM_EDGE_TARGET_RECORD_H_
+#define SAPPHIRESTREAM_EDGE_TARGET_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/id.h"
+#include "sapphirestream/edge/fwd.h"
+#include "sapphirestream/edge/v4_endpoint.h"
+
+namespace sapphirestream {
+
+struct TargetRecord {
+  TargetKey key{};
+  // A restart under the same key has a higher one.
+  Incarnation incarnation{};
+  std::string service;
+  V4Endpoint address;
+  // Failure domain.
+  std::string domain;
+  // Requests that it processes at the same time.
+  std::uint32_t slots = 1;
+  bool draining = false;
+  // How much longer it stays slow after its start.
+  Duration cold_remaining{};
+
+  bool operator==(const TargetRecord&) const = default;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_EDGE_TARGET_RECORD_H_
--- /dev/null
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -0,0 +1,291 @@
+#include "sapphirestream/edge_io/edge_instance.h"
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <random>
+#include <utility>
+
+#include "sapphirestream/admin/metrics.h"
+
+namespace sapphirestream {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+// Period of checks that no packet triggers.
+constexpr std::chrono::milliseconds kHousekeepingPeriod{250};
+// A period this much longer shows that the process did not run, so that its
+// view may be out of date.
+constexpr std::chrono::milliseconds kSleepThreshold{1000};
+// A settings file that changes without a signal is noticed after this time.
+constexpr std::chrono::milliseconds kSettingsCheckPeriod{1000};
+// The fabric misses two checks, half a second apart, before it sends packets
+// elsewhere.
+constexpr std::chrono::milliseconds kLeastLeavingTime{1500};
+// Without packets for this time, the fabric sends them elsewhere.
+constexpr std::chrono::milliseconds kQuietTime{700};
+// Kept of the grace time for the end of the process.
+constexpr std::chrono::milliseconds kGraceReserve{500};
+
+CollectionReaderOptions TargetReaderOptions(const EdgeSettings& settings) {
+  CollectionReaderOptions options;
+  options.pause = settings.target_poll;
+  options.cached_pause = settings.cached_poll;
+  return options;
+}
+
+CollectionReaderOptions RouteReaderOptions(const EdgeSettings& settings) {
+  CollectionReaderOptions options;
+  options.wait = settings.config_wait;
+  // Watches bring every change; the list is read again only after a loss.
+  options.audit_period = std::chrono::minutes(1);
+  return options;
+}
+
+}  // namespace
+
+leaf::result<std::unique_ptr<EdgeInstance>> EdgeInstance::Open(
+    const EdgeSettings& settings, const EdgePlatform& platform,
+    const Clock& clock, LineWriter& lines, EventLog& log,
+    ReadSettings read_settings) {
+  std::unique_ptr<EdgeInstance> instance(
+      new EdgeInstance(settings, platform, clock, lines, log,
+                       std::move(read_settings)));
+  BOOST_LEAF_CHECK(instance->OpenSockets());
+  return instance;
+}
+
+EdgeInstance::EdgeInstance(const EdgeSettings& settings,
+                           const EdgePlatform& platform, const Clock& clock,
+                           LineWriter& lines, EventLog& log,
+                           ReadSettings read_settings)
+    : settings_(settings),
+      platform_(platform),
+      clock_(clock),
+      lines_(lines),
+      log_(log),
+      read_settings_(std::move(read_settings)),
+      random_(std::random_device{}()),
+      targets_(routes_, settings.domain),
+      flow_log_(log, routes_),
+      steering_(routes_, targets_, *this, flow_log_, counters_,
+                settings.flow_capacity),
+      view_(routes_, targets_, flow_log_, log, clock, counters_,
+            platform.key_of()),
+      prober_(context_),
+      timer_(context_),
+      steering_timer_(context_),
+      housekeeping_timer_(context_),
+      signals_(context_, SIGTERM, SIGINT, SIGHUP) {}
+
+leaf::result<void> EdgeInstance::OpenSockets() {
+  BOOST_LEAF_ASSIGN(
+      port_, PacketPort::Open(context_, settings_.data, platform_.format(),
+                              counters_, [this](const EdgePacket& packet) {
+                                OnPacket(packet);
+                              }));
+  BOOST_LEAF_ASSIGN(
+      ready_server_,
+      HttpServer::Open(context_, settings_.ready,
+                       [this](const HttpRequest& request,
+                              const HttpServer::Reply& reply) {
+                         reply(AnswerReady(request));
+                       }));
+  BOOST_LEAF_ASSIGN(
+      metrics_server_,
+      HttpServer::Open(context_, settings_.metrics,
+                       [this](const HttpRequest& request,
+                              const HttpServer::Reply& reply) {
+                         reply(AnswerMetrics(request));
+                       }));
+  return {};
+}
+
+void EdgeInstance::Run() {
+  log_.Write(LogLevel::kInfo, "started",
+             {{"name", settings_.name},
+              {"domain", settings_.domain},
+              {"data", ToString(settings_.data)},
+              {"store", ToString(settings_.store)}});
+  WatchSignals();
+  StartReaders();
+  last_housekeeping_ = clock_.Now();
+  Housekeep();
+  context_.run();
+  log_.Write(LogLevel::kInfo, "stopped", {{"name", settings_.name}});
+  lines_.Flush();
+}
+
+void EdgeInstance::StartReaders() {
+  target_reader_.reset();
+  route_reader_.reset();
+  target_client_ =
+      platform_.MakeTargetClient(context_, settings_.store, counters_);
+  route_client_ =
+      platform_.MakeRouteClient(context_, settings_.store, counters_);
+  target_reader_ = std::make_unique<CollectionReader<TargetRecord>>(
+      *target_client_, timer_, clock_, random_, view_.target_observer(),
+      TargetReaderOptions(settings_));
+  route_reader_ = std::make_unique<CollectionReader<RouteConfig>>(
+      *route_client_, timer_, clock_, random_, view_.route_observer(),
+      RouteReaderOptions(settings_));
+  target_reader_->Start();
+  route_reader_->Start();
+}
+
+void EdgeInstance::OnPacket(const EdgePacket& packet) {
+  const TimePoint now = clock_.Now();
+  last_packet_ = now;
+  OnViewChanged();
+  steering_.OnPacket(packet, now);
+  ArmSteering();
+}
+
+void EdgeInstance::ArmSteering() {
+  const auto next = steering_.NextDeadline();
+  if (!next || (armed_ && *armed_ <= *next)) return;
+  armed_ = next;
+  steering_timer_.expires_at(
+      std::chrono::time_point_cast<std::chrono::steady_clock::duration>(*next));
+  steering_timer_.async_wait([this](const error_code& error) {
+    if (error) return;
+    armed_.reset();
+    steering_.Tick(clock_.Now());
+    ArmSteering();
+  });
+}
+
+void EdgeInstance::Housekeep() {
+  const TimePoint now = clock_.Now();
+  CheckSleep(now);
+  OnViewChanged();
+  targets_.Expire(now);
+  if (now - last_settings_check_ >= kSettingsCheckPeriod) {
+    last_settings_check_ = now;
+    ReloadSettings("file");
+  }
+  StopWhenQuiet(now);
+  lines_.Flush();
+  last_housekeeping_ = now;
+  if (lifecycle_.state() == EdgeState::kStopped) {
+    context_.stop();
+    return;
+  }
+  housekeeping_timer_.expires_after(kHousekeepingPeriod);
+  housekeeping_timer_.async_wait([this](const error_code& error) {
+    if (!error) Housekeep();
+  });
+}
+
+void EdgeInstance::CheckSleep(TimePoint now) {
+  const Duration gap = now - last_housekeeping_ - kHousekeepingPeriod;
+  if (gap < kSleepThreshold) return;
+  log_.Write(
+      LogLevel::kWarn, "woke",
+      {{"slept_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(gap).count()}});
+  // Calls that were under way may wait for an answer on a lost connection.
+  StartReaders();
+}
+
+void EdgeInstance::OnViewChanged() {
+  if (lifecycle_.state() != EdgeState::kLoading || !view_.is_complete()) return;
+  lifecycle_.Apply(EdgeEvent::kLoaded);
+  log_.Write(LogLevel::kInfo, "serving",
+             {{"config", routes_.version()}, {"targets", targets_.size()}});
+}
+
+void EdgeInstance::WatchSignals() {
+  signals_.async_wait([this](const error_code& error, int number) {
+    if (error) return;
+    OnSignal(number);
+    WatchSignals();
+  });
+}
+
+void EdgeInstance::OnSignal(int number) {
+  if (number == SIGHUP) {
+    ReloadSettings("signal");
+  } else {
+    RequestStop();
+  }
+}
+
+void EdgeInstance::ReloadSettings(std::string_view cause) {
+  const std::optional<EdgeSettings> next = read_settings_();
+  if (!next || *next == settings_) return;
+  const bool needs_restart = next->domain != settings_.domain ||
+                             next->data != settings_.data ||
+                             next->ready != settings_.ready ||
+                             next->metrics != settings_.metrics ||
+                             next->flow_capacity != settings_.flow_capacity;
+  const bool reads_change = next->store != settings_.store ||
+                            next->target_poll != settings_.target_poll ||
+                            next->cached_poll != settings_.cached_poll ||
+                            next->config_wait != settings_.config_wait;
+  settings_ = *next;
+  lines_.set_threshold(settings_.log_level);
+  if (reads_change) StartReaders();
+  log_.Write(LogLevel::kInfo, "reloaded",
+             {{"cause", cause},
+              {"store", ToString(settings_.store)},
+              {"needs_restart", needs_restart ? 1 : 0}});
+}
+
+void EdgeInstance::RequestStop() {
+  stop_requested_ = clock_.Now();
+  lifecycle_.Apply(EdgeEvent::kStopRequested);
+  log_.Write(LogLevel::kInfo, "stopping",
+             {{"state", Name(lifecycle_.state())}});
+}
+
+void EdgeInstance::StopWhenQuiet(TimePoint now) {
+  if (lifecycle_.state() != EdgeState::kLeaving) return;
+  const Duration leaving = now - stop_requested_;
+  const bool is_quiet =
+      leaving >= kLeastLeavingTime && now - last_packet_ >= kQuietTime;
+  const bool is_over = leaving >= settings_.grace - kGraceReserve;
+  if (is_quiet || is_over) lifecycle_.Apply(EdgeEvent::kQuiet);
+}
+
+HttpResponse EdgeInstance::AnswerReady(const HttpRequest& request) {
+  constexpr int kOk = 200;
+  constexpr int kNotFound = 404;
+  constexpr int kUnavailable = 503;
+  if (request.target != platform_.ready_path()) return {.status = kNotFound};
+  OnViewChanged();
+  const EdgeState state = lifecycle_.state();
+  return {.status = state == EdgeState::kServing ? kOk : kUnavailable,
+          .body = "{\"state\":\"" + std::string(Name(state)) + "\"}"};
+}
+
+HttpResponse EdgeInstance::AnswerMetrics(const HttpRequest& /*request*/) {
+  return {.content_type = "text/plain; version=0.0.4",
+          .body = RenderMetrics(counters_) +
+                  flow_log_.openings().Render("flow_opening_seconds") +
+                  flow_log_.answers().Render("request_answer_seconds")};
+}
+
+void EdgeInstance::Forward(TargetKey target, V4Endpoint address,
+                           std::span<const std::byte> packet,
+                           std::optional<FlowToken> token) {
+  port_->Send(target, address, packet, token);
+}
+
+void EdgeInstance::Reset(const ClientReset& reset) { port_->SendReset(reset); }
+
+void EdgeInstance::Probe(TargetKey target, V4Endpoint address,
+                         unsigned connections) {
+  prober_.Probe(address, connections,
+                [this, target](ProbeOutcome outcome, TimePoint begun) {
+                  steering_.OnProbe(target, outcome, begun, clock_.Now());
+                  ArmSteering();
+                });
+}
+
+void EdgeInstance::RefreshTargets() { target_reader_->Refresh(); }
+
+}  // namespace sapphirestream
--- /dev/null
+++ b/src/sapphirestream/edge_io/edge_settings.cc
@@ -0,0 +1,225 @@
+#include "sapphirestream/edge_io/edge_settings.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/program_options.hpp>
+#include <cctype>
+#include <charconv>
+#include <sstream>
+#include <string_view>
+
+namespace sapphirestream {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr std::string_view kVariablePrefix = "SAPPHIRE_EDGE_";
+
+// One setting: how it is named, explained and stored.
+struct SettingRow {
+  const char* name;
+  const char* fallback;  // empty: required
+  const char* help;
+  // Returns an error, or an empty string.
+  std::string (*store)(std::string_view value, EdgeSettings& settings);
+};
+
+std::optional<std::uint64_t> ParseNumber(std::string_view text) {
+  std::uint64_t number = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc{} || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+std::string StoreText(std::string_view value, std::string& out) {
+  if (value.empty()) return "must not be empty";
+  out = value;
+  return {};
+}
+
+std::string StoreEndpoint(std::string_view value, Endpoint& out) {
+  const auto endpoint = ParseEndpoint(value);
+  if (!endpoint || !endpoint->address.is_v4()) {
+    return "must be an IPv4 address and port, as 127.0.0.1:80";
+  }
+  out = *endpoint;
+  return {};
+}
+
+template <typename Number>
+std::string StoreNumber(std::string_view value, std::uint64_t least,
+                        std::uint64_t most, std::string_view unit,
+                        Number& out) {
+  const auto number = ParseNumber(value);
+  if (!number || *number < least || *number > most) {
+    return "must be " + std::to_string(least) + " to " + std::to_string(most) +
+           " " + std::string(unit);
+  }
+  out = Number(*number);
+  return {};
+}
+
+// A named table of all settings, in the order of --help.
+constexpr std::array kSettings{
+    SettingRow{"name", "", "name of this instance, for logs",
+               [](std::string_view v, EdgeSettings& s) {
+                 return StoreText(v, s.name);
+               }},
+    SettingRow{"domain", "", "failure domain of this instance",
+               [](std::string_view v, EdgeSettings& s) {
+                 return StoreText(v, s.domain);
+               }},
+    SettingRow{"data", "", "address:port for packets (UDP)",
+               [](std::string_view v, EdgeSettings& s) {
+                 return StoreEndpoint(v, s.data);
+               }},
+    SettingRow{"ready", "", "address:port for the fabric's checks (TCP)",
+               [](std::string_view v, EdgeSettings& s) {
+                 return StoreEndpoint(v, s.ready);
+               }},
+    SettingRow{"metrics", "", "address:port for counters (TCP)",
+               [](std::string_view v, EdgeSettings& s) {
+                 return StoreEndpoint(v, s.metrics);
+               }},
+    SettingRow{"store", "", "address:port of the platform's store",
+               [](std::string_view v, EdgeSettings& s) {
+                 return StoreEndpoint(v, s.store);
+               }},
+    SettingRow{"grace-s", "6", "seconds from a stop request to the kill",
+               [](std::string_view v, EdgeSettings& s) {
+                 std::chrono::seconds grace{};
+                 std::string error = StoreNumber(v, 1, 600, "seconds", grace);
+                 s.grace = grace;
+                 return error;
+               }},
+    SettingRow{"target-poll-ms", "1200",
+               "milliseconds between current reads of targets",
+               [](std::string_view v, EdgeSettings& s) {
+                 return StoreNumber(v, 50, 60000, "ms", s.target_poll);
+               }},
+    SettingRow{"cached-poll-ms", "0",
+               "milliseconds between cached reads of targets; 0 for none",
+               [](std::string_view v, EdgeSettings& s) {
+                 return StoreNumber(v, 0, 60000, "ms", s.cached_poll);
+               }},
+    SettingRow{"config-wait-ms", "10000",
+               "milliseconds that a watch of the configuration waits",
+               [](std::string_view v, EdgeSettings& s) {
+                 return StoreNumber(v, 100, 30000, "ms", s.config_wait);
+               }},
+    SettingRow{"flow-capacity", "2048",
+               "flows watched for load and lost targets",
+               [](std::string_view v, EdgeSettings& s) {
+                 return StoreNumber(v, 8, 1U << 24U, "flows", s.flow_capacity);
+               }},
+    SettingRow{"log-lines", "300", "lines of one event in 10 s at most",
+               [](std::string_view v, EdgeSettings& s) {
+                 return StoreNumber(v, 1, 1000000, "lines", s.log_lines);
+               }},
+    SettingRow{"log-level", "info", "debug, info, warn or error",
+               [](std::string_view v, EdgeSettings& s) -> std::string {
+                 const auto level = ParseLogLevel(v);
+                 if (!level) return "must be debug, info, warn or error";
+                 s.log_level = *level;
+                 return {};
+               }},
+};
+
+po::options_description Options() {
+  po::options_description options("Settings");
+  for (const SettingRow& row : kSettings) {
+    options.add_options()(row.name, po::value<std::string>(), row.help);
+  }
+  return options;
+}
+
+// The settings file may hold lines for other programs.
+po::options_description FlagOptions() {
+  po::options_description options = Options();
+  options.add_options()("check", "check the settings and end")(
+      "help", "print this text and end")("version", "print the version");
+  return options;
+}
+
+std::string VariableOf(std::string_view name) {
+  std::string out(kVariablePrefix);
+  std::transform(name.begin(), name.end(), std::back_inserter(out), [](char c) {
+    return c == '-' ? '_' : static_cast<char>(std::toupper(c));
+  });
+  return out;
+}
+
+EdgeStartMode ModeOf(const po::variables_map& flags) {
+  if (flags.count("help") != 0) return EdgeStartMode::kHelp;
+  if (flags.count("version") != 0) return EdgeStartMode::kVersion;
+  return flags.count("check") != 0 ? EdgeStartMode::kCheck
+                                   : EdgeStartMode::kRun;
+}
+
+void StoreAll(const po::variables_map& values,
+              const EdgeEnvironment& environment, ParsedEdgeSettings& out) {
+  for (const SettingRow& row : kSettings) {
+    std::string value = row.fallback;
+    // Flags were stored first and so win over the file; a variable stands
+    // between both.
+    const bool is_flag =
+        values.count(std::string("flag:") + row.name) != 0;
+    if (values.count(row.name) != 0) value = values[row.name].as<std::string>();
+    if (const auto variable = environment(VariableOf(row.name));
+        variable && !is_flag) {
+      value = *variable;
+    }
+    if (const std::string error = row.store(value, out.settings);
+        !error.empty()) {
+      out.errors.push_back(std::string("name=") + row.name + " value=\"" +
+                           value + "\" " + error);
+    }
+  }
+}
+
+}  // namespace
+
+ParsedEdgeSettings ParseEdgeSettings(const std::vector<std::string>& arguments,
+                                     const EdgeEnvironment& environment,
+                                     const std::string& file) {
+  ParsedEdgeSettings out;
+  po::variables_map values;
+  try {
+    po::store(po::command_line_parser(arguments).options(FlagOptions()).run(),
+              values);
+    out.mode = ModeOf(values);
+    // Marks the flags, since a variable wins over the file but not over them.
+    for (const SettingRow& row : kSettings) {
+      if (values.count(row.name) != 0) {
+        values.emplace(std::string("flag:") + row.name, po::variable_value());
+      }
+    }
+    std::istringstream lines(file);
+    po::store(po::parse_config_file(lines, Options(),
+                                    /*allow_unregistered=*/true),
+              values);
+  } catch (const po::error& error) {
+    out.errors.emplace_back(error.what());
+  }
+  if (out.mode == EdgeStartMode::kRun || out.mode == EdgeStartMode::kCheck) {
+    StoreAll(values, environment, out);
+  }
+  return out;
+}
+
+std::string EdgeSettingsHelp() {
+  std::ostringstream out;
+  out << "sapphire_edge: carries flows by tokens to targets found in the "
+         "platform's store\n"
+         "Each setting is a flag, a variable SAPPHIRE_EDGE_NAME or a line\n"
+         "`name = value` of the settings file, in this order.\n"
+      << FlagOptions()
+      << "Exit codes: 0 stopped, 1 internal error, 2 invalid settings, "
+         "3 an address cannot be opened\n";
+  return out.str();
+}
+
+}  // namespace sapphirestream
--- /dev/null
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -0,0 +1,126 @@
+#include "sapphirestream/edge_io/edge_view.h"
+
+#include <chrono>
+#include <string>
+#include <unordered_set>
+
+#include "sapphirestream/base/id.h"
+
+namespace sapphirestream {
+
+EdgeView::EdgeView(RouteTable& routes, TargetDirectory& targets,
+                   EdgeLog& flow_log, EventLog& log, const Clock& clock,
+                   CounterSet& counters, KeyOf key_of)
+    : routes_(routes),
+      targets_(targets),
+      flow_log_(flow_log),
+      log_(log),
+      clock_(clock),
+      key_of_(key_of),
+      lost_(counters.Emplace("store_lost_total")),
+      malformed_(counters.Emplace("target_entries_malformed_total")),
+      config_version_(counters.Emplace("config_version")),
+      listed_(counters.Emplace("targets_listed")) {}
+
+void EdgeView::TakeSnapshot(
+    const std::vector<CollectionItem<TargetRecord>>& items,
+    std::uint64_t revision) {
+  std::unordered_set<TargetKey> seen;
+  for (const auto& item : items) {
+    TakeTarget(item, /*settled=*/!has_targets_);
+    if (const auto key = key_of_(item.name)) seen.insert(*key);
+  }
+  std::vector<TargetKey> vanished;
+  targets_.ForEach([&](const EdgeTarget& target) {
+    if (!seen.contains(target.record.key)) {
+      vanished.push_back(target.record.key);
+    }
+  });
+  for (const TargetKey key : vanished) EraseTarget(key, revision);
+  has_targets_ = true;
+  listed_.Set(targets_.listed());
+}
+
+void EdgeView::TakeSnapshot(
+    const std::vector<CollectionItem<RouteConfig>>& items,
+    std::uint64_t /*revision*/) {
+  TakeChanges(items);
+}
+
+void EdgeView::TakeChanges(
+    const std::vector<CollectionItem<TargetRecord>>& items) {
+  for (const auto& item : items) TakeTarget(item, /*settled=*/false);
+  listed_.Set(targets_.listed());
+}
+
+void EdgeView::TakeChanges(
+    const std::vector<CollectionItem<RouteConfig>>& items) {
+  for (const auto& item : items) {
+    if (!item.record) continue;
+    const std::uint64_t before = routes_.version();
+    if (!routes_.Apply(*item.record)) continue;
+    config_version_.Set(routes_.version());
+    log_.Write(LogLevel::kInfo, "config_applied",
+               {{"version", routes_.version()},
+                {"before", before},
+                {"routes", routes_.size()},
+                {"revision", item.revision}});
+  }
+}
+
+void EdgeView::TakeCurrent(const TargetObserver& /*observer*/) {
+  flow_log_.OnTargetsRead(clock_.Now());
+}
+
+void EdgeView::TakeCurrent(const RouteObserver& /*observer*/) {}
+
+void EdgeView::TakeLost(std::string_view collection, ErrorKind error) {
+  lost_.Add();
+  log_.Write(LogLevel::kWarn, "store_lost",
+             {{"collection", collection}, {"error", AnswerFor(error).name}});
+}
+
+void EdgeView::TakeRegained(std::string_view collection, Duration away) {
+  regained_ = clock_.Now();
+  log_.Write(
+      LogLevel::kInfo, "store_regained",
+      {{"collection", collection},
+       {"away_ms",
+        std::chrono::duration_cast<std::chrono::milliseconds>(away).count()}});
+}
+
+void EdgeView::TakeTarget(const CollectionItem<TargetRecord>& item,
+                          bool settled) {
+  const auto key = key_of_(item.name);
+  if (!item.record) {
+    if (!item.deleted) malformed_.Add();
+    if (key) EraseTarget(*key, item.revision);
+    return;
+  }
+  const TargetRecord& record = *item.record;
+  if (!targets_.Upsert(record, item.revision, settled, clock_.Now())) return;
+  log_.Write(LogLevel::kInfo, "target_listed",
+             {{"target", ToString(record.key)},
+              {"service", record.service},
+              {"address", ToString(record.address)},
+              {"domain", record.domain},
+              {"draining", record.draining ? 1 : 0},
+              {"revision", item.revision}});
+}
+
+void EdgeView::EraseTarget(TargetKey key, std::uint64_t revision) {
+  const bool was_away = StoreWasAway();
+  if (!targets_.Erase(key, revision, was_away, clock_.Now())) return;
+  log_.Write(LogLevel::kInfo, "target_unlisted",
+             {{"target", ToString(key)},
+              {"presence", Name(targets_.Find(key)->presence)},
+              {"store_was_away", was_away ? 1 : 0},
+              {"revision", revision}});
+}
+
+bool EdgeView::StoreWasAway() const noexcept {
+  return regained_ != TimePoint{} &&
+         clock_.Now() - regained_ < TargetDirectory::kReturnGrace;
+}
+
+}  // namespace sapphirestream
--- /dev/null
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -0,0 +1,104 @@
+// Keeps routes and targets as the platform's store tells them, and tells
+// whether they suffice to serve.
+#ifndef SAPPHIRESTREAM_EDGE_IO_EDGE_VIEW_H_
+#define SAPPHIRESTREAM_EDGE_IO_EDGE_VIEW_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/counter.h"
+#include "sapphirestream/base/event_log.h"
+#include "sapphirestream/edge/edge_log.h"
+#include "sapphirestream/edge/route_table.h"
+#include "sapphirestream/edge/target_directory.h"
+#include "sapphirestream/store/collection_reader.h"
+
+namespace sapphirestream {
+
+class EdgeView {
+ public:
+  // Returns the key of a target's entry by the entry's name.
+  using KeyOf = std::optional<TargetKey> (*)(std::string_view name);
+
+  // The references must outlive the view.
+  EdgeView(RouteTable& routes, TargetDirectory& targets, EdgeLog& flow_log,
+           EventLog& log, const Clock& clock, CounterSet& counters,
+           KeyOf key_of);
+
+  [[nodiscard]] CollectionObserver<TargetRecord>& target_observer() noexcept {
+    return target_observer_;
+  }
+  [[nodiscard]] CollectionObserver<RouteConfig>& route_observer() noexcept {
+    return route_observer_;
+  }
+  // Whether routes and targets are known.
+  [[nodiscard]] bool is_complete() const noexcept {
+    return has_targets_ && routes_.version() != 0;
+  }
+
+ private:
+  template <typename Record>
+  class Observer final : public CollectionObserver<Record> {
+   public:
+    Observer(EdgeView& view, std::string_view collection)
+        : view_(view), collection_(collection) {}
+    void OnSnapshot(const std::vector<CollectionItem<Record>>& items,
+                    std::uint64_t revision) override {
+      view_.TakeSnapshot(items, revision);
+    }
+    void OnChanges(const std::vector<CollectionItem<Record>>& items) override {
+      view_.TakeChanges(items);
+    }
+    void OnCurrent() override { view_.TakeCurrent(*this); }
+    void OnStoreLost(ErrorKind error) override {
+      view_.TakeLost(collection_, error);
+    }
+    void OnStoreRegained(Duration away) override {
+      view_.TakeRegained(collection_, away);
+    }
+
+   private:
+    EdgeView& view_;
+    std::string_view collection_;
+  };
+  using TargetObserver = Observer<TargetRecord>;
+  using RouteObserver = Observer<RouteConfig>;
+
+  void TakeSnapshot(const std::vector<CollectionItem<TargetRecord>>& items,
+                    std::uint64_t revision);
+  void TakeSnapshot(const std::vector<CollectionItem<RouteConfig>>& items,
+                    std::uint64_t revision);
+  void TakeChanges(const std::vector<CollectionItem<TargetRecord>>& items);
+  void TakeChanges(const std::vector<CollectionItem<RouteConfig>>& items);
+  void TakeCurrent(const TargetObserver& observer);
+  void TakeCurrent(const RouteObserver& observer);
+  void TakeLost(std::string_view collection, ErrorKind error);
+  void TakeRegained(std::string_view collection, Duration away);
+
+  void TakeTarget(const CollectionItem<TargetRecord>& item, bool settled);
+  void EraseTarget(TargetKey key, std::uint64_t revision);
+  [[nodiscard]] bool StoreWasAway() const noexcept;
+
+  RouteTable& routes_;
+  TargetDirectory& targets_;
+  EdgeLog& flow_log_;
+  EventLog& log_;
+  const Clock& clock_;
+  KeyOf key_of_;
+  Counter& lost_;
+  Counter& malformed_;
+  Counter& config_version_;
+  Counter& listed_;
+  bool has_targets_ = false;
+  // When the store answered again after a failure.
+  TimePoint regained_{};
+  TargetObserver target_observer_{*this, "targets"};
+  RouteObserver route_observer_{*this, "routes"};
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_EDGE_IO_EDGE_VIEW_H_
--- /dev/null
+++ b/src/sapphirestream/edge_io/line_writer.h
@@ -0,0 +1,43 @@
+// A log sink that never blocks: lines are gathered and written when the output
+// takes them, and counted when it does not.
+#ifndef SAPPHIRESTREAM_EDGE_IO_LINE_WRITER_H_
+#define SAPPHIRESTREAM_EDGE_IO_LINE_WRITER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/event_log.h"
+
+namespace sapphirestream {
+
+class LineWriter final : public LogSink {
+ public:
+  // Bytes that wait for a slow reader.
+  static constexpr std::size_t kMaxWaiting = 64 * 1024;
+
+  // Makes `fd` non-blocking; the caller keeps it open.
+  LineWriter(int fd, const Clock& clock, LogLevel threshold);
+
+  void Write(LogLevel level, const std::string& line) override;
+  // Writes as much as the output takes. Returns whether bytes are left.
+  bool Flush() noexcept;
+  void set_threshold(LogLevel threshold) noexcept { threshold_ = threshold; }
+  // Lines left out since the start.
+  [[nodiscard]] std::uint64_t omitted() const noexcept { return omitted_; }
+
+ private:
+  int fd_;
+  const Clock& clock_;
+  LogLevel threshold_;
+  // Whole lines; the first may have been written in part.
+  std::string waiting_;
+  std::uint64_t omitted_ = 0;
+  // Of these, the ones that no line has told of yet.
+  std::uint64_t unreported_ = 0;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_EDGE_IO_LINE_WRITER_H_
--- a/src/sapphirestream/instance/config_service.h
+++ b/src/sapphirestream/instance/config_service.h
@@ -11,11 +11,11 @@
 
 #include "sapphirestream/contract/capacity.h"
 #include "sapphirestream/domain/dissemination.h"
-#include "sapphirestream/instance/event_log.h"
+#include "sapphirestream/base/event_log.h"
 #include "sapphirestream/instance/load_view.h"
 #include "sapphirestream/instance/text_delta.h"
-#include "sapphirestream/platform/config_reader.h"
-#include "sapphirestream/platform/config_writer.h"
+#include "sapphirestream/store/config_reader.h"
+#include "sapphirestream/store/config_writer.h"
 
 namespace sapphirestream {
 
--- a/src/sapphirestream/instance/instance.h
+++ b/src/sapphirestream/instance/instance.h
@@ -17,9 +17,9 @@
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/domain/membership.h"
 #include "sapphirestream/instance/config_service.h"
-#include "sapphirestream/instance/event_log.h"
+#include "sapphirestream/base/event_log.h"
 #include "sapphirestream/instance/flow_dispatcher.h"
-#include "sapphirestream/instance/http_server.h"
+#include "sapphirestream/admin/http_server.h"
 #include "sapphirestream/instance/instance_list.h"
 #include "sapphirestream/instance/operator_api.h"
 #include "sapphirestream/instance/peer_transport.h"
@@ -28,8 +28,8 @@
 #include "sapphirestream/instance/status_board.h"
 #include "sapphirestream/instance/target_reports.h"
 #include "sapphirestream/instance/traffic_thread.h"
-#include "sapphirestream/platform/asio_timer.h"
-#include "sapphirestream/platform/object_store.h"
+#include "sapphirestream/store/asio_timer.h"
+#include "sapphirestream/store/object_store.h"
 #include "sapphirestream/target/scheduler_factory.h"
 
 namespace sapphirestream {
--- a/src/sapphirestream/instance/instance_list.h
+++ b/src/sapphirestream/instance/instance_list.h
@@ -11,9 +11,9 @@
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/domain/membership.h"
-#include "sapphirestream/instance/event_log.h"
+#include "sapphirestream/base/event_log.h"
 #include "sapphirestream/instance/settings.h"
-#include "sapphirestream/platform/object_store.h"
+#include "sapphirestream/store/object_store.h"
 
 namespace sapphirestream {
 
--- a/src/sapphirestream/instance/instance_report.cc
+++ b/src/sapphirestream/instance/instance_report.cc
@@ -6,7 +6,7 @@
 
 #include "sapphirestream/contract/configuration_json.h"
 #include "sapphirestream/instance/instance.h"
-#include "sapphirestream/instance/metrics.h"
+#include "sapphirestream/admin/metrics.h"
 
 namespace sapphirestream {
 namespace {
--- a/src/sapphirestream/instance/operator_api.h
+++ b/src/sapphirestream/instance/operator_api.h
@@ -12,8 +12,8 @@
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/contract/change.h"
 #include "sapphirestream/contract/configuration.h"
-#include "sapphirestream/instance/http_message.h"
-#include "sapphirestream/platform/config_writer.h"
+#include "sapphirestream/admin/http_message.h"
+#include "sapphirestream/store/config_writer.h"
 
 namespace sapphirestream {
 
--- a/src/sapphirestream/instance/settings.h
+++ b/src/sapphirestream/instance/settings.h
@@ -14,7 +14,7 @@
 
 #include "sapphirestream/base/endpoint.h"
 #include "sapphirestream/base/id.h"
-#include "sapphirestream/instance/event_log.h"
+#include "sapphirestream/base/event_log.h"
 #include "sapphirestream/link/peer_datagram.h"
 
 namespace sapphirestream {
--- a/src/sapphirestream/instance/status_board.h
+++ b/src/sapphirestream/instance/status_board.h
@@ -12,7 +12,7 @@
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/id.h"
-#include "sapphirestream/platform/object_store.h"
+#include "sapphirestream/store/object_store.h"
 
 namespace sapphirestream {
 
--- a/src/sapphirestream/instance/udp_socket.h
+++ b/src/sapphirestream/instance/udp_socket.h
@@ -7,7 +7,7 @@
 
 #include "sapphirestream/base/endpoint.h"
 #include "sapphirestream/base/error.h"
-#include "sapphirestream/instance/file_descriptor.h"
+#include "sapphirestream/base/file_descriptor.h"
 #include "sapphirestream/instance/socket_address.h"
 
 namespace sapphirestream {
--- a/src/sapphirestream/instance/wakeup.h
+++ b/src/sapphirestream/instance/wakeup.h
@@ -7,7 +7,7 @@
 
 #include <cstdint>
 
-#include "sapphirestream/instance/file_descriptor.h"
+#include "sapphirestream/base/file_descriptor.h"
 
 namespace sapphirestream {
 
--- a/src/sapphirestream/platform/asio_timer.cc
+++ b/src/sapphirestream/store/asio_timer.cc
@@ -1,5 +1,5 @@
 // Each timer lives in the map until it fires or is cancelled.
-#include "sapphirestream/platform/asio_timer.h"
+#include "sapphirestream/store/asio_timer.h"
 
 #include <utility>
 
--- a/src/sapphirestream/platform/asio_timer.h
+++ b/src/sapphirestream/store/asio_timer.h
@@ -1,6 +1,6 @@
 // Timers on an Asio event loop.
-#ifndef SAPPHIRESTREAM_PLATFORM_ASIO_TIMER_H_
-#define SAPPHIRESTREAM_PLATFORM_ASIO_TIMER_H_
+#ifndef SAPPHIRESTREAM_STORE_ASIO_TIMER_H_
+#define SAPPHIRESTREAM_STORE_ASIO_TIMER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -9,7 +9,7 @@
 #include <memory>
 #include <unordered_map>
 
-#include "sapphirestream/platform/timer.h"
+#include "sapphirestream/store/timer.h"
 
 namespace sapphirestream {
 
@@ -30,4 +30,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_ASIO_TIMER_H_
+#endif  // SAPPHIRESTREAM_STORE_ASIO_TIMER_H_
--- a/src/sapphirestream/platform/backoff.h
+++ b/src/sapphirestream/store/backoff.h
@@ -1,7 +1,7 @@
 // Exponential backoff with full jitter: each delay is uniform between zero and
 // a ceiling that doubles, which spreads clients that failed together.
-#ifndef SAPPHIRESTREAM_PLATFORM_BACKOFF_H_
-#define SAPPHIRESTREAM_PLATFORM_BACKOFF_H_
+#ifndef SAPPHIRESTREAM_STORE_BACKOFF_H_
+#define SAPPHIRESTREAM_STORE_BACKOFF_H_
 
 #include <algorithm>
 
@@ -37,4 +37,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_BACKOFF_H_
+#endif  // SAPPHIRESTREAM_STORE_BACKOFF_H_
--- a/src/sapphirestream/platform/circuit_breaker.cc
+++ b/src/sapphirestream/store/circuit_breaker.cc
@@ -1,4 +1,4 @@
-#include "sapphirestream/platform/circuit_breaker.h"
+#include "sapphirestream/store/circuit_breaker.h"
 
 #include <algorithm>
 #include <boost/mpl/vector.hpp>
--- a/src/sapphirestream/platform/circuit_breaker.h
+++ b/src/sapphirestream/store/circuit_breaker.h
@@ -1,7 +1,7 @@
 // Stops calling a store that keeps failing and tries it again with single
 // calls (transition table in docs/lifecycles.md, section "Store connection").
-#ifndef SAPPHIRESTREAM_PLATFORM_CIRCUIT_BREAKER_H_
-#define SAPPHIRESTREAM_PLATFORM_CIRCUIT_BREAKER_H_
+#ifndef SAPPHIRESTREAM_STORE_CIRCUIT_BREAKER_H_
+#define SAPPHIRESTREAM_STORE_CIRCUIT_BREAKER_H_
 
 #include <cstdint>
 #include <memory>
@@ -51,4 +51,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_CIRCUIT_BREAKER_H_
+#endif  // SAPPHIRESTREAM_STORE_CIRCUIT_BREAKER_H_
--- /dev/null
+++ b/src/sapphirestream/store/collection_reader.h
@@ -0,0 +1,279 @@
+// Follows a collection of objects in a store: reads it page by page, then asks
+// for what has changed. Knows nothing of the objects or of the store's
+// protocol.
+#ifndef SAPPHIRESTREAM_STORE_COLLECTION_READER_H_
+#define SAPPHIRESTREAM_STORE_COLLECTION_READER_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <iterator>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/error.h"
+#include "sapphirestream/base/random.h"
+#include "sapphirestream/store/backoff.h"
+#include "sapphirestream/store/timer.h"
+
+namespace sapphirestream {
+
+template <typename Record>
+struct CollectionItem {
+  std::string name;
+  std::uint64_t revision = 0;
+  bool deleted = false;
+  // Empty if the object is deleted or cannot be read.
+  std::optional<Record> record;
+};
+
+template <typename Record>
+struct CollectionReply {
+  // kNone, kHistoryLost (read the list again), kStoreUnavailable, kTimedOut.
+  ErrorKind error = ErrorKind::kNone;
+  // Of the whole store when it answered.
+  std::uint64_t revision = 0;
+  // The list goes on after the last item's name.
+  bool has_more = false;
+  std::vector<CollectionItem<Record>> items;
+};
+
+// How fresh an answer has to be.
+enum class Freshness : std::uint8_t {
+  kCurrent,
+  kCached,  // cheap; may be some time behind
+};
+
+// Calls of one collection; they complete on the control thread.
+template <typename Record>
+class CollectionClient {
+ public:
+  using Done = std::function<void(CollectionReply<Record>)>;
+
+  virtual ~CollectionClient() = default;
+  // Reads the items whose names come after `after`.
+  virtual void List(const std::string& after, Duration deadline, Done done) = 0;
+  // Reads the changes since a revision; waits up to `wait` for the first.
+  virtual void Watch(std::uint64_t since, Duration wait, Freshness freshness,
+                     Duration deadline, Done done) = 0;
+};
+
+template <typename Record>
+class CollectionObserver {
+ public:
+  virtual ~CollectionObserver() = default;
+  // The whole collection; what is not in it does not exist.
+  virtual void OnSnapshot(const std::vector<CollectionItem<Record>>& items,
+                          std::uint64_t revision) = 0;
+  virtual void OnChanges(const std::vector<CollectionItem<Record>>& items) = 0;
+  // The collection was found to be current by an answer without an error.
+  virtual void OnCurrent() {}
+  // A call failed for the first time, and the first answer after that.
+  virtual void OnStoreLost(ErrorKind error) = 0;
+  virtual void OnStoreRegained(Duration away) = 0;
+};
+
+struct CollectionReaderOptions {
+  Duration call_deadline = std::chrono::seconds(1);
+  // How long a watch waits at the store; zero to be answered at once.
+  Duration wait = Duration::zero();
+  // Pause between the end of a watch and the next one.
+  Duration pause = Duration::zero();
+  // Between current watches, cached ones with this pause; zero for none.
+  Duration cached_pause = Duration::zero();
+  // The whole list is read again after this time, in case a change was missed.
+  Duration audit_period = std::chrono::seconds(10);
+  BackoffOptions backoff{std::chrono::milliseconds(100),
+                         std::chrono::seconds(1)};
+};
+
+// Not thread-safe: all calls and callbacks happen on the control thread.
+template <typename Record>
+class CollectionReader {
+ public:
+  using Reply = CollectionReply<Record>;
+
+  // The references must outlive the reader.
+  CollectionReader(CollectionClient<Record>& client, Timer& timer,
+                   const Clock& clock, Random& random,
+                   CollectionObserver<Record>& observer,
+                   const CollectionReaderOptions& options)
+      : client_(client),
+        timer_(timer),
+        clock_(clock),
+        random_(random),
+        observer_(observer),
+        options_(options),
+        backoff_(options.backoff) {}
+  ~CollectionReader() { timer_.Cancel(next_); }
+  CollectionReader(const CollectionReader&) = delete;
+  CollectionReader& operator=(const CollectionReader&) = delete;
+
+  // Begins to follow the collection, or reads the whole list anew.
+  void Start() {
+    ++epoch_;
+    timer_.Cancel(next_);
+    items_.clear();
+    first_page_revision_.reset();
+    last_audit_ = clock_.Now();
+    List({});
+  }
+  // Asks for changes now, unless a call is under way.
+  void Refresh() {
+    if (calling_ || !has_list_) return;
+    Watch(Freshness::kCurrent);
+  }
+
+ private:
+  // Binds a step to the current epoch, so that late answers are ignored.
+  template <typename Step>
+  auto InEpoch(Step step) {
+    return [weak = std::weak_ptr<CollectionReader*>(self_), epoch = epoch_,
+            step](auto... argument) {
+      const auto self = weak.lock();
+      if (self && (*self)->epoch_ == epoch) step(**self, std::move(argument)...);
+    };
+  }
+
+  void List(const std::string& after) {
+    calling_ = true;
+    client_.List(after, options_.call_deadline,
+                 InEpoch([](CollectionReader& self, Reply reply) {
+                   self.OnPage(std::move(reply));
+                 }));
+  }
+
+  void OnPage(Reply reply) {
+    calling_ = false;
+    if (reply.error != ErrorKind::kNone) {
+      items_.clear();
+      Fail(reply.error, [](CollectionReader& self) { self.Start(); });
+      return;
+    }
+    Succeed();
+    const bool has_more = reply.has_more && !reply.items.empty();
+    std::move(reply.items.begin(), reply.items.end(),
+              std::back_inserter(items_));
+    // Changes made while the pages are read come with the first watch.
+    if (!first_page_revision_) first_page_revision_ = reply.revision;
+    if (has_more) {
+      List(items_.back().name);
+      return;
+    }
+    revision_ = *std::exchange(first_page_revision_, std::nullopt);
+    has_list_ = true;
+    const auto items = std::exchange(items_, {});
+    observer_.OnSnapshot(items, revision_);
+    observer_.OnCurrent();
+    last_current_ = clock_.Now();
+    ScheduleWatch();
+  }
+
+  void Watch(Freshness freshness) {
+    timer_.Cancel(next_);
+    calling_ = true;
+    client_.Watch(revision_, options_.wait, freshness,
+                  options_.wait + options_.call_deadline,
+                  InEpoch([freshness](CollectionReader& self, Reply reply) {
+                    self.OnWatch(freshness, std::move(reply));
+                  }));
+  }
+
+  void OnWatch(Freshness freshness, Reply reply) {
+    calling_ = false;
+    if (reply.error == ErrorKind::kHistoryLost) {
+      Succeed();
+      Start();
+      return;
+    }
+    if (reply.error != ErrorKind::kNone) {
+      Fail(reply.error, [](CollectionReader& self) {
+        self.Watch(Freshness::kCurrent);
+      });
+      return;
+    }
+    Succeed();
+    if (!reply.items.empty()) observer_.OnChanges(reply.items);
+    // A cached answer may be older than what is known.
+    revision_ = std::max(revision_, reply.revision);
+    if (freshness == Freshness::kCurrent) {
+      last_current_ = clock_.Now();
+      observer_.OnCurrent();
+    }
+    if (clock_.Now() - last_audit_ >= options_.audit_period) {
+      Start();
+      return;
+    }
+    ScheduleWatch();
+  }
+
+  void ScheduleWatch() {
+    const Duration since_current = clock_.Now() - last_current_;
+    const bool cached =
+        options_.cached_pause > Duration::zero() &&
+        since_current + options_.cached_pause < options_.pause;
+    const Duration pause =
+        cached ? options_.cached_pause : options_.pause - since_current;
+    if (options_.pause == Duration::zero()) {
+      Watch(Freshness::kCurrent);
+      return;
+    }
+    After(std::max(pause, Duration::zero()),
+          [cached](CollectionReader& self) {
+            self.Watch(cached ? Freshness::kCached : Freshness::kCurrent);
+          });
+  }
+
+  template <typename Step>
+  void Fail(ErrorKind error, Step retry) {
+    if (!lost_since_) {
+      lost_since_ = clock_.Now();
+      observer_.OnStoreLost(error);
+    }
+    After(backoff_.Next(random_), retry);
+  }
+
+  void Succeed() {
+    backoff_.Reset();
+    if (!lost_since_) return;
+    const Duration away = clock_.Now() - *std::exchange(lost_since_, {});
+    observer_.OnStoreRegained(away);
+  }
+
+  template <typename Step>
+  void After(Duration delay, Step step) {
+    next_ = timer_.After(delay, InEpoch(step));
+  }
+
+  CollectionClient<Record>& client_;
+  Timer& timer_;
+  const Clock& clock_;
+  Random& random_;
+  CollectionObserver<Record>& observer_;
+  CollectionReaderOptions options_;
+  Backoff backoff_;
+
+  // Pages read so far.
+  std::vector<CollectionItem<Record>> items_;
+  std::optional<std::uint64_t> first_page_revision_;
+  std::uint64_t revision_ = 0;
+  bool has_list_ = false;
+  bool calling_ = false;
+  TimePoint last_current_{};
+  TimePoint last_audit_{};
+  std::optional<TimePoint> lost_since_;
+  // Grows with each Start; answers to earlier calls are ignored.
+  std::uint64_t epoch_ = 0;
+  TimerId next_ = kNoTimer;
+  // Expires with the reader.
+  std::shared_ptr<CollectionReader*> self_ =
+      std::make_shared<CollectionReader*>(this);
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_STORE_COLLECTION_READER_H_
--- a/src/sapphirestream/platform/config_head.cc
+++ b/src/sapphirestream/store/config_head.cc
@@ -1,5 +1,5 @@
 // Names of shards and JSON form of the head.
-#include "sapphirestream/platform/config_head.h"
+#include "sapphirestream/store/config_head.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/src/sapphirestream/platform/config_head.h
+++ b/src/sapphirestream/store/config_head.h
@@ -1,8 +1,8 @@
 // The head object `config/head`: everything of a configuration but its
 // services, announcements and presets, and the list of the shards that hold
 // these.
-#ifndef SAPPHIRESTREAM_PLATFORM_CONFIG_HEAD_H_
-#define SAPPHIRESTREAM_PLATFORM_CONFIG_HEAD_H_
+#ifndef SAPPHIRESTREAM_STORE_CONFIG_HEAD_H_
+#define SAPPHIRESTREAM_STORE_CONFIG_HEAD_H_
 
 #include <compare>
 #include <cstdint>
@@ -63,4 +63,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_CONFIG_HEAD_H_
+#endif  // SAPPHIRESTREAM_STORE_CONFIG_HEAD_H_
--- a/src/sapphirestream/platform/config_loader.cc
+++ b/src/sapphirestream/store/config_loader.cc
@@ -1,12 +1,12 @@
 // Parallel reads of shards with a bound on those in flight.
-#include "sapphirestream/platform/config_loader.h"
+#include "sapphirestream/store/config_loader.h"
 
 #include <map>
 #include <utility>
 #include <vector>
 
 #include "sapphirestream/contract/change.h"
-#include "sapphirestream/platform/shard_plan.h"
+#include "sapphirestream/store/shard_plan.h"
 
 namespace sapphirestream {
 namespace {
--- a/src/sapphirestream/platform/config_loader.h
+++ b/src/sapphirestream/store/config_loader.h
@@ -1,6 +1,6 @@
 // Reads the head and the shards that the caller does not have yet.
-#ifndef SAPPHIRESTREAM_PLATFORM_CONFIG_LOADER_H_
-#define SAPPHIRESTREAM_PLATFORM_CONFIG_LOADER_H_
+#ifndef SAPPHIRESTREAM_STORE_CONFIG_LOADER_H_
+#define SAPPHIRESTREAM_STORE_CONFIG_LOADER_H_
 
 #include <functional>
 #include <memory>
@@ -9,8 +9,8 @@
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/contract/configuration.h"
-#include "sapphirestream/platform/config_head.h"
-#include "sapphirestream/platform/object_store.h"
+#include "sapphirestream/store/config_head.h"
+#include "sapphirestream/store/object_store.h"
 
 namespace sapphirestream {
 
@@ -44,4 +44,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_CONFIG_LOADER_H_
+#endif  // SAPPHIRESTREAM_STORE_CONFIG_LOADER_H_
--- a/src/sapphirestream/platform/config_reader.cc
+++ b/src/sapphirestream/store/config_reader.cc
@@ -1,6 +1,6 @@
 // One loop: read the head, read its missing shards, watch the head. Each step
 // has a guard timer, since an answer may never come.
-#include "sapphirestream/platform/config_reader.h"
+#include "sapphirestream/store/config_reader.h"
 
 #include <algorithm>
 #include <string>
--- a/src/sapphirestream/platform/config_reader.h
+++ b/src/sapphirestream/store/config_reader.h
@@ -1,7 +1,7 @@
 // Follows the configuration in the store and hands each newer one to a
 // callback.
-#ifndef SAPPHIRESTREAM_PLATFORM_CONFIG_READER_H_
-#define SAPPHIRESTREAM_PLATFORM_CONFIG_READER_H_
+#ifndef SAPPHIRESTREAM_STORE_CONFIG_READER_H_
+#define SAPPHIRESTREAM_STORE_CONFIG_READER_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,10 +11,10 @@
 #include "sapphirestream/base/counter.h"
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/contract/configuration.h"
-#include "sapphirestream/platform/backoff.h"
-#include "sapphirestream/platform/config_loader.h"
-#include "sapphirestream/platform/object_store.h"
-#include "sapphirestream/platform/timer.h"
+#include "sapphirestream/store/backoff.h"
+#include "sapphirestream/store/config_loader.h"
+#include "sapphirestream/store/object_store.h"
+#include "sapphirestream/store/timer.h"
 
 namespace sapphirestream {
 
@@ -105,4 +105,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_CONFIG_READER_H_
+#endif  // SAPPHIRESTREAM_STORE_CONFIG_READER_H_
--- a/src/sapphirestream/platform/config_writer.cc
+++ b/src/sapphirestream/store/config_writer.cc
@@ -1,6 +1,6 @@
 // Each change is a submission that runs load, apply, write shards, write head,
 // and starts over when it lost a race or an answer.
-#include "sapphirestream/platform/config_writer.h"
+#include "sapphirestream/store/config_writer.h"
 
 #include <algorithm>
 #include <optional>
@@ -10,8 +10,8 @@
 
 #include "sapphirestream/contract/find.h"
 #include "sapphirestream/contract/touched.h"
-#include "sapphirestream/platform/config_loader.h"
-#include "sapphirestream/platform/shard_plan.h"
+#include "sapphirestream/store/config_loader.h"
+#include "sapphirestream/store/shard_plan.h"
 
 namespace sapphirestream {
 
--- a/src/sapphirestream/platform/config_writer.h
+++ b/src/sapphirestream/store/config_writer.h
@@ -1,7 +1,7 @@
 // Accepts changes: writes the changed shards under new names, then replaces the
 // head by one conditional update.
-#ifndef SAPPHIRESTREAM_PLATFORM_CONFIG_WRITER_H_
-#define SAPPHIRESTREAM_PLATFORM_CONFIG_WRITER_H_
+#ifndef SAPPHIRESTREAM_STORE_CONFIG_WRITER_H_
+#define SAPPHIRESTREAM_STORE_CONFIG_WRITER_H_
 
 #include <cstddef>
 #include <deque>
@@ -14,9 +14,9 @@
 #include "sapphirestream/contract/change.h"
 #include "sapphirestream/contract/configuration.h"
 #include "sapphirestream/contract/effect.h"
-#include "sapphirestream/platform/backoff.h"
-#include "sapphirestream/platform/object_store.h"
-#include "sapphirestream/platform/timer.h"
+#include "sapphirestream/store/backoff.h"
+#include "sapphirestream/store/object_store.h"
+#include "sapphirestream/store/timer.h"
 
 namespace sapphirestream {
 
@@ -88,4 +88,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_CONFIG_WRITER_H_
+#endif  // SAPPHIRESTREAM_STORE_CONFIG_WRITER_H_
--- a/src/sapphirestream/platform/http_channel.cc
+++ b/src/sapphirestream/store/http_channel.cc
@@ -1,12 +1,32 @@
 // Connect, write and read of one call after the other.
-#include "sapphirestream/platform/http_channel.h"
+#include "sapphirestream/store/http_channel.h"
+
+#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <utility>
 
-#include "sapphirestream/platform/object_store.h"
+#include "sapphirestream/store/object_store.h"
 
 namespace sapphirestream::internal {
+namespace {
+
+// A connection whose peer lost power or track of it answers no probe; it is
+// given up after idle time plus all probes, 3 s.
+void EnableKeepAlive(boost::asio::ip::tcp::socket& socket) {
+  constexpr int kIdleSeconds = 1;
+  constexpr int kIntervalSeconds = 1;
+  constexpr int kProbes = 2;
+  using boost::asio::detail::socket_option::integer;
+  boost::system::error_code ignored;  // the call's deadline is a second guard
+  socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(kIdleSeconds), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(kIntervalSeconds),
+                    ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(kProbes), ignored);
+}
+
+}  // namespace
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
@@ -72,6 +92,7 @@
         }
         error_code ignored;
         self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        EnableKeepAlive(self->socket_);
         self->Write();
       });
 }
--- a/src/sapphirestream/platform/http_channel.h
+++ b/src/sapphirestream/store/http_channel.h
@@ -1,6 +1,6 @@
 // One persistent HTTP connection to the object API; calls queue on it.
-#ifndef SAPPHIRESTREAM_PLATFORM_HTTP_CHANNEL_H_
-#define SAPPHIRESTREAM_PLATFORM_HTTP_CHANNEL_H_
+#ifndef SAPPHIRESTREAM_STORE_HTTP_CHANNEL_H_
+#define SAPPHIRESTREAM_STORE_HTTP_CHANNEL_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -83,4 +83,4 @@
 
 }  // namespace sapphirestream::internal
 
-#endif  // SAPPHIRESTREAM_PLATFORM_HTTP_CHANNEL_H_
+#endif  // SAPPHIRESTREAM_STORE_HTTP_CHANNEL_H_
--- a/src/sapphirestream/platform/http_object_store.cc
+++ b/src/sapphirestream/store/http_object_store.cc
@@ -1,5 +1,5 @@
 // Translation between store calls and HTTP messages.
-#include "sapphirestream/platform/http_object_store.h"
+#include "sapphirestream/store/http_object_store.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
@@ -10,7 +10,7 @@
 #include <utility>
 
 #include "sapphirestream/contract/field_reader.h"
-#include "sapphirestream/platform/http_channel.h"
+#include "sapphirestream/store/http_channel.h"
 
 namespace sapphirestream {
 namespace {
--- a/src/sapphirestream/platform/http_object_store.h
+++ b/src/sapphirestream/store/http_object_store.h
@@ -1,14 +1,14 @@
 // The platform's object API over HTTP (protocol in docs/design.md, section
 // 9.1).
-#ifndef SAPPHIRESTREAM_PLATFORM_HTTP_OBJECT_STORE_H_
-#define SAPPHIRESTREAM_PLATFORM_HTTP_OBJECT_STORE_H_
+#ifndef SAPPHIRESTREAM_STORE_HTTP_OBJECT_STORE_H_
+#define SAPPHIRESTREAM_STORE_HTTP_OBJECT_STORE_H_
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
 
 #include "sapphirestream/base/endpoint.h"
-#include "sapphirestream/platform/object_store.h"
+#include "sapphirestream/store/object_store.h"
 
 namespace sapphirestream {
 
@@ -53,4 +53,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_HTTP_OBJECT_STORE_H_
+#endif  // SAPPHIRESTREAM_STORE_HTTP_OBJECT_STORE_H_
--- a/src/sapphirestream/platform/object_store.h
+++ b/src/sapphirestream/store/object_store.h
@@ -1,7 +1,7 @@
 // The border to the platform's object API: versioned objects with conditional
 // updates and watches. Calls complete through callbacks on the control thread.
-#ifndef SAPPHIRESTREAM_PLATFORM_OBJECT_STORE_H_
-#define SAPPHIRESTREAM_PLATFORM_OBJECT_STORE_H_
+#ifndef SAPPHIRESTREAM_STORE_OBJECT_STORE_H_
+#define SAPPHIRESTREAM_STORE_OBJECT_STORE_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -69,4 +69,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_OBJECT_STORE_H_
+#endif  // SAPPHIRESTREAM_STORE_OBJECT_STORE_H_
--- a/src/sapphirestream/platform/resilient_store.cc
+++ b/src/sapphirestream/store/resilient_store.cc
@@ -1,5 +1,5 @@
 // Each call is an object that outlives its tries.
-#include "sapphirestream/platform/resilient_store.h"
+#include "sapphirestream/store/resilient_store.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/sapphirestream/platform/resilient_store.h
+++ b/src/sapphirestream/store/resilient_store.h
@@ -1,6 +1,6 @@
 // Adds a deadline, retries within a budget and a circuit breaker to a store.
-#ifndef SAPPHIRESTREAM_PLATFORM_RESILIENT_STORE_H_
-#define SAPPHIRESTREAM_PLATFORM_RESILIENT_STORE_H_
+#ifndef SAPPHIRESTREAM_STORE_RESILIENT_STORE_H_
+#define SAPPHIRESTREAM_STORE_RESILIENT_STORE_H_
 
 #include <memory>
 #include <string>
@@ -8,11 +8,11 @@
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/counter.h"
 #include "sapphirestream/base/random.h"
-#include "sapphirestream/platform/backoff.h"
-#include "sapphirestream/platform/circuit_breaker.h"
-#include "sapphirestream/platform/object_store.h"
-#include "sapphirestream/platform/retry_budget.h"
-#include "sapphirestream/platform/timer.h"
+#include "sapphirestream/store/backoff.h"
+#include "sapphirestream/store/circuit_breaker.h"
+#include "sapphirestream/store/object_store.h"
+#include "sapphirestream/store/retry_budget.h"
+#include "sapphirestream/store/timer.h"
 
 namespace sapphirestream {
 
@@ -62,4 +62,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_RESILIENT_STORE_H_
+#endif  // SAPPHIRESTREAM_STORE_RESILIENT_STORE_H_
--- a/src/sapphirestream/platform/retry_budget.h
+++ b/src/sapphirestream/store/retry_budget.h
@@ -1,7 +1,7 @@
 // Token bucket that limits retries to a share of first tries, so that retries
 // cannot multiply the load on a store that is already failing.
-#ifndef SAPPHIRESTREAM_PLATFORM_RETRY_BUDGET_H_
-#define SAPPHIRESTREAM_PLATFORM_RETRY_BUDGET_H_
+#ifndef SAPPHIRESTREAM_STORE_RETRY_BUDGET_H_
+#define SAPPHIRESTREAM_STORE_RETRY_BUDGET_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -39,4 +39,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_RETRY_BUDGET_H_
+#endif  // SAPPHIRESTREAM_STORE_RETRY_BUDGET_H_
--- a/src/sapphirestream/platform/shard_codec.cc
+++ b/src/sapphirestream/store/shard_codec.cc
@@ -1,5 +1,5 @@
 // Slices of a configuration and their JSON form.
-#include "sapphirestream/platform/shard_codec.h"
+#include "sapphirestream/store/shard_codec.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/src/sapphirestream/platform/shard_codec.h
+++ b/src/sapphirestream/store/shard_codec.h
@@ -1,7 +1,7 @@
 // Text form of one shard of services: a run of the sequence of all services and
 // targets, with the announcements of the services whose entry is in the run.
-#ifndef SAPPHIRESTREAM_PLATFORM_SHARD_CODEC_H_
-#define SAPPHIRESTREAM_PLATFORM_SHARD_CODEC_H_
+#ifndef SAPPHIRESTREAM_STORE_SHARD_CODEC_H_
+#define SAPPHIRESTREAM_STORE_SHARD_CODEC_H_
 
 #include <optional>
 #include <span>
@@ -11,7 +11,7 @@
 
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/contract/configuration.h"
-#include "sapphirestream/platform/config_head.h"
+#include "sapphirestream/store/config_head.h"
 
 namespace sapphirestream {
 
@@ -69,4 +69,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_SHARD_CODEC_H_
+#endif  // SAPPHIRESTREAM_STORE_SHARD_CODEC_H_
--- a/src/sapphirestream/platform/shard_plan.cc
+++ b/src/sapphirestream/store/shard_plan.cc
@@ -1,5 +1,5 @@
 // Ranges of shards, splitting of large ones and removal of empty ones.
-#include "sapphirestream/platform/shard_plan.h"
+#include "sapphirestream/store/shard_plan.h"
 
 #include <algorithm>
 #include <optional>
@@ -7,7 +7,7 @@
 
 #include "sapphirestream/base/hash.h"
 #include "sapphirestream/contract/configuration_json.h"
-#include "sapphirestream/platform/shard_codec.h"
+#include "sapphirestream/store/shard_codec.h"
 
 namespace sapphirestream {
 namespace {
--- a/src/sapphirestream/platform/shard_plan.h
+++ b/src/sapphirestream/store/shard_plan.h
@@ -1,7 +1,7 @@
 // Which shards a new configuration needs written, and which ones a reader has
 // to read. Pure functions; the store calls are made elsewhere.
-#ifndef SAPPHIRESTREAM_PLATFORM_SHARD_PLAN_H_
-#define SAPPHIRESTREAM_PLATFORM_SHARD_PLAN_H_
+#ifndef SAPPHIRESTREAM_STORE_SHARD_PLAN_H_
+#define SAPPHIRESTREAM_STORE_SHARD_PLAN_H_
 
 #include <cstddef>
 #include <map>
@@ -10,7 +10,7 @@
 
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/contract/configuration.h"
-#include "sapphirestream/platform/config_head.h"
+#include "sapphirestream/store/config_head.h"
 
 namespace sapphirestream {
 
@@ -52,4 +52,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_SHARD_PLAN_H_
+#endif  // SAPPHIRESTREAM_STORE_SHARD_PLAN_H_
--- a/src/sapphirestream/platform/timer.h
+++ b/src/sapphirestream/store/timer.h
@@ -1,7 +1,7 @@
 // One-shot timers of the control thread, abstract so that tests run in virtual
 // time.
-#ifndef SAPPHIRESTREAM_PLATFORM_TIMER_H_
-#define SAPPHIRESTREAM_PLATFORM_TIMER_H_
+#ifndef SAPPHIRESTREAM_STORE_TIMER_H_
+#define SAPPHIRESTREAM_STORE_TIMER_H_
 
 #include <cstdint>
 #include <functional>
@@ -25,4 +25,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_PLATFORM_TIMER_H_
+#endif  // SAPPHIRESTREAM_STORE_TIMER_H_
--- a/test/instance/event_log_test.cc
+++ b/test/base/event_log_test.cc
@@ -1,6 +1,6 @@
 // Guards against a log flooded by a repeated event and against values that pose
 // as other fields or lines.
-#include "sapphirestream/instance/event_log.h"
+#include "sapphirestream/base/event_log.h"
 
 #include <boost/test/unit_test.hpp>
 #include <vector>
--- a/test/instance/loopback_fixture.h
+++ b/test/instance/loopback_fixture.h
@@ -20,7 +20,7 @@
 #include <vector>
 
 #include "sapphirestream/instance/instance.h"
-#include "sapphirestream/instance/system_clock.h"
+#include "sapphirestream/base/system_clock.h"
 #include "sapphirestream/link/packet_builder.h"
 #include "testing/loop_store.h"
 
--- a/test/instance/operator_api_test.cc
+++ b/test/instance/operator_api_test.cc
@@ -5,7 +5,7 @@
 #include <boost/test/unit_test.hpp>
 #include <optional>
 
-#include "sapphirestream/instance/metrics.h"
+#include "sapphirestream/admin/metrics.h"
 #include "sapphirestream/instance/target_reports.h"
 
 namespace sapphirestream {
--- a/test/session/store_player.cc
+++ b/test/session/store_player.cc
@@ -6,7 +6,7 @@
 #include <stdexcept>
 
 #include "sapphirestream/contract/find.h"
-#include "test/platform/session.h"
+#include "test/store/session.h"
 #include "test/session/script.h"
 
 namespace sapphirestream::session {
--- a/test/platform/config_reader_test.cc
+++ b/test/store/config_reader_test.cc
@@ -1,10 +1,10 @@
 // Guards against an instance that misses a change, follows a lower version or
 // floods the store.
-#include "sapphirestream/platform/config_reader.h"
+#include "sapphirestream/store/config_reader.h"
 
 #include <boost/test/unit_test.hpp>
 
-#include "test/platform/session.h"
+#include "test/store/session.h"
 
 namespace sapphirestream {
 namespace {
--- a/test/platform/config_writer_test.cc
+++ b/test/store/config_writer_test.cc
@@ -1,12 +1,12 @@
 // Guards against changes that are lost, made twice, half made or reported
 // wrongly when the store fails or operators race.
-#include "sapphirestream/platform/config_writer.h"
+#include "sapphirestream/store/config_writer.h"
 
 #include <boost/test/unit_test.hpp>
 #include <set>
 
 #include "sapphirestream/contract/find.h"
-#include "test/platform/session.h"
+#include "test/store/session.h"
 
 namespace sapphirestream {
 namespace {
--- a/test/platform/http_object_store_test.cc
+++ b/test/store/http_object_store_test.cc
@@ -1,11 +1,11 @@
 // Guards against a transport that reports a write as not done although it may
 // have taken effect, accepts malformed or huge answers, or loses calls.
-#include "sapphirestream/platform/http_object_store.h"
+#include "sapphirestream/store/http_object_store.h"
 
 #include <boost/test/unit_test.hpp>
 #include <vector>
 
-#include "test/platform/http_server.h"
+#include "test/store/http_server.h"
 
 namespace sapphirestream {
 namespace {
--- a/test/platform/http_server.h
+++ b/test/store/http_server.h
@@ -1,7 +1,7 @@
 // A minimal HTTP server on a loopback port that the kernel chooses. It answers
 // each request as the test says.
-#ifndef SAPPHIRESTREAM_TEST_PLATFORM_HTTP_SERVER_H_
-#define SAPPHIRESTREAM_TEST_PLATFORM_HTTP_SERVER_H_
+#ifndef SAPPHIRESTREAM_TEST_STORE_HTTP_SERVER_H_
+#define SAPPHIRESTREAM_TEST_STORE_HTTP_SERVER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -107,4 +107,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_TEST_PLATFORM_HTTP_SERVER_H_
+#endif  // SAPPHIRESTREAM_TEST_STORE_HTTP_SERVER_H_
--- a/test/platform/large_configuration.h
+++ b/test/store/large_configuration.h
@@ -1,6 +1,6 @@
 // Configurations of the size expected in two years.
-#ifndef SAPPHIRESTREAM_TEST_PLATFORM_LARGE_CONFIGURATION_H_
-#define SAPPHIRESTREAM_TEST_PLATFORM_LARGE_CONFIGURATION_H_
+#ifndef SAPPHIRESTREAM_TEST_STORE_LARGE_CONFIGURATION_H_
+#define SAPPHIRESTREAM_TEST_STORE_LARGE_CONFIGURATION_H_
 
 #include <cstdint>
 #include <string>
@@ -53,4 +53,4 @@
 
 }  // namespace sapphirestream::sample
 
-#endif  // SAPPHIRESTREAM_TEST_PLATFORM_LARGE_CONFIGURATION_H_
+#endif  // SAPPHIRESTREAM_TEST_STORE_LARGE_CONFIGURATION_H_
--- a/test/platform/resilient_store_test.cc
+++ b/test/store/resilient_store_test.cc
@@ -1,6 +1,6 @@
 // Guards against calls that hang, retries that multiply the load on a failing
 // store, and writes that are repeated although they may have taken effect.
-#include "sapphirestream/platform/resilient_store.h"
+#include "sapphirestream/store/resilient_store.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/test/platform/session.h
+++ b/test/store/session.h
@@ -1,14 +1,14 @@
-// A store, time and operators for the tests of module platform.
-#ifndef SAPPHIRESTREAM_TEST_PLATFORM_SESSION_H_
-#define SAPPHIRESTREAM_TEST_PLATFORM_SESSION_H_
+// A store, time and operators for the tests of module store.
+#ifndef SAPPHIRESTREAM_TEST_STORE_SESSION_H_
+#define SAPPHIRESTREAM_TEST_STORE_SESSION_H_
 
 #include <memory>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "sapphirestream/platform/config_reader.h"
-#include "sapphirestream/platform/config_writer.h"
+#include "sapphirestream/store/config_reader.h"
+#include "sapphirestream/store/config_writer.h"
 #include "test/contract/sample.h"
 #include "testing/fake_store.h"
 #include "testing/virtual_time.h"
@@ -57,4 +57,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_TEST_PLATFORM_SESSION_H_
+#endif  // SAPPHIRESTREAM_TEST_STORE_SESSION_H_
--- a/test/platform/shard_plan_test.cc
+++ b/test/store/shard_plan_test.cc
@@ -1,14 +1,14 @@
 // Guards against a stored configuration that differs from the accepted one and
 // against values that the store refuses for their size.
-#include "sapphirestream/platform/shard_plan.h"
+#include "sapphirestream/store/shard_plan.h"
 
 #include <boost/test/unit_test.hpp>
 
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/contract/find.h"
-#include "sapphirestream/platform/object_store.h"
+#include "sapphirestream/store/object_store.h"
 #include "test/contract/sample.h"
-#include "test/platform/large_configuration.h"
+#include "test/store/large_configuration.h"
 
 namespace sapphirestream {
 namespace {
--- a/testing/fake_store.h
+++ b/testing/fake_store.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "sapphirestream/base/random.h"
-#include "sapphirestream/platform/object_store.h"
+#include "sapphirestream/store/object_store.h"
 #include "testing/virtual_time.h"
 
 namespace sapphirestream::testing {
--- a/testing/loop_store.h
+++ b/testing/loop_store.h
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "sapphirestream/platform/object_store.h"
+#include "sapphirestream/store/object_store.h"
 
 namespace sapphirestream::testing {
 
--- a/testing/virtual_time.h
+++ b/testing/virtual_time.h
@@ -9,7 +9,7 @@
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/id.h"
-#include "sapphirestream/platform/timer.h"
+#include "sapphirestream/store/timer.h"
 
 namespace sapphirestream::testing {
 
