Stay silent where no route is known, and tell repeats by time

Apart from that, data packets overtaken on the way counted as repeated.

Change: a packet without a route is reset only if it opens a flow and a configuration is known, or if its route was removed by a version seen here. Bytes count as repeated when they come 150 ms after the flow's last new ones.

Ruled out: probes (no reset of those flows followed a probe).

--- a/src/sapphirestream/admin/http_server.h
+++ b/src/sapphirestream/admin/http_server.h
@@ -10,9 +10,9 @@
 #include <memory>
 #include <string>
 
+#include "sapphirestream/admin/http_message.h"
 #include "sapphirestream/base/endpoint.h"
 #include "sapphirestream/base/error.h"
-#include "sapphirestream/admin/http_message.h"
 
 namespace sapphirestream {
 
--- a/src/sapphirestream/base/event_log.h
+++ b/src/sapphirestream/base/event_log.h
@@ -1,5 +1,5 @@
-// The log: one line of key=value pairs per event. Repeated events are limited to
-// a few lines per period, with a count of the others; sinks write the lines.
+// The log: one line of key=value pairs per event. Repeated events are limited
+// to a few lines per period, with a count of the others; sinks write the lines.
 #ifndef SAPPHIRESTREAM_BASE_EVENT_LOG_H_
 #define SAPPHIRESTREAM_BASE_EVENT_LOG_H_
 
--- a/src/sapphirestream/base/latency_histogram.cc
+++ b/src/sapphirestream/base/latency_histogram.cc
@@ -12,8 +12,8 @@
   for (unsigned i = 0; i < kBuckets; ++i) {
     count += buckets_.at(static_cast<int>(i));
     out += (boost::format("sapphirestream_%1%_bucket{le=\"%2$.4g\"} %3%\n") %
-            name % (buckets_.axis().bin(static_cast<int>(i)).upper() /
-                    kMsPerSecond) %
+            name %
+            (buckets_.axis().bin(static_cast<int>(i)).upper() / kMsPerSecond) %
             static_cast<std::uint64_t>(count))
                .str();
   }
--- a/src/sapphirestream/base/latency_histogram.h
+++ b/src/sapphirestream/base/latency_histogram.h
@@ -16,8 +16,7 @@
 class LatencyHistogram {
  public:
   void Add(Duration latency) {
-    const auto ms =
-        std::chrono::duration<double, std::milli>(latency).count();
+    const auto ms = std::chrono::duration<double, std::milli>(latency).count();
     buckets_(ms);
     sum_ms_ += ms;
   }
--- a/src/sapphirestream/edge/edge_placement.cc
+++ b/src/sapphirestream/edge/edge_placement.cc
@@ -48,9 +48,9 @@
 }  // namespace
 
 std::string_view Name(PlacementTier tier) noexcept {
-  constexpr std::array<std::string_view, 6> names{
-      "local_slot",   "remote_slot", "local_queue",
-      "remote_queue", "unproven",    "none"};
+  constexpr std::array<std::string_view, 6> names{"local_slot",  "remote_slot",
+                                                  "local_queue", "remote_queue",
+                                                  "unproven",    "none"};
   return names[static_cast<std::size_t>(tier)];
 }
 
--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -32,11 +32,7 @@
   ForgetOldRequests(now);
   const Route* const route = routes_.Find(packet.service);
   if (route == nullptr) {
-    no_route_.Add();
-    log_.Refused(packet, "no_route", now);
-    if (!packet.resets) {
-      sink_.Reset({packet.client, packet.service, packet.acknowledged});
-    }
+    OnNoRoute(packet, now);
     return;
   }
   if (packet.opens && (packet.acknowledges || packet.resets)) {
@@ -52,6 +48,21 @@
   }
 }
 
+void EdgeSteering::OnNoRoute(const EdgePacket& packet, TimePoint now) {
+  no_route_.Add();
+  // Without a configuration nothing is known of routes, and a flow may be open
+  // on a route that only other instances have read yet.
+  const bool is_known = packet.opens ? routes_.version() != 0
+                                     : routes_.WasRemoved(packet.service);
+  if (!is_known || packet.resets) {
+    log_.Dropped(packet, "no_route", now);
+    return;
+  }
+  log_.Refused(packet, "no_route", now);
+  sink_.Reset(
+      {packet.client, packet.service, packet.opens ? 0 : packet.acknowledged});
+}
+
 EdgePlacement EdgeSteering::Place(V4Endpoint client, V4Endpoint service,
                                   const Route& route, TargetKey excluded,
                                   TimePoint now) const {
@@ -230,8 +241,7 @@
   targets_.ForEach([&](EdgeTarget& target) {
     if (target.presence == TargetPresence::kGone) return;
     if (target.health.TakeRecheck(now)) StartProbe(target);
-    has_unreachable_ |=
-        target.health.state() == Reachability::kUnreachable;
+    has_unreachable_ |= target.health.state() == Reachability::kUnreachable;
   });
   next_recheck_ = now + TargetHealth::kRecheckPause;
 }
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -37,6 +37,9 @@
   // Longest time for which a request counts as work of its target. The client
   // does not acknowledge an answer of one packet, so its end may stay unseen.
   static constexpr Duration kLongestWork = std::chrono::milliseconds(150);
+  // Bytes that come again within this time were overtaken on the way; a client
+  // sends them again after 200 ms.
+  static constexpr Duration kLeastRepeatTime = std::chrono::milliseconds(150);
   // Connections that a probe tries at the same time: one may lose a packet.
   static constexpr unsigned kProbeConnections = 2;
   // Time between two requests for a newer list of targets.
@@ -58,7 +61,8 @@
  private:
   // An opening packet whose flow has not gone on yet, kept for another target.
   struct Opening {
-    static constexpr std::size_t kMaxSize = 64;  // opening packets carry no data
+    static constexpr std::size_t kMaxSize =
+        64;  // opening packets carry no data
     V4Endpoint client;
     V4Endpoint service;
     TimePoint sent;
@@ -72,6 +76,8 @@
     TimePoint began;
   };
 
+  void OnNoRoute(const EdgePacket& packet, TimePoint now);
+
   // Opening packets.
   void OnOpening(const EdgePacket& packet, const Route& route, TimePoint now);
   void OnRepeatedOpening(const EdgePacket& packet, const Route& route,
--- a/src/sapphirestream/edge/edge_steering_flows.cc
+++ b/src/sapphirestream/edge/edge_steering_flows.cc
@@ -46,8 +46,7 @@
                 std::nullopt);
 }
 
-EdgeTarget* EdgeSteering::TargetOf(const EdgePacket& packet,
-                                   const Route& route,
+EdgeTarget* EdgeSteering::TargetOf(const EdgePacket& packet, const Route& route,
                                    const WatchedFlow* flow) {
   if (flow != nullptr && flow->moved && flow->phase == FlowPhase::kOpen) {
     // A late answer of the first target would bring its token back into the
@@ -94,12 +93,14 @@
       packet.sequence + static_cast<std::uint32_t>(packet.payload.size());
   if (IsAfter(end, flow.sequence_end)) {
     flow.sequence_end = end;
+    flow.last_data = now;
     if (!packet.request_id.empty()) log_.Request(packet, target, now);
     // A client sends its next request after the answer to the former one.
     if (!packet.request_id.empty()) EndRequest(flow);
     if (!flow.waiting) BeginRequest(flow, target, now);
     return;
   }
+  if (now - flow.last_data < kLeastRepeatTime) return;
   repeats_.Add();
   if (flow.repeats < 0xff) ++flow.repeats;
   log_.Repeated(packet, flow, target, now);
--- a/src/sapphirestream/edge/flow_watch.cc
+++ b/src/sapphirestream/edge/flow_watch.cc
@@ -23,11 +23,10 @@
 WatchedFlow* FlowWatch::Find(V4Endpoint client, V4Endpoint service) noexcept {
   WatchedFlow* const set = SetOf(client, service);
   WatchedFlow* const end = set + kWays;
-  WatchedFlow* const it =
-      std::find_if(set, end, [&](const WatchedFlow& flow) {
-        return flow.phase != FlowPhase::kNone && flow.client == client &&
-               flow.service == service;
-      });
+  WatchedFlow* const it = std::find_if(set, end, [&](const WatchedFlow& flow) {
+    return flow.phase != FlowPhase::kNone && flow.client == client &&
+           flow.service == service;
+  });
   return it == end ? nullptr : it;
 }
 
--- a/src/sapphirestream/edge/flow_watch.h
+++ b/src/sapphirestream/edge/flow_watch.h
@@ -27,6 +27,8 @@
   TimePoint last_seen{};
   // When the request that waits for an answer was sent first.
   TimePoint waiting_since{};
+  // When the client's latest new bytes came.
+  TimePoint last_data{};
   // Where the client's bytes sent so far end.
   std::uint32_t sequence_end = 0;
   std::uint32_t acknowledged = 0;
--- a/src/sapphirestream/edge/route_table.cc
+++ b/src/sapphirestream/edge/route_table.cc
@@ -40,6 +40,12 @@
     }
     next.insert_or_assign(spec.address, std::move(route));
   }
+  for (const auto& [address, route] : routes_) {
+    if (!next.contains(address)) removed_.push_back(address);
+  }
+  if (removed_.size() > kMaxRemoved) {
+    removed_.erase(removed_.begin(), removed_.end() - kMaxRemoved);
+  }
   routes_ = std::move(next);
   version_ = config.version;
   return true;
@@ -50,6 +56,11 @@
   return it == routes_.end() ? nullptr : &it->second;
 }
 
+bool RouteTable::WasRemoved(V4Endpoint address) const noexcept {
+  return Find(address) == nullptr &&
+         std::find(removed_.begin(), removed_.end(), address) != removed_.end();
+}
+
 ServiceNumber RouteTable::Number(std::string_view service) {
   const auto it = std::find(services_.begin(), services_.end(), service);
   const auto position = static_cast<std::uint32_t>(it - services_.begin());
--- a/src/sapphirestream/edge/route_table.h
+++ b/src/sapphirestream/edge/route_table.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -64,12 +65,18 @@
 
 class RouteTable {
  public:
+  // Addresses of removed routes that are remembered.
+  static constexpr std::size_t kMaxRemoved = 1024;
+
   // Replaces the routes. Returns false, and changes nothing, if the version is
   // not higher than the one in force.
   bool Apply(const RouteConfig& config);
 
   // Returns the route of an address, or null.
   [[nodiscard]] const Route* Find(V4Endpoint address) const noexcept;
+  // Whether an earlier version had a route of this address and the one in force
+  // has none.
+  [[nodiscard]] bool WasRemoved(V4Endpoint address) const noexcept;
   // Returns the number of a service's name, new if it was unknown.
   [[nodiscard]] ServiceNumber Number(std::string_view service);
   [[nodiscard]] std::string_view NameOf(ServiceNumber service) const noexcept;
@@ -83,6 +90,8 @@
   // Number = position; names are never removed.
   std::vector<std::string> services_;
   std::unordered_map<V4Endpoint, Route, V4EndpointHash> routes_;
+  // Addresses of removed routes; bounded, the oldest one gives way.
+  std::deque<V4Endpoint> removed_;
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -51,9 +51,8 @@
     const EdgeSettings& settings, const EdgePlatform& platform,
     const Clock& clock, LineWriter& lines, EventLog& log,
     ReadSettings read_settings) {
-  std::unique_ptr<EdgeInstance> instance(
-      new EdgeInstance(settings, platform, clock, lines, log,
-                       std::move(read_settings)));
+  std::unique_ptr<EdgeInstance> instance(new EdgeInstance(
+      settings, platform, clock, lines, log, std::move(read_settings)));
   BOOST_LEAF_CHECK(instance->OpenSockets());
   return instance;
 }
@@ -83,24 +82,21 @@
 
 leaf::result<void> EdgeInstance::OpenSockets() {
   BOOST_LEAF_ASSIGN(
-      port_, PacketPort::Open(context_, settings_.data, platform_.format(),
-                              counters_, [this](const EdgePacket& packet) {
-                                OnPacket(packet);
-                              }));
-  BOOST_LEAF_ASSIGN(
-      ready_server_,
-      HttpServer::Open(context_, settings_.ready,
-                       [this](const HttpRequest& request,
-                              const HttpServer::Reply& reply) {
-                         reply(AnswerReady(request));
-                       }));
-  BOOST_LEAF_ASSIGN(
-      metrics_server_,
-      HttpServer::Open(context_, settings_.metrics,
-                       [this](const HttpRequest& request,
-                              const HttpServer::Reply& reply) {
-                         reply(AnswerMetrics(request));
-                       }));
+      port_,
+      PacketPort::Open(context_, settings_.data, platform_.format(), counters_,
+                       [this](const EdgePacket& packet) { OnPacket(packet); }));
+  BOOST_LEAF_ASSIGN(ready_server_,
+                    HttpServer::Open(context_, settings_.ready,
+                                     [this](const HttpRequest& request,
+                                            const HttpServer::Reply& reply) {
+                                       reply(AnswerReady(request));
+                                     }));
+  BOOST_LEAF_ASSIGN(metrics_server_,
+                    HttpServer::Open(context_, settings_.metrics,
+                                     [this](const HttpRequest& request,
+                                            const HttpServer::Reply& reply) {
+                                       reply(AnswerMetrics(request));
+                                     }));
   return {};
 }
 
@@ -217,11 +213,10 @@
 void EdgeInstance::ReloadSettings(std::string_view cause) {
   const std::optional<EdgeSettings> next = read_settings_();
   if (!next || *next == settings_) return;
-  const bool needs_restart = next->domain != settings_.domain ||
-                             next->data != settings_.data ||
-                             next->ready != settings_.ready ||
-                             next->metrics != settings_.metrics ||
-                             next->flow_capacity != settings_.flow_capacity;
+  const bool needs_restart =
+      next->domain != settings_.domain || next->data != settings_.data ||
+      next->ready != settings_.ready || next->metrics != settings_.metrics ||
+      next->flow_capacity != settings_.flow_capacity;
   const bool reads_change = next->store != settings_.store ||
                             next->target_poll != settings_.target_poll ||
                             next->cached_poll != settings_.cached_poll ||
--- a/src/sapphirestream/edge_io/edge_settings.cc
+++ b/src/sapphirestream/edge_io/edge_settings.cc
@@ -165,8 +165,7 @@
     std::string value = row.fallback;
     // Flags were stored first and so win over the file; a variable stands
     // between both.
-    const bool is_flag =
-        values.count(std::string("flag:") + row.name) != 0;
+    const bool is_flag = values.count(std::string("flag:") + row.name) != 0;
     if (values.count(row.name) != 0) value = values[row.name].as<std::string>();
     if (const auto variable = environment(VariableOf(row.name));
         variable && !is_flag) {
--- a/src/sapphirestream/edge_io/packet_port.h
+++ b/src/sapphirestream/edge_io/packet_port.h
@@ -29,9 +29,10 @@
       std::span<const std::byte> datagram) const = 0;
   // Appends a packet with its target in front to `out`; returns the size, 0 if
   // it does not fit.
-  [[nodiscard]] virtual std::size_t Encode(
-      TargetKey target, std::span<const std::byte> packet,
-      std::optional<FlowToken> token, std::span<std::byte> out) const = 0;
+  [[nodiscard]] virtual std::size_t Encode(TargetKey target,
+                                           std::span<const std::byte> packet,
+                                           std::optional<FlowToken> token,
+                                           std::span<std::byte> out) const = 0;
   [[nodiscard]] virtual std::size_t EncodeReset(
       const ClientReset& reset, std::span<std::byte> out) const = 0;
 };
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -135,7 +135,8 @@
     return [weak = std::weak_ptr<CollectionReader*>(self_), epoch = epoch_,
             step](auto... argument) {
       const auto self = weak.lock();
-      if (self && (*self)->epoch_ == epoch) step(**self, std::move(argument)...);
+      if (self && (*self)->epoch_ == epoch)
+        step(**self, std::move(argument)...);
     };
   }
 
@@ -191,9 +192,8 @@
       return;
     }
     if (reply.error != ErrorKind::kNone) {
-      Fail(reply.error, [](CollectionReader& self) {
-        self.Watch(Freshness::kCurrent);
-      });
+      Fail(reply.error,
+           [](CollectionReader& self) { self.Watch(Freshness::kCurrent); });
       return;
     }
     Succeed();
@@ -213,19 +213,17 @@
 
   void ScheduleWatch() {
     const Duration since_current = clock_.Now() - last_current_;
-    const bool cached =
-        options_.cached_pause > Duration::zero() &&
-        since_current + options_.cached_pause < options_.pause;
+    const bool cached = options_.cached_pause > Duration::zero() &&
+                        since_current + options_.cached_pause < options_.pause;
     const Duration pause =
         cached ? options_.cached_pause : options_.pause - since_current;
     if (options_.pause == Duration::zero()) {
       Watch(Freshness::kCurrent);
       return;
     }
-    After(std::max(pause, Duration::zero()),
-          [cached](CollectionReader& self) {
-            self.Watch(cached ? Freshness::kCached : Freshness::kCurrent);
-          });
+    After(std::max(pause, Duration::zero()), [cached](CollectionReader& self) {
+      self.Watch(cached ? Freshness::kCached : Freshness::kCurrent);
+    });
   }
 
   template <typename Step>
