Check who answers at a lost target's address

Change: a target that was unreachable, or accepts connections but leaves opening flows unanswered, is probed by a health check, whose answer names the target. If another one answers, the target is retired at once.

Ruled out: a pause before a lost target may return (a healed partition would wait for it too).

--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -183,12 +183,17 @@
 
 void EdgeSteering::Doubt(EdgeTarget& target, TimePoint silent_since,
                          bool opening, TimePoint now) {
-  if (target.health.OnSilence(silent_since, opening, now)) StartProbe(target);
+  if (const auto kind = target.health.OnSilence(silent_since, opening, now)) {
+    StartProbe(target, *kind);
+  }
 }
 
-void EdgeSteering::StartProbe(EdgeTarget& target) {
+void EdgeSteering::StartProbe(EdgeTarget& target, ProbeKind kind) {
   probes_.Add();
-  sink_.Probe(target.record.key, target.record.address, kProbeConnections);
+  sink_.Probe({.kind = kind,
+               .target = target.record.key,
+               .address = target.record.address,
+               .health_path = routes_.HealthPathOf(target.service)});
 }
 
 void EdgeSteering::OnProbe(TargetKey key, ProbeOutcome outcome, TimePoint begun,
@@ -197,6 +202,7 @@
   if (target == nullptr) return;
   const bool was_lost = IsLost(*target);
   const bool became_lost = target->health.OnProbe(outcome, begun, now);
+  if (outcome == ProbeOutcome::kStranger) targets_.Retire(*target, now);
   if (!was_lost || !IsLost(*target)) {
     log_.Probed(*target, outcome, begun, now);
   }
@@ -240,7 +246,9 @@
   has_unreachable_ = false;
   targets_.ForEach([&](EdgeTarget& target) {
     if (target.presence == TargetPresence::kGone) return;
-    if (target.health.TakeRecheck(now)) StartProbe(target);
+    if (target.health.TakeRecheck(now)) {
+      StartProbe(target, ProbeKind::kIdentity);
+    }
     has_unreachable_ |= target.health.state() == Reachability::kUnreachable;
   });
   next_recheck_ = now + TargetHealth::kRecheckPause;
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -40,8 +40,6 @@
   // Bytes that come again within this time were overtaken on the way; a client
   // sends them again after 200 ms.
   static constexpr Duration kLeastRepeatTime = std::chrono::milliseconds(150);
-  // Connections that a probe tries at the same time: one may lose a packet.
-  static constexpr unsigned kProbeConnections = 2;
   // Time between two requests for a newer list of targets.
   static constexpr Duration kRefreshPause = std::chrono::milliseconds(300);
 
@@ -108,7 +106,7 @@
   // Lost targets.
   void Doubt(EdgeTarget& target, TimePoint silent_since, bool opening,
              TimePoint now);
-  void StartProbe(EdgeTarget& target);
+  void StartProbe(EdgeTarget& target, ProbeKind kind);
   [[nodiscard]] static bool IsLost(const EdgeTarget& target) noexcept;
   [[nodiscard]] static bool MayReset(const WatchedFlow& flow,
                                      const Route& route,
--- a/src/sapphirestream/edge/edge_steering_flows.cc
+++ b/src/sapphirestream/edge/edge_steering_flows.cc
@@ -35,7 +35,7 @@
   if (packet.finishes || packet.resets) EndRequest(*flow);
   if (target->presence == TargetPresence::kGone && !packet.payload.empty() &&
       target->health.TakeDoubt(now)) {
-    StartProbe(*target);
+    StartProbe(*target, ProbeKind::kIdentity);
   }
   if (!packet.payload.empty() && MayReset(*flow, route, *target)) {
     ResetFlow(*flow, *target, packet.request_id, now);
--- a/src/sapphirestream/edge/route_table.cc
+++ b/src/sapphirestream/edge/route_table.cc
@@ -47,6 +47,9 @@
     removed_.erase(removed_.begin(), removed_.end() - kMaxRemoved);
   }
   routes_ = std::move(next);
+  for (const ServiceSpec& service : config.services) {
+    services_[Value(Number(service.name))].health_path = service.health_path;
+  }
   version_ = config.version;
   return true;
 }
@@ -62,14 +65,21 @@
 }
 
 ServiceNumber RouteTable::Number(std::string_view service) {
-  const auto it = std::find(services_.begin(), services_.end(), service);
+  const auto it = std::find_if(
+      services_.begin(), services_.end(),
+      [service](const ServiceSpec& known) { return known.name == service; });
   const auto position = static_cast<std::uint32_t>(it - services_.begin());
-  if (it == services_.end()) services_.emplace_back(service);
+  if (it == services_.end()) services_.push_back({std::string(service), {}});
   return ServiceNumber{position};
 }
 
 std::string_view RouteTable::NameOf(ServiceNumber service) const noexcept {
-  return services_[Value(service)];
+  return services_[Value(service)].name;
+}
+
+std::string_view RouteTable::HealthPathOf(
+    ServiceNumber service) const noexcept {
+  return services_[Value(service)].health_path;
 }
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge/route_table.h
+++ b/src/sapphirestream/edge/route_table.h
@@ -40,9 +40,18 @@
   bool operator==(const RouteSpec&) const = default;
 };
 
+struct ServiceSpec {
+  std::string name;
+  // Path of the targets' health check.
+  std::string health_path;
+
+  bool operator==(const ServiceSpec&) const = default;
+};
+
 struct RouteConfig {
   std::uint64_t version = 0;
   std::vector<RouteSpec> routes;
+  std::vector<ServiceSpec> services;
 };
 
 // A route with its services as numbers.
@@ -80,6 +89,9 @@
   // Returns the number of a service's name, new if it was unknown.
   [[nodiscard]] ServiceNumber Number(std::string_view service);
   [[nodiscard]] std::string_view NameOf(ServiceNumber service) const noexcept;
+  // Empty if the configuration names none.
+  [[nodiscard]] std::string_view HealthPathOf(
+      ServiceNumber service) const noexcept;
 
   // Zero before the first configuration.
   [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
@@ -88,7 +100,7 @@
  private:
   std::uint64_t version_ = 0;
   // Number = position; names are never removed.
-  std::vector<std::string> services_;
+  std::vector<ServiceSpec> services_;
   std::unordered_map<V4Endpoint, Route, V4EndpointHash> routes_;
   // Addresses of removed routes; bounded, the oldest one gives way.
   std::deque<V4Endpoint> removed_;
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -46,13 +46,16 @@
     const bool is_former = key != record.key &&
                            other.record.address == record.address &&
                            other.record.incarnation < record.incarnation;
-    if (is_former && other.presence != TargetPresence::kGone) {
-      other.presence = TargetPresence::kGone;
-      other.left = now;
-    }
+    if (is_former) Retire(other, now);
   }
 }
 
+void TargetDirectory::Retire(EdgeTarget& target, TimePoint now) noexcept {
+  if (target.presence == TargetPresence::kGone) return;
+  target.presence = TargetPresence::kGone;
+  target.left = now;
+}
+
 bool TargetDirectory::Erase(TargetKey key, std::uint64_t revision,
                             bool store_was_away, TimePoint now) {
   EdgeTarget* target = Find(key);
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -68,6 +68,8 @@
   // lapsed without fault of the target. Returns whether the target was listed.
   bool Erase(TargetKey key, std::uint64_t revision, bool store_was_away,
              TimePoint now);
+  // Takes note that the target has ended, whatever discovery says.
+  static void Retire(EdgeTarget& target, TimePoint now) noexcept;
   // Drops what is over: missing targets become gone, old ones are removed.
   void Expire(TimePoint now);
 
--- a/src/sapphirestream/edge/target_health.cc
+++ b/src/sapphirestream/edge/target_health.cc
@@ -12,8 +12,8 @@
 }
 
 std::string_view Name(ProbeOutcome outcome) noexcept {
-  constexpr std::array<std::string_view, 4> names{"accepted", "refused",
-                                                  "silent", "failed"};
+  constexpr std::array<std::string_view, 5> names{
+      "accepted", "refused", "silent", "stranger", "failed"};
   return names[static_cast<std::size_t>(outcome)];
 }
 
@@ -25,43 +25,46 @@
   state_ = Reachability::kReachable;
 }
 
-bool TargetHealth::OnSilence(TimePoint silent_since, bool opening,
-                             TimePoint now) noexcept {
-  if (last_life_ > silent_since) return false;
+std::optional<ProbeKind> TargetHealth::OnSilence(TimePoint silent_since,
+                                                 bool opening,
+                                                 TimePoint now) noexcept {
+  if (last_life_ > silent_since) return std::nullopt;
   if (opening) ++unanswered_;
-  if (probing_ || state_ == Reachability::kUnreachable) return false;
-  if (unanswered_ >= kUnansweredLimit && last_probe_ > silent_since) {
-    // A connection was accepted meanwhile, so nothing more can be learnt.
-    state_ = Reachability::kUnresponsive;
-    unresponsive_until_ = now + kUnresponsiveTime;
-    return false;
+  if (probing_ || state_ == Reachability::kUnreachable) return std::nullopt;
+  if (now - last_probe_ < kProbePause) return std::nullopt;
+  if (state_ == Reachability::kUnresponsive && now < unresponsive_until_) {
+    return std::nullopt;
   }
-  if (now - last_probe_ < kProbePause) return false;
+  // What accepts connections but answers no flow may be another target.
+  const bool is_doubtful =
+      unanswered_ >= kUnansweredLimit && accepted_ && last_probe_ > last_life_;
   probing_ = true;
+  last_kind_ = is_doubtful ? ProbeKind::kIdentity : ProbeKind::kConnection;
   if (state_ == Reachability::kReachable) state_ = Reachability::kSuspect;
-  return true;
+  return last_kind_;
 }
 
 bool TargetHealth::OnProbe(ProbeOutcome outcome, TimePoint begun,
                            TimePoint now) noexcept {
   probing_ = false;
   last_probe_ = now;
-  const bool lost = outcome == ProbeOutcome::kRefused ||
-                    (outcome == ProbeOutcome::kSilent && last_life_ <= begun);
-  refused_ = outcome == ProbeOutcome::kRefused;
-  if (lost) {
+  accepted_ = outcome == ProbeOutcome::kAccepted;
+  refused_ =
+      outcome == ProbeOutcome::kRefused || outcome == ProbeOutcome::kStranger;
+  if (refused_ || (outcome == ProbeOutcome::kSilent && last_life_ <= begun)) {
     ++failed_probes_;
     const bool is_new = state_ != Reachability::kUnreachable;
     state_ = Reachability::kUnreachable;
     return is_new;
   }
-  if (outcome == ProbeOutcome::kFailed) {
-    if (state_ == Reachability::kSuspect) state_ = Reachability::kReachable;
+  // Without a result an unreachable target stays one.
+  if (outcome == ProbeOutcome::kFailed &&
+      state_ == Reachability::kUnreachable) {
     return false;
   }
   failed_probes_ = 0;
   if (state_ == Reachability::kUnreachable) unanswered_ = 0;
-  if (unanswered_ >= kUnansweredLimit) {
+  if (last_kind_ == ProbeKind::kIdentity && unanswered_ >= kUnansweredLimit) {
     state_ = Reachability::kUnresponsive;
     unresponsive_until_ = now + kUnresponsiveTime;
   } else {
@@ -74,13 +77,17 @@
   if (state_ != Reachability::kUnreachable || probing_) return false;
   if (now - last_probe_ < kRecheckPause) return false;
   probing_ = true;
+  last_kind_ = ProbeKind::kIdentity;
   return true;
 }
 
 bool TargetHealth::TakeDoubt(TimePoint now) noexcept {
   const bool is_due = !probing_ && now - last_probe_ >= kProbePause &&
                       state_ != Reachability::kUnreachable;
-  probing_ = probing_ || is_due;
+  if (is_due) {
+    probing_ = true;
+    last_kind_ = ProbeKind::kIdentity;
+  }
   return is_due;
 }
 
--- a/src/sapphirestream/edge/target_health.h
+++ b/src/sapphirestream/edge/target_health.h
@@ -5,6 +5,7 @@
 #define SAPPHIRESTREAM_EDGE_TARGET_HEALTH_H_
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "sapphirestream/base/clock.h"
@@ -23,11 +24,21 @@
 
 [[nodiscard]] std::string_view Name(Reachability state) noexcept;
 
-// Outcome of the connections that one probe tries at the same time.
+enum class ProbeKind : std::uint8_t {
+  // Several connections at the same time, closed at once: cheap, and enough to
+  // tell that nothing is there.
+  kConnection,
+  // A health check, whose answer names the target: the address may have been
+  // given to another one.
+  kIdentity,
+};
+
+// Outcome of a probe.
 enum class ProbeOutcome : std::uint8_t {
-  kAccepted,  // one was accepted
-  kRefused,   // none was accepted and one was refused
-  kSilent,    // none was answered in time
+  kAccepted,  // a connection was accepted, or the target named itself
+  kRefused,   // no connection was accepted and one was refused
+  kSilent,    // no connection was answered in time
+  kStranger,  // another target answered
   kFailed,    // this instance could not try
 };
 
@@ -49,9 +60,10 @@
   // A flow of the target made progress.
   void OnLife(TimePoint now) noexcept;
   // An opening flow stayed unanswered for the usual time, or a client repeats
-  // a packet. Returns whether the target is to be probed now.
-  [[nodiscard]] bool OnSilence(TimePoint silent_since, bool opening,
-                               TimePoint now) noexcept;
+  // a packet. Returns how the target is to be probed now, if at all.
+  [[nodiscard]] std::optional<ProbeKind> OnSilence(TimePoint silent_since,
+                                                   bool opening,
+                                                   TimePoint now) noexcept;
   // Returns whether the target became unreachable by this.
   bool OnProbe(ProbeOutcome outcome, TimePoint begun, TimePoint now) noexcept;
   // Returns whether an unreachable target is to be probed again.
@@ -75,6 +87,9 @@
   Reachability state_ = Reachability::kReachable;
   bool probing_ = false;
   bool refused_ = false;
+  // What the last probe was, and whether a connection was accepted.
+  ProbeKind last_kind_ = ProbeKind::kConnection;
+  bool accepted_ = false;
   std::uint32_t failed_probes_ = 0;
   // Opening flows without an answer since the last sign of life.
   std::uint32_t unanswered_ = 0;
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -74,7 +74,7 @@
                 settings.flow_capacity),
       view_(routes_, targets_, flow_log_, log, clock, counters_,
             platform.key_of()),
-      prober_(context_),
+      prober_(context_, platform.identity_field(), platform.key_of()),
       timer_(context_),
       steering_timer_(context_),
       housekeeping_timer_(context_),
@@ -250,7 +250,9 @@
   constexpr int kOk = 200;
   constexpr int kNotFound = 404;
   constexpr int kUnavailable = 503;
-  if (request.target != platform_.ready_path()) return {.status = kNotFound};
+  if (request.target != platform_.ready_path()) {
+    return {.status = kNotFound, .body = "{}"};
+  }
   OnViewChanged();
   const EdgeState state = lifecycle_.state();
   return {.status = state == EdgeState::kServing ? kOk : kUnavailable,
@@ -272,13 +274,12 @@
 
 void EdgeInstance::Reset(const ClientReset& reset) { port_->SendReset(reset); }
 
-void EdgeInstance::Probe(TargetKey target, V4Endpoint address,
-                         unsigned connections) {
-  prober_.Probe(address, connections,
-                [this, target](ProbeOutcome outcome, TimePoint begun) {
-                  steering_.OnProbe(target, outcome, begun, clock_.Now());
-                  ArmSteering();
-                });
+void EdgeInstance::Probe(const ProbeRequest& probe) {
+  prober_.Probe(probe, [this, target = probe.target](ProbeOutcome outcome,
+                                                     TimePoint begun) {
+    steering_.OnProbe(target, outcome, begun, clock_.Now());
+    ArmSteering();
+  });
 }
 
 void EdgeInstance::RefreshTargets() { target_reader_->Refresh(); }
--- a/src/sapphirestream/edge_io/edge_instance.h
+++ b/src/sapphirestream/edge_io/edge_instance.h
@@ -40,6 +40,8 @@
                   CounterSet& counters) const = 0;
   // Key of a target by the name of its entry.
   [[nodiscard]] virtual EdgeView::KeyOf key_of() const noexcept = 0;
+  // Header field in which a target's answer to a health check names it.
+  [[nodiscard]] virtual std::string_view identity_field() const noexcept = 0;
   // Path of the fabric's check.
   [[nodiscard]] virtual std::string_view ready_path() const noexcept = 0;
 };
@@ -69,8 +71,7 @@
                std::span<const std::byte> packet,
                std::optional<FlowToken> token) override;
   void Reset(const ClientReset& reset) override;
-  void Probe(TargetKey target, V4Endpoint address,
-             unsigned connections) override;
+  void Probe(const ProbeRequest& probe) override;
   void RefreshTargets() override;
 
   leaf::result<void> OpenSockets();
--- a/src/sapphirestream/edge_io/target_prober.cc
+++ b/src/sapphirestream/edge_io/target_prober.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
 #include <chrono>
 #include <memory>
 #include <utility>
@@ -11,100 +13,216 @@
 namespace sapphirestream {
 
 namespace asio = boost::asio;
+namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
 
-// The connections of one probe; kept alive by their operations.
+namespace {
+
+ProbeOutcome OutcomeOf(const error_code& error) {
+  if (!error) return ProbeOutcome::kAccepted;
+  if (error == asio::error::connection_refused ||
+      error == asio::error::connection_reset) {
+    return ProbeOutcome::kRefused;
+  }
+  const bool is_silence = error == asio::error::timed_out ||
+                          error == asio::error::host_unreachable ||
+                          error == asio::error::network_unreachable;
+  return is_silence ? ProbeOutcome::kSilent : ProbeOutcome::kFailed;
+}
+
+}  // namespace
+
+// One probe; kept alive by its operations.
 class TargetProber::Attempt : public std::enable_shared_from_this<Attempt> {
  public:
   Attempt(asio::io_context& context, Done done)
-      : context_(context),
-        timer_(context),
-        done_(std::move(done)),
-        begun_(std::chrono::steady_clock::now()) {}
-
-  void Start(V4Endpoint address, unsigned connections) {
-    const tcp::endpoint target(asio::ip::address_v4(address.address),
-                               address.port);
-    sockets_.reserve(connections);
-    for (unsigned i = 0; i < connections; ++i) sockets_.emplace_back(context_);
-    open_ = connections;
-    for (tcp::socket& socket : sockets_) {
-      socket.async_connect(
-          target, [self = shared_from_this()](const error_code& error) {
-            self->OnConnect(error);
-          });
-    }
-    Wait(kTimeout);
-  }
+      : context_(context), timer_(context), done_(std::move(done)) {}
+  virtual ~Attempt() = default;
+  Attempt(const Attempt&) = delete;
+  Attempt& operator=(const Attempt&) = delete;
 
- private:
-  void Wait(std::chrono::milliseconds time) {
+ protected:
+  // Ends the attempt after `time`, unless it is called again before.
+  void WaitFor(std::chrono::milliseconds time) {
     timer_.expires_after(time);
-    timer_.async_wait([self = shared_from_this()](const error_code& error) {
-      if (!error) self->OnTimer();
-    });
+    timer_.async_wait(
+        [self = shared_from_this(), time](const error_code& error) {
+          if (!error) self->OnTimer(time);
+        });
   }
 
-  void OnTimer() {
+  void Finish(ProbeOutcome outcome) {
+    if (!done_) return;
+    const Done done = std::exchange(done_, nullptr);
+    timer_.cancel();
+    CloseSockets();
+    done(outcome, begun_);
+  }
+
+  [[nodiscard]] bool is_over() const noexcept { return !done_; }
+  // What silence until the end of the time means.
+  [[nodiscard]] virtual ProbeOutcome OutcomeOfSilence() const noexcept = 0;
+  virtual void CloseSockets() = 0;
+
+ private:
+  void OnTimer(std::chrono::milliseconds time) {
     if (std::chrono::steady_clock::now() - timer_.expiry() >= kLateTimer) {
-      Wait(kTimeout);
+      WaitFor(time);
       return;
     }
     // Connections that were accepted meanwhile are reported first.
     asio::post(context_, [self = shared_from_this()] {
-      self->Finish(self->refused_ ? ProbeOutcome::kRefused
-                                  : ProbeOutcome::kSilent);
+      self->Finish(self->OutcomeOfSilence());
     });
   }
 
-  void OnConnect(const error_code& error) {
-    if (!done_) return;
-    --open_;
-    if (!error) {
-      Finish(ProbeOutcome::kAccepted);
-      return;
+  asio::io_context& context_;
+  asio::steady_timer timer_;
+  Done done_;
+  TimePoint begun_ = std::chrono::steady_clock::now();
+};
+
+class TargetProber::ConnectionAttempt final : public Attempt {
+ public:
+  ConnectionAttempt(asio::io_context& context, Done done)
+      : Attempt(context, std::move(done)) {
+    sockets_.reserve(kConnections);
+    for (unsigned i = 0; i < kConnections; ++i) sockets_.emplace_back(context);
+  }
+
+  void Start(const tcp::endpoint& target) {
+    for (tcp::socket& socket : sockets_) {
+      socket.async_connect(
+          target, [this, self = shared_from_this()](const error_code& error) {
+            if (!is_over()) OnConnect(OutcomeOf(error));
+          });
     }
-    if (error == asio::error::connection_refused ||
-        error == asio::error::connection_reset) {
-      refused_ = true;
-    } else if (error != asio::error::timed_out &&
-               error != asio::error::host_unreachable &&
-               error != asio::error::network_unreachable) {
-      failed_ = true;
+    WaitFor(kConnectTimeout);
+  }
+
+ private:
+  void OnConnect(ProbeOutcome outcome) {
+    ++ended_;
+    // One that was refused tells more than one that was not answered.
+    if (worst_ != ProbeOutcome::kRefused) worst_ = outcome;
+    if (outcome == ProbeOutcome::kAccepted || ended_ == sockets_.size()) {
+      Finish(outcome == ProbeOutcome::kAccepted ? outcome : worst_);
     }
-    if (open_ == 0) Finish(OutcomeOfErrors());
   }
 
-  [[nodiscard]] ProbeOutcome OutcomeOfErrors() const noexcept {
-    if (refused_) return ProbeOutcome::kRefused;
-    return failed_ ? ProbeOutcome::kFailed : ProbeOutcome::kSilent;
+  [[nodiscard]] ProbeOutcome OutcomeOfSilence() const noexcept override {
+    return worst_ == ProbeOutcome::kRefused ? worst_ : ProbeOutcome::kSilent;
   }
 
-  void Finish(ProbeOutcome outcome) {
-    if (!done_) return;
-    const Done done = std::exchange(done_, nullptr);
-    timer_.cancel();
+  void CloseSockets() override {
     for (tcp::socket& socket : sockets_) {
       error_code ignored;  // closing ends the operation in any case
       socket.close(ignored);
     }
-    done(outcome, begun_);
   }
 
-  asio::io_context& context_;
-  asio::steady_timer timer_;
-  Done done_;
-  TimePoint begun_;
   std::vector<tcp::socket> sockets_;
-  unsigned open_ = 0;
-  bool refused_ = false;
-  bool failed_ = false;
+  std::size_t ended_ = 0;
+  ProbeOutcome worst_ = ProbeOutcome::kSilent;
 };
 
-void TargetProber::Probe(V4Endpoint address, unsigned connections, Done done) {
-  std::make_shared<Attempt>(context_, std::move(done))
-      ->Start(address, connections);
+class TargetProber::IdentityAttempt final : public Attempt {
+ public:
+  IdentityAttempt(asio::io_context& context, const TargetProber& prober,
+                  const ProbeRequest& probe, Done done)
+      : Attempt(context, std::move(done)),
+        socket_(context),
+        key_(probe.target),
+        identity_field_(prober.identity_field_),
+        key_of_(prober.key_of_) {
+    constexpr unsigned kHttp11 = 11;
+    request_ = {http::verb::get, std::string(probe.health_path), kHttp11};
+    request_.set(http::field::host, ToString(probe.address));
+    request_.set(http::field::connection, "close");
+  }
+
+  void Start(const tcp::endpoint& target) {
+    socket_.async_connect(
+        target, [this, self = shared_from_this()](const error_code& error) {
+          if (is_over()) return;
+          if (error || request_.target().empty()) {
+            Finish(OutcomeOf(error));
+          } else {
+            Ask();
+          }
+        });
+    WaitFor(kConnectTimeout);
+  }
+
+ private:
+  void Ask() {
+    connected_ = true;
+    WaitFor(kAnswerTimeout);
+    http::async_write(socket_, request_,
+                      [this, self = shared_from_this()](const error_code& error,
+                                                        std::size_t /*size*/) {
+                        if (is_over()) return;
+                        if (error) {
+                          Finish(ProbeOutcome::kFailed);
+                        } else {
+                          Read();
+                        }
+                      });
+  }
+
+  void Read() {
+    http::async_read_header(
+        socket_, buffer_, parser_,
+        [this, self = shared_from_this()](const error_code& error,
+                                          std::size_t /*size*/) {
+          if (is_over()) return;
+          Finish(error ? ProbeOutcome::kFailed : OutcomeOfAnswer());
+        });
+  }
+
+  [[nodiscard]] ProbeOutcome OutcomeOfAnswer() const {
+    const auto& fields = parser_.get();
+    const auto it = fields.find(identity_field_);
+    // An answer without a name is taken for the target's.
+    if (it == fields.end()) return ProbeOutcome::kAccepted;
+    const auto key = key_of_({it->value().data(), it->value().size()});
+    return key == key_ ? ProbeOutcome::kAccepted : ProbeOutcome::kStranger;
+  }
+
+  // A target that is busy for long still accepts connections.
+  [[nodiscard]] ProbeOutcome OutcomeOfSilence() const noexcept override {
+    return connected_ ? ProbeOutcome::kAccepted : ProbeOutcome::kSilent;
+  }
+
+  void CloseSockets() override {
+    error_code ignored;  // closing ends the operation in any case
+    socket_.close(ignored);
+  }
+
+  tcp::socket socket_;
+  TargetKey key_;
+  std::string identity_field_;
+  KeyOf key_of_;
+  http::request<http::empty_body> request_;
+  boost::beast::flat_buffer buffer_;
+  http::response_parser<http::empty_body> parser_;
+  bool connected_ = false;
+};
+
+void TargetProber::Probe(const ProbeRequest& probe, Done done) {
+  const tcp::endpoint target(asio::ip::address_v4(probe.address.address),
+                             probe.address.port);
+  switch (probe.kind) {
+    case ProbeKind::kConnection:
+      std::make_shared<ConnectionAttempt>(context_, std::move(done))
+          ->Start(target);
+      return;
+    case ProbeKind::kIdentity:
+      std::make_shared<IdentityAttempt>(context_, *this, probe, std::move(done))
+          ->Start(target);
+      return;
+  }
 }
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge_io/target_prober.h
+++ b/src/sapphirestream/edge_io/target_prober.h
@@ -1,38 +1,52 @@
-// Tells whether something accepts connections at a target's address.
+// Tells whether something accepts connections at a target's address, and
+// whether it is that target.
 #ifndef SAPPHIRESTREAM_EDGE_IO_TARGET_PROBER_H_
 #define SAPPHIRESTREAM_EDGE_IO_TARGET_PROBER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
 
 #include "sapphirestream/base/clock.h"
-#include "sapphirestream/edge/target_health.h"
-#include "sapphirestream/edge/v4_endpoint.h"
+#include "sapphirestream/edge/edge_sink.h"
 
 namespace sapphirestream {
 
 class TargetProber {
  public:
+  // Connections that a probe tries at the same time: one may lose a packet.
+  static constexpr unsigned kConnections = 2;
   // A connection within or across failure domains is accepted in a third of
   // this time.
-  static constexpr std::chrono::milliseconds kTimeout{60};
+  static constexpr std::chrono::milliseconds kConnectTimeout{60};
+  // A health check waits for a slot of its target.
+  static constexpr std::chrono::milliseconds kAnswerTimeout{300};
   // A timer that fires this late shows that this process did not run, so that
   // answers may wait to be read.
   static constexpr std::chrono::milliseconds kLateTimer{10};
 
   // `begun` is when the probe was asked for.
   using Done = std::function<void(ProbeOutcome outcome, TimePoint begun)>;
+  using KeyOf = std::optional<TargetKey> (*)(std::string_view name);
 
-  explicit TargetProber(boost::asio::io_context& context) : context_(context) {}
+  // `identity_field` is the header field that names a target in its answer.
+  TargetProber(boost::asio::io_context& context,
+               std::string_view identity_field, KeyOf key_of)
+      : context_(context), identity_field_(identity_field), key_of_(key_of) {}
 
-  // Tries `connections` connections at the same time and closes them at once.
   // Calls `done` later, when the outcome is known.
-  void Probe(V4Endpoint address, unsigned connections, Done done);
+  void Probe(const ProbeRequest& probe, Done done);
 
  private:
   class Attempt;
+  class ConnectionAttempt;
+  class IdentityAttempt;
 
   boost::asio::io_context& context_;
+  std::string identity_field_;
+  KeyOf key_of_;
 };
 
 }  // namespace sapphirestream
