--- /dev/null
+++ b/test/edge/target_directory_test.cc
@@ -0,0 +1,112 @@
+// Guards against flows sent to targets that have left, against live targets
+// given up while the store was away, and against tokens that lead to another
+// service.
+#include "sapphirestream/edge/target_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "test/edge/sample.h"
+
+namespace sapphirestream {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Fixture {
+  EdgeTarget& Add(const TargetRecord& record, std::uint64_t revision = 1) {
+    targets.Upsert(record, revision, /*settled=*/true, now);
+    return *targets.Find(record.key);
+  }
+  TargetPresence PresenceOf(std::uint64_t key) {
+    return targets.Find(TargetKey{key})->presence;
+  }
+
+  TimePoint now{1000s};
+  RouteTable routes = [] {
+    RouteTable table;
+    table.Apply(sample::Routes(1));
+    return table;
+  }();
+  TargetDirectory targets{routes, "a"};
+  const Route& feed = *routes.Find(sample::kFeed);
+  const Route& photos = *routes.Find(sample::kPhotos);
+};
+
+BOOST_FIXTURE_TEST_SUITE(target_directory, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_token_leads_only_to_allowed_services) {
+  Add(sample::Target(1, "a"));
+  Add(sample::Target(2, "a", "intake"));
+  const FlowToken desk = targets.TokenOf(TargetKey{1});
+  const FlowToken intake = targets.TokenOf(TargetKey{2});
+  BOOST_TEST(targets.FindByToken(desk, feed) == targets.Find(TargetKey{1}));
+  BOOST_TEST(targets.FindByToken(intake, feed) == nullptr);
+  BOOST_TEST(targets.FindByToken(desk, photos) == nullptr);
+  BOOST_TEST(targets.FindByToken(FlowToken{77}, feed) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(an_older_entry_never_replaces_a_newer_one) {
+  TargetRecord draining = sample::Target(1, "a");
+  draining.draining = true;
+  Add(draining, 9);
+  BOOST_TEST(!targets.Upsert(sample::Target(1, "a"), 8, true, now));
+  BOOST_TEST(targets.Find(TargetKey{1})->record.draining);
+  BOOST_TEST(!targets.Erase(TargetKey{1}, 8, false, now));
+}
+
+// Lapsed entries are written again about 2 s after the store's return.
+BOOST_AUTO_TEST_CASE(a_target_that_vanished_with_the_store_may_return) {
+  Add(sample::Target(1, "a"));
+  targets.Erase(TargetKey{1}, 2, /*store_was_away=*/true, now);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
+  targets.Expire(now + 2s);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
+  targets.Expire(now + TargetDirectory::kReturnGrace);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_vanished_from_a_sound_store_is_gone) {
+  Add(sample::Target(1, "a"));
+  targets.Erase(TargetKey{1}, 2, /*store_was_away=*/false, now);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+  // Its flows are still carried.
+  BOOST_TEST(targets.FindByToken(targets.TokenOf(TargetKey{1}), feed) !=
+             nullptr);
+  targets.Expire(now + TargetDirectory::kGoneRetention);
+  BOOST_TEST(targets.size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_target_that_vanished_does_not_return) {
+  TargetRecord record = sample::Target(1, "a");
+  record.draining = true;
+  Add(record);
+  targets.Erase(TargetKey{1}, 2, /*store_was_away=*/true, now);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+}
+
+// The former owner of an address has ended, though its entry still stands.
+BOOST_AUTO_TEST_CASE(a_new_owner_of_an_address_retires_the_former_one) {
+  Add(sample::Target(1, "a"));
+  TargetRecord next = sample::Target(2, "a", "intake");
+  next.address = sample::Target(1, "a").address;
+  Add(next, 2);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+  BOOST_TEST((PresenceOf(2) == TargetPresence::kListed));
+}
+
+// What is known of a target's health ends with its process.
+BOOST_AUTO_TEST_CASE(a_restart_under_the_same_key_starts_anew) {
+  EdgeTarget& target = Add(sample::Target(1, "a"));
+  (void)target.health.OnSilence(now, true, now + 1s);
+  target.health.OnProbe(ProbeOutcome::kRefused, now, now + 1s);
+  TargetRecord again = sample::Target(1, "a");
+  again.incarnation = Incarnation{5000};
+  BOOST_TEST(targets.Upsert(again, 2, /*settled=*/false, now));
+  BOOST_TEST((target.health.state() == Reachability::kReachable));
+  BOOST_TEST((target.usable_from == now + TargetDirectory::kSettleTime));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
--- /dev/null
+++ b/test/edge_io/edge_settings_test.cc
@@ -0,0 +1,68 @@
+// Guards against settings that are wrong and accepted, or reported one by one.
+#include "sapphirestream/edge_io/edge_settings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+namespace sapphirestream {
+namespace {
+
+constexpr const char* kFile =
+    "# filled in by the platform\n"
+    "name = edge-1\n"
+    "domain = a\n"
+    "data = 127.0.0.1:1\n"
+    "ready = 127.0.0.1:2\n"
+    "metrics = 127.0.0.1:3\n"
+    "store = 127.0.0.1:4\n"
+    "unknown-to-this-program = 5\n";
+
+EdgeEnvironment Environment(std::map<std::string, std::string> values) {
+  return [values = std::move(values)](
+             const std::string& name) -> std::optional<std::string> {
+    const auto it = values.find(name);
+    if (it == values.end()) return std::nullopt;
+    return it->second;
+  };
+}
+
+BOOST_AUTO_TEST_SUITE(edge_settings)
+
+BOOST_AUTO_TEST_CASE(a_file_is_enough) {
+  const auto parsed = ParseEdgeSettings({}, Environment({}), kFile);
+  BOOST_TEST(parsed.errors.empty());
+  BOOST_TEST(parsed.settings.domain == "a");
+  BOOST_TEST(ToString(parsed.settings.store) == "127.0.0.1:4");
+  BOOST_TEST(parsed.settings.grace.count() == 6000);
+}
+
+BOOST_AUTO_TEST_CASE(a_flag_wins_over_a_variable_and_that_over_the_file) {
+  const auto environment = Environment(
+      {{"SAPPHIRE_EDGE_DOMAIN", "b"}, {"SAPPHIRE_EDGE_GRACE_S", "9"}});
+  const auto parsed = ParseEdgeSettings({"--domain=c"}, environment, kFile);
+  BOOST_TEST(parsed.settings.domain == "c");
+  BOOST_TEST(parsed.settings.grace.count() == 9000);
+}
+
+BOOST_AUTO_TEST_CASE(all_errors_are_reported_together) {
+  const auto parsed = ParseEdgeSettings(
+      {"--grace-s=0", "--store=nowhere", "--check"}, Environment({}), "");
+  BOOST_TEST((parsed.mode == EdgeStartMode::kCheck));
+  // Name, domain and three addresses are missing; two values are wrong.
+  BOOST_TEST(parsed.errors.size() == 7U);
+  bool has_unit = false;
+  for (const std::string& error : parsed.errors) {
+    has_unit |= error == "name=grace-s value=\"0\" must be 1 to 600 seconds";
+  }
+  BOOST_TEST(has_unit);
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_flag_is_an_error) {
+  const auto parsed = ParseEdgeSettings({"--domian=a"}, Environment({}), kFile);
+  BOOST_TEST(!parsed.errors.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
--- /dev/null
+++ b/test/store/collection_reader_test.cc
@@ -0,0 +1,211 @@
+// Guards against changes that are missed, calls that hammer the store, and a
+// reader that stays silent after an outage.
+#include "sapphirestream/store/collection_reader.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include "testing/virtual_time.h"
+
+namespace sapphirestream {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Answers each call with the next reply of the script; without one the call
+// stays unanswered.
+struct FakeClient : CollectionClient<int> {
+  explicit FakeClient(testing::VirtualTime& virtual_time)
+      : time(virtual_time) {}
+
+  void List(const std::string& after, Duration /*deadline*/,
+            Done done) override {
+    calls.push_back("list " + after);
+    Answer(std::move(done));
+  }
+  void Watch(std::uint64_t since, Duration /*wait*/, Freshness freshness,
+             Duration /*deadline*/, Done done) override {
+    calls.push_back((freshness == Freshness::kCached ? "cached " : "watch ") +
+                    std::to_string(since));
+    Answer(std::move(done));
+  }
+  void Answer(Done done) {
+    if (replies.empty()) {
+      unanswered.push_back(std::move(done));
+      return;
+    }
+    time.After(4ms, [done = std::move(done), reply = replies.front()] {
+      done(reply);
+    });
+    replies.pop_front();
+  }
+
+  testing::VirtualTime& time;
+  std::deque<CollectionReply<int>> replies;
+  std::vector<Done> unanswered;
+  std::vector<std::string> calls;
+};
+
+CollectionReply<int> Reply(std::uint64_t revision,
+                           std::vector<std::string> names,
+                           bool has_more = false) {
+  CollectionReply<int> reply;
+  reply.revision = revision;
+  reply.has_more = has_more;
+  for (std::string& name : names) {
+    reply.items.push_back({std::move(name), revision, false, 1});
+  }
+  return reply;
+}
+
+CollectionReply<int> Failure(ErrorKind error) {
+  CollectionReply<int> reply;
+  reply.error = error;
+  return reply;
+}
+
+struct Fixture : CollectionObserver<int> {
+  void OnSnapshot(const std::vector<CollectionItem<int>>& items,
+                  std::uint64_t revision) override {
+    std::string text = "snapshot@" + std::to_string(revision);
+    for (const auto& item : items) text += " " + item.name;
+    seen.push_back(text);
+  }
+  void OnChanges(const std::vector<CollectionItem<int>>& items) override {
+    std::string text = "changes";
+    for (const auto& item : items) text += " " + item.name;
+    seen.push_back(text);
+  }
+  void OnStoreLost(ErrorKind error) override {
+    seen.push_back("lost " + std::string(AnswerFor(error).name));
+  }
+  void OnStoreRegained(Duration /*away*/) override {
+    seen.emplace_back("regained");
+  }
+
+  static CollectionReaderOptions Options() {
+    CollectionReaderOptions options;
+    options.pause = 1s;
+    options.audit_period = 10s;
+    return options;
+  }
+  void Start(CollectionReaderOptions options = Options()) {
+    reader = std::make_unique<CollectionReader<int>>(client, time, time, random,
+                                                     *this, options);
+    reader->Start();
+  }
+
+  testing::VirtualTime time;
+  SeededRandom random{1};
+  FakeClient client{time};
+  std::vector<std::string> seen;
+  std::unique_ptr<CollectionReader<int>> reader;
+};
+
+using Texts = std::vector<std::string>;
+
+BOOST_FIXTURE_TEST_SUITE(collection_reader, Fixture)
+
+// Changes made while the pages are read come after the first page's revision.
+BOOST_AUTO_TEST_CASE(pages_become_one_snapshot_of_the_first_revision) {
+  client.replies = {Reply(7, {"a", "b"}, true), Reply(9, {"c"})};
+  Start();
+  time.RunFor(2s);
+  BOOST_TEST(seen == Texts{"snapshot@7 a b c"},
+             boost::test_tools::per_element());
+  BOOST_TEST(client.calls == (Texts{"list ", "list b", "watch 7"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(watches_are_paced) {
+  client.replies = {Reply(7, {"a"}), Reply(8, {"b"}), Reply(8, {})};
+  Start();
+  time.RunFor(1900ms);
+  BOOST_TEST(client.calls == (Texts{"list ", "watch 7"}),
+             boost::test_tools::per_element());
+  time.RunFor(1s);
+  BOOST_TEST(client.calls.back() == "watch 8");
+}
+
+BOOST_AUTO_TEST_CASE(lost_history_is_read_again_as_a_list) {
+  client.replies = {Reply(7, {"a"}), Failure(ErrorKind::kHistoryLost),
+                    Reply(20, {"b"})};
+  Start();
+  time.RunFor(1100ms);
+  BOOST_TEST(seen == (Texts{"snapshot@7 a", "snapshot@20 b"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(an_outage_is_told_once_and_retried_with_backoff) {
+  client.replies = {Reply(7, {"a"})};
+  for (int i = 0; i < 5; ++i) {
+    client.replies.push_back(Failure(ErrorKind::kStoreUnavailable));
+  }
+  client.replies.push_back(Reply(8, {"b"}));
+  Start();
+  time.RunFor(8s);
+  BOOST_TEST(seen == (Texts{"snapshot@7 a", "lost store_unavailable",
+                            "regained", "changes b"}),
+             boost::test_tools::per_element());
+}
+
+// A store that answers with errors at once must not be called without pause.
+BOOST_AUTO_TEST_CASE(a_failing_store_is_called_a_few_times_a_second) {
+  for (int i = 0; i < 1000; ++i) {
+    client.replies.push_back(Failure(ErrorKind::kStoreUnavailable));
+  }
+  Start();
+  time.RunFor(10s);
+  BOOST_TEST(client.calls.size() < 40U);
+}
+
+// A change that a watch did not bring is found by reading the list again.
+BOOST_AUTO_TEST_CASE(the_list_is_audited) {
+  client.replies.push_back(Reply(7, {"a"}));
+  for (int i = 0; i < 10; ++i) client.replies.push_back(Reply(7, {}));
+  client.replies.push_back(Reply(30, {"b"}));
+  Start();
+  time.RunFor(11s);
+  BOOST_TEST(seen == (Texts{"snapshot@7 a", "snapshot@30 b"}),
+             boost::test_tools::per_element());
+}
+
+// A cached answer that is behind must not take the reader back.
+BOOST_AUTO_TEST_CASE(a_cached_answer_never_lowers_the_revision) {
+  CollectionReaderOptions options = Options();
+  options.cached_pause = 400ms;
+  client.replies = {Reply(7, {"a"}), Reply(5, {}), Reply(6, {}), Reply(7, {})};
+  Start(options);
+  time.RunFor(1500ms);
+  BOOST_TEST(client.calls == (Texts{"list ", "cached 7", "cached 7", "watch 7",
+                                    "cached 7"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_refresh_asks_at_once_but_not_twice) {
+  client.replies = {Reply(7, {"a"})};
+  Start();
+  time.RunFor(100ms);
+  reader->Refresh();
+  reader->Refresh();
+  BOOST_TEST(client.calls == (Texts{"list ", "watch 7"}),
+             boost::test_tools::per_element());
+}
+
+// An answer to a call of an earlier start belongs to the past.
+BOOST_AUTO_TEST_CASE(a_restart_ignores_answers_to_earlier_calls) {
+  Start();
+  BOOST_REQUIRE(client.unanswered.size() == 1U);
+  client.replies = {Reply(9, {"new"})};
+  reader->Start();
+  client.unanswered[0](Reply(3, {"old"}));
+  time.RunFor(100ms);
+  BOOST_TEST(seen == Texts{"snapshot@9 new"}, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
