Let watches wait for changes, and list again after a failed watch

Traced: store_lost at 2.2 s, config_applied at 8.0 s.

Change: after any failure the list is read again. Heartbeats do not change the entries of targets, so watches wait up to 10 s for a change instead of being answered at once; 500 ms between calls. Cached reads are gone.

--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -30,18 +30,10 @@
 // Kept of the grace time for the end of the process.
 constexpr std::chrono::milliseconds kGraceReserve{500};
 
-CollectionReaderOptions TargetReaderOptions(const EdgeSettings& settings) {
+CollectionReaderOptions ReaderOptions(const EdgeSettings& settings) {
   CollectionReaderOptions options;
-  options.pause = settings.target_poll;
-  options.cached_pause = settings.cached_poll;
-  return options;
-}
-
-CollectionReaderOptions RouteReaderOptions(const EdgeSettings& settings) {
-  CollectionReaderOptions options;
-  options.wait = settings.config_wait;
-  // Watches bring every change; the list is read again only after a loss.
-  options.audit_period = std::chrono::minutes(1);
+  options.wait = settings.watch_wait;
+  options.pause = settings.watch_pause;
   return options;
 }
 
@@ -124,10 +116,10 @@
       platform_.MakeRouteClient(context_, settings_.store, counters_);
   target_reader_ = std::make_unique<CollectionReader<TargetRecord>>(
       *target_client_, timer_, clock_, random_, view_.target_observer(),
-      TargetReaderOptions(settings_));
+      ReaderOptions(settings_));
   route_reader_ = std::make_unique<CollectionReader<RouteConfig>>(
       *route_client_, timer_, clock_, random_, view_.route_observer(),
-      RouteReaderOptions(settings_));
+      ReaderOptions(settings_));
   target_reader_->Start();
   route_reader_->Start();
 }
@@ -218,9 +210,8 @@
       next->ready != settings_.ready || next->metrics != settings_.metrics ||
       next->flow_capacity != settings_.flow_capacity;
   const bool reads_change = next->store != settings_.store ||
-                            next->target_poll != settings_.target_poll ||
-                            next->cached_poll != settings_.cached_poll ||
-                            next->config_wait != settings_.config_wait;
+                            next->watch_wait != settings_.watch_wait ||
+                            next->watch_pause != settings_.watch_pause;
   settings_ = *next;
   lines_.set_threshold(settings_.log_level);
   if (reads_change) StartReaders();
--- a/src/sapphirestream/edge_io/edge_settings.cc
+++ b/src/sapphirestream/edge_io/edge_settings.cc
@@ -95,20 +95,15 @@
                  s.grace = grace;
                  return error;
                }},
-    SettingRow{"target-poll-ms", "1200",
-               "milliseconds between current reads of targets",
+    SettingRow{"watch-wait-ms", "10000",
+               "milliseconds that a watch waits at the store",
                [](std::string_view v, EdgeSettings& s) {
-                 return StoreNumber(v, 50, 60000, "ms", s.target_poll);
+                 return StoreNumber(v, 100, 30000, "ms", s.watch_wait);
                }},
-    SettingRow{"cached-poll-ms", "0",
-               "milliseconds between cached reads of targets; 0 for none",
+    SettingRow{"watch-pause-ms", "500",
+               "least milliseconds from one watch to the next",
                [](std::string_view v, EdgeSettings& s) {
-                 return StoreNumber(v, 0, 60000, "ms", s.cached_poll);
-               }},
-    SettingRow{"config-wait-ms", "10000",
-               "milliseconds that a watch of the configuration waits",
-               [](std::string_view v, EdgeSettings& s) {
-                 return StoreNumber(v, 100, 30000, "ms", s.config_wait);
+                 return StoreNumber(v, 0, 10000, "ms", s.watch_pause);
                }},
     SettingRow{"flow-capacity", "2048",
                "flows watched for load and lost targets",
--- a/src/sapphirestream/edge_io/edge_settings.h
+++ b/src/sapphirestream/edge_io/edge_settings.h
@@ -31,12 +31,10 @@
   Endpoint store;
   // From the request to stop until the process is killed.
   std::chrono::milliseconds grace{};
-  // Between two current reads of the changes of targets.
-  std::chrono::milliseconds target_poll{};
-  // Between two cached reads in that time; zero for none.
-  std::chrono::milliseconds cached_poll{};
-  // How long a watch of the configuration waits at the store.
-  std::chrono::milliseconds config_wait{};
+  // How long a watch waits at the store for a change.
+  std::chrono::milliseconds watch_wait{};
+  // Least time from one watch of a collection to the next.
+  std::chrono::milliseconds watch_pause{};
   std::size_t flow_capacity = 0;
   // Log lines of one event in 10 s; more are counted.
   std::uint32_t log_lines = 0;
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -42,12 +42,6 @@
   std::vector<CollectionItem<Record>> items;
 };
 
-// How fresh an answer has to be.
-enum class Freshness : std::uint8_t {
-  kCurrent,
-  kCached,  // cheap; may be some time behind
-};
-
 // Calls of one collection; they complete on the control thread.
 template <typename Record>
 class CollectionClient {
@@ -58,8 +52,8 @@
   // Reads the items whose names come after `after`.
   virtual void List(const std::string& after, Duration deadline, Done done) = 0;
   // Reads the changes since a revision; waits up to `wait` for the first.
-  virtual void Watch(std::uint64_t since, Duration wait, Freshness freshness,
-                     Duration deadline, Done done) = 0;
+  virtual void Watch(std::uint64_t since, Duration wait, Duration deadline,
+                     Done done) = 0;
 };
 
 template <typename Record>
@@ -79,14 +73,13 @@
 
 struct CollectionReaderOptions {
   Duration call_deadline = std::chrono::seconds(1);
-  // How long a watch waits at the store; zero to be answered at once.
-  Duration wait = Duration::zero();
-  // Pause between the end of a watch and the next one.
-  Duration pause = Duration::zero();
-  // Between current watches, cached ones with this pause; zero for none.
-  Duration cached_pause = Duration::zero();
+  // How long a watch waits at the store for a change.
+  Duration wait = std::chrono::seconds(10);
+  // Least time from one call to the next, so that changes which come in quick
+  // succession are read together.
+  Duration pause = std::chrono::milliseconds(500);
   // The whole list is read again after this time, in case a change was missed.
-  Duration audit_period = std::chrono::seconds(10);
+  Duration audit_period = std::chrono::seconds(30);
   BackoffOptions backoff{std::chrono::milliseconds(100),
                          std::chrono::seconds(1)};
 };
@@ -125,7 +118,7 @@
   // Asks for changes now, unless a call is under way.
   void Refresh() {
     if (calling_ || !has_list_) return;
-    Watch(Freshness::kCurrent);
+    Watch();
   }
 
  private:
@@ -170,21 +163,21 @@
     const auto items = std::exchange(items_, {});
     observer_.OnSnapshot(items, revision_);
     observer_.OnCurrent();
-    last_current_ = clock_.Now();
     ScheduleWatch();
   }
 
-  void Watch(Freshness freshness) {
+  void Watch() {
     timer_.Cancel(next_);
     calling_ = true;
-    client_.Watch(revision_, options_.wait, freshness,
+    last_call_ = clock_.Now();
+    client_.Watch(revision_, options_.wait,
                   options_.wait + options_.call_deadline,
-                  InEpoch([freshness](CollectionReader& self, Reply reply) {
-                    self.OnWatch(freshness, std::move(reply));
+                  InEpoch([](CollectionReader& self, Reply reply) {
+                    self.OnWatch(std::move(reply));
                   }));
   }
 
-  void OnWatch(Freshness freshness, Reply reply) {
+  void OnWatch(Reply reply) {
     calling_ = false;
     if (reply.error == ErrorKind::kHistoryLost) {
       Succeed();
@@ -192,18 +185,15 @@
       return;
     }
     if (reply.error != ErrorKind::kNone) {
-      Fail(reply.error,
-           [](CollectionReader& self) { self.Watch(Freshness::kCurrent); });
+      // A store that lost its history may let a later watch wait for changes
+      // that it has made already.
+      Fail(reply.error, [](CollectionReader& self) { self.Start(); });
       return;
     }
     Succeed();
     if (!reply.items.empty()) observer_.OnChanges(reply.items);
-    // A cached answer may be older than what is known.
+    observer_.OnCurrent();
     revision_ = std::max(revision_, reply.revision);
-    if (freshness == Freshness::kCurrent) {
-      last_current_ = clock_.Now();
-      observer_.OnCurrent();
-    }
     if (clock_.Now() - last_audit_ >= options_.audit_period) {
       Start();
       return;
@@ -212,18 +202,9 @@
   }
 
   void ScheduleWatch() {
-    const Duration since_current = clock_.Now() - last_current_;
-    const bool cached = options_.cached_pause > Duration::zero() &&
-                        since_current + options_.cached_pause < options_.pause;
-    const Duration pause =
-        cached ? options_.cached_pause : options_.pause - since_current;
-    if (options_.pause == Duration::zero()) {
-      Watch(Freshness::kCurrent);
-      return;
-    }
-    After(std::max(pause, Duration::zero()), [cached](CollectionReader& self) {
-      self.Watch(cached ? Freshness::kCached : Freshness::kCurrent);
-    });
+    const Duration since_call = clock_.Now() - last_call_;
+    After(std::max(options_.pause - since_call, Duration::zero()),
+          [](CollectionReader& self) { self.Watch(); });
   }
 
   template <typename Step>
@@ -261,7 +242,8 @@
   std::uint64_t revision_ = 0;
   bool has_list_ = false;
   bool calling_ = false;
-  TimePoint last_current_{};
+  // When the last watch began.
+  TimePoint last_call_{};
   TimePoint last_audit_{};
   std::optional<TimePoint> lost_since_;
   // Grows with each Start; answers to earlier calls are ignored.
