--- a/src/sapphirestream/edge/edge_placement.cc
+++ b/src/sapphirestream/edge/edge_placement.cc
@@ -37,12 +37,10 @@
                          : PlacementTier::kRemoteQueue;
 }
 
-// Load that decides within a tier. Targets with a free slot count as equal.
-std::uint32_t QueueOf(const EdgeTarget& target, PlacementTier tier) {
-  if (tier == PlacementTier::kLocalSlot || tier == PlacementTier::kRemoteSlot) {
-    return 0;
-  }
-  return target.outstanding / std::max(1U, target.record.slots);
+// Requests beyond the slots; targets with a free slot count as equal.
+std::uint32_t QueueOf(const EdgeTarget& target) {
+  const std::uint32_t slots = std::max(1U, target.record.slots);
+  return target.outstanding < slots ? 0 : target.outstanding - slots + 1;
 }
 
 }  // namespace
@@ -62,7 +60,7 @@
   for (EdgeTarget* const target : targets) {
     const PlacementTier tier = TierOf(*target, query);
     if (tier == PlacementTier::kNone) continue;
-    const Rank rank{tier, QueueOf(*target, tier),
+    const Rank rank{tier, QueueOf(*target),
                     HashPair(query.flow_hash, Value(target->record.key))};
     if (best.target == nullptr || rank < best_rank) {
       best = {target, tier};
