Tell entries that lapsed from targets that have gone

Change: if half of the listed targets, three at least, vanish in one answer, they may return within 2.5 s, as after a noticed outage.

Ruled out: keeping every vanished target for a while (flows would reach a target that discovery calls gone for longer than 3 s).

--- a/src/sapphired/main.cc
+++ b/src/sapphired/main.cc
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include "sapphirestream/base/event_log.h"
+#include "sapphirestream/base/system_clock.h"
 #include "sapphirestream/instance/console_log_sink.h"
 #include "sapphirestream/instance/instance.h"
 #include "sapphirestream/instance/settings.h"
-#include "sapphirestream/base/system_clock.h"
 #include "sapphirestream/store/http_object_store.h"
 
 namespace sapphirestream {
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -1,5 +1,6 @@
 #include "sapphirestream/edge_io/edge_view.h"
 
+#include <algorithm>
 #include <chrono>
 #include <string>
 #include <unordered_set>
@@ -32,10 +33,12 @@
   }
   std::vector<TargetKey> vanished;
   targets_.ForEach([&](const EdgeTarget& target) {
-    if (!seen.contains(target.record.key)) {
+    if (target.presence == TargetPresence::kListed &&
+        !seen.contains(target.record.key)) {
       vanished.push_back(target.record.key);
     }
   });
+  CheckForLapse(vanished.size());
   for (const TargetKey key : vanished) EraseTarget(key, revision);
   has_targets_ = true;
   listed_.Set(targets_.listed());
@@ -49,6 +52,9 @@
 
 void EdgeView::TakeChanges(
     const std::vector<CollectionItem<TargetRecord>>& items) {
+  CheckForLapse(static_cast<std::size_t>(
+      std::count_if(items.begin(), items.end(),
+                    [this](const auto& item) { return TakesAway(item); })));
   for (const auto& item : items) TakeTarget(item, /*settled=*/false);
   listed_.Set(targets_.listed());
 }
@@ -89,6 +95,21 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(away).count()}});
 }
 
+bool EdgeView::TakesAway(const CollectionItem<TargetRecord>& item) {
+  const auto key = key_of_(item.name);
+  const EdgeTarget* const target = key ? targets_.Find(*key) : nullptr;
+  return !item.record && target != nullptr && !target->record.draining &&
+         target->presence == TargetPresence::kListed;
+}
+
+void EdgeView::CheckForLapse(std::size_t vanished) {
+  const std::size_t listed = targets_.listed();
+  if (vanished < kLeastLapse || vanished * kLapseShare < listed) return;
+  regained_ = clock_.Now();
+  log_.Write(LogLevel::kWarn, "targets_lapsed",
+             {{"vanished", vanished}, {"listed", listed}});
+}
+
 void EdgeView::TakeTarget(const CollectionItem<TargetRecord>& item,
                           bool settled) {
   const auto key = key_of_(item.name);
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -20,6 +20,11 @@
 
 class EdgeView {
  public:
+  // Of the listed targets, as a divisor, and at least: as many vanish at once
+  // only when the store let entries lapse.
+  static constexpr std::size_t kLapseShare = 2;
+  static constexpr std::size_t kLeastLapse = 3;
+
   // Returns the key of a target's entry by the entry's name.
   using KeyOf = std::optional<TargetKey> (*)(std::string_view name);
 
@@ -82,6 +87,11 @@
   void TakeRegained(std::string_view collection, Duration away);
 
   void TakeTarget(const CollectionItem<TargetRecord>& item, bool settled);
+  // Entries that vanish together lapsed while the store was away, even if no
+  // call here failed: a call may have waited for its return.
+  void CheckForLapse(std::size_t vanished);
+  // Whether the item takes away a target that could get new flows.
+  [[nodiscard]] bool TakesAway(const CollectionItem<TargetRecord>& item);
   void EraseTarget(TargetKey key, std::uint64_t revision);
   [[nodiscard]] bool StoreWasAway() const noexcept;
 
--- a/src/sapphirestream/instance/config_service.h
+++ b/src/sapphirestream/instance/config_service.h
@@ -9,9 +9,9 @@
 #include <memory>
 #include <vector>
 
+#include "sapphirestream/base/event_log.h"
 #include "sapphirestream/contract/capacity.h"
 #include "sapphirestream/domain/dissemination.h"
-#include "sapphirestream/base/event_log.h"
 #include "sapphirestream/instance/load_view.h"
 #include "sapphirestream/instance/text_delta.h"
 #include "sapphirestream/store/config_reader.h"
--- a/src/sapphirestream/instance/instance.h
+++ b/src/sapphirestream/instance/instance.h
@@ -13,13 +13,13 @@
 #include <string>
 #include <vector>
 
+#include "sapphirestream/admin/http_server.h"
 #include "sapphirestream/base/counter.h"
+#include "sapphirestream/base/event_log.h"
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/domain/membership.h"
 #include "sapphirestream/instance/config_service.h"
-#include "sapphirestream/base/event_log.h"
 #include "sapphirestream/instance/flow_dispatcher.h"
-#include "sapphirestream/admin/http_server.h"
 #include "sapphirestream/instance/instance_list.h"
 #include "sapphirestream/instance/operator_api.h"
 #include "sapphirestream/instance/peer_transport.h"
--- a/src/sapphirestream/instance/instance_list.h
+++ b/src/sapphirestream/instance/instance_list.h
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/event_log.h"
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/domain/membership.h"
-#include "sapphirestream/base/event_log.h"
 #include "sapphirestream/instance/settings.h"
 #include "sapphirestream/store/object_store.h"
 
--- a/src/sapphirestream/instance/instance_report.cc
+++ b/src/sapphirestream/instance/instance_report.cc
@@ -4,9 +4,9 @@
 #include <set>
 #include <utility>
 
+#include "sapphirestream/admin/metrics.h"
 #include "sapphirestream/contract/configuration_json.h"
 #include "sapphirestream/instance/instance.h"
-#include "sapphirestream/admin/metrics.h"
 
 namespace sapphirestream {
 namespace {
--- a/src/sapphirestream/instance/operator_api.h
+++ b/src/sapphirestream/instance/operator_api.h
@@ -9,10 +9,10 @@
 #include <string>
 #include <string_view>
 
+#include "sapphirestream/admin/http_message.h"
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/contract/change.h"
 #include "sapphirestream/contract/configuration.h"
-#include "sapphirestream/admin/http_message.h"
 #include "sapphirestream/store/config_writer.h"
 
 namespace sapphirestream {
--- a/src/sapphirestream/instance/settings.h
+++ b/src/sapphirestream/instance/settings.h
@@ -13,8 +13,8 @@
 #include <vector>
 
 #include "sapphirestream/base/endpoint.h"
-#include "sapphirestream/base/id.h"
 #include "sapphirestream/base/event_log.h"
+#include "sapphirestream/base/id.h"
 #include "sapphirestream/link/peer_datagram.h"
 
 namespace sapphirestream {
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -81,6 +81,25 @@
   BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
 }
 
+// Found on the bench: a watch waited through an outage without an error, and
+// then told of entries that had lapsed; all flows were refused.
+BOOST_AUTO_TEST_CASE(targets_that_vanish_together_have_lapsed) {
+  observer().OnSnapshot({Item(1, 1), Item(2, 1), Item(3, 1), Item(4, 1)}, 1);
+  observer().OnChanges({{"1", 5, true, std::nullopt},
+                        {"2", 5, true, std::nullopt},
+                        {"3", 5, true, std::nullopt}});
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
+  BOOST_TEST((PresenceOf(3) == TargetPresence::kMissing));
+}
+
+BOOST_AUTO_TEST_CASE(a_few_targets_that_vanish_are_gone) {
+  observer().OnSnapshot({Item(1, 1), Item(2, 1), Item(3, 1), Item(4, 1)}, 1);
+  observer().OnChanges({{"1", 5, true, std::nullopt}});
+  observer().OnSnapshot({Item(3, 1), Item(4, 1)}, 6);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+  BOOST_TEST((PresenceOf(2) == TargetPresence::kGone));
+}
+
 // Another writer mangled the entry; it names no target to use.
 BOOST_AUTO_TEST_CASE(an_unreadable_entry_takes_its_target_away) {
   observer().OnSnapshot({Item(1, 1)}, 1);
--- a/test/instance/loopback_fixture.h
+++ b/test/instance/loopback_fixture.h
@@ -19,8 +19,8 @@
 #include <thread>
 #include <vector>
 
-#include "sapphirestream/instance/instance.h"
 #include "sapphirestream/base/system_clock.h"
+#include "sapphirestream/instance/instance.h"
 #include "sapphirestream/link/packet_builder.h"
 #include "testing/loop_store.h"
 
--- a/test/session/store_player.cc
+++ b/test/session/store_player.cc
@@ -6,8 +6,8 @@
 #include <stdexcept>
 
 #include "sapphirestream/contract/find.h"
-#include "test/store/session.h"
 #include "test/session/script.h"
+#include "test/store/session.h"
 
 namespace sapphirestream::session {
 namespace {
