Let packets wait while routes and targets are read

Change: packets wait in the socket until routes and targets are known, 200 ms at most; before that nothing is refused. Targets are logged with leading zeros as discovery names them, 2,000 lines of one event in 10 s are kept (300 cut lines of failed requests in the rush after a power loss), and the age of a view that was never read is -1. Lint: names of local constants.

--- a/src/sapphirestream/admin/http_server.h
+++ b/src/sapphirestream/admin/http_server.h
@@ -19,8 +19,8 @@
 class HttpServer {
  public:
   // Largest request body; the largest valid change is below 128 KiB.
-  static constexpr std::size_t kMaxBodySize = 256 * 1024;
-  static constexpr std::size_t kMaxHeaderSize = 8 * 1024;
+  static constexpr std::size_t kMaxBodySize = std::size_t{256} * 1024;
+  static constexpr std::size_t kMaxHeaderSize = std::size_t{8} * 1024;
   // Connections served at the same time; more are closed at once.
   static constexpr std::size_t kMaxConnections = 64;
 
--- a/src/sapphirestream/base/latency_histogram.cc
+++ b/src/sapphirestream/base/latency_histogram.cc
@@ -5,7 +5,7 @@
 namespace sapphirestream {
 
 std::string LatencyHistogram::Render(std::string_view name) const {
-  constexpr double kMsPerSecond = 1000.0;
+  constexpr double ms_per_second = 1000.0;
   std::string out =
       (boost::format("# TYPE sapphirestream_%1% histogram\n") % name).str();
   double count = buckets_.at(-1);
@@ -13,7 +13,7 @@
     count += buckets_.at(static_cast<int>(i));
     out += (boost::format("sapphirestream_%1%_bucket{le=\"%2$.4g\"} %3%\n") %
             name %
-            (buckets_.axis().bin(static_cast<int>(i)).upper() / kMsPerSecond) %
+            (buckets_.axis().bin(static_cast<int>(i)).upper() / ms_per_second) %
             static_cast<std::uint64_t>(count))
                .str();
   }
@@ -22,7 +22,7 @@
   out += (boost::format("sapphirestream_%1%_bucket{le=\"+Inf\"} %2%\n"
                         "sapphirestream_%1%_sum %3%\n"
                         "sapphirestream_%1%_count %2%\n") %
-          name % total % (sum_ms_ / kMsPerSecond))
+          name % total % (sum_ms_ / ms_per_second))
              .str();
   return out;
 }
--- a/src/sapphirestream/edge/edge_log.cc
+++ b/src/sapphirestream/edge/edge_log.cc
@@ -1,5 +1,6 @@
 #include "sapphirestream/edge/edge_log.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <chrono>
@@ -29,13 +30,17 @@
 }  // namespace
 
 std::string ToString(TargetKey key) {
-  std::array<char, 16> text{};
+  // Discovery writes keys with leading zeros.
+  constexpr std::size_t width = 10;
+  std::array<char, 16> digits{};
   const auto [end, error] = std::to_chars(
-      text.data(), text.data() + text.size(), Value(key), /*base=*/16);
-  return {text.data(), end};
+      digits.data(), digits.data() + digits.size(), Value(key), /*base=*/16);
+  const std::string text(digits.data(), end);
+  return std::string(width - std::min(width, text.size()), '0') + text;
 }
 
 std::int64_t EdgeLog::ViewAge(TimePoint now) const noexcept {
+  if (targets_read_ == TimePoint{}) return -1;
   return Milliseconds(now - targets_read_);
 }
 
--- a/src/sapphirestream/edge/edge_log.h
+++ b/src/sapphirestream/edge/edge_log.h
@@ -51,6 +51,7 @@
   LatencyHistogram& answers() noexcept { return answers_; }
 
  private:
+  // Since the list of targets was current, in ms; -1 before the first list.
   [[nodiscard]] std::int64_t ViewAge(TimePoint now) const noexcept;
 
   EventLog& log_;
--- a/src/sapphirestream/edge/edge_steering_flows.cc
+++ b/src/sapphirestream/edge/edge_steering_flows.cc
@@ -123,7 +123,7 @@
 bool EdgeSteering::MayReset(const WatchedFlow& flow, const Route& route,
                             const EdgeTarget& target) noexcept {
   // Failed probes in a row that outweigh a flow without a repeated packet.
-  constexpr std::uint32_t kCertain = 2;
+  constexpr std::uint32_t certain = 2;
   if (flow.phase != FlowPhase::kOpen || !IsLost(target)) return false;
   // A draining target may refuse connections while it ends its flows.
   if (target.record.draining && target.presence == TargetPresence::kListed) {
@@ -132,7 +132,7 @@
   // An answer to a request that must not run twice may still come directly
   // from a target that only this instance cannot reach.
   if (route.kind != RequestKind::kIdempotent) return false;
-  return flow.repeats > 0 || target.health.failed_probes() >= kCertain ||
+  return flow.repeats > 0 || target.health.failed_probes() >= certain ||
          target.presence == TargetPresence::kGone;
 }
 
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -114,9 +114,9 @@
 
 const std::vector<EdgeTarget*>& TargetDirectory::OfService(
     ServiceNumber service) const noexcept {
-  static const std::vector<EdgeTarget*> kNone;
+  static const std::vector<EdgeTarget*> none;
   const auto it = by_service_.find(service);
-  return it == by_service_.end() ? kNone : it->second;
+  return it == by_service_.end() ? none : it->second;
 }
 
 std::size_t TargetDirectory::listed() const noexcept {
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -15,6 +15,9 @@
 
 namespace {
 
+// Packets that arrive while routes and targets are read wait this long; clients
+// send lost ones again after 200 ms.
+constexpr std::chrono::milliseconds kLoadPatience{200};
 // Period of checks that no packet triggers.
 constexpr std::chrono::milliseconds kHousekeepingPeriod{250};
 // A period this much longer shows that the process did not run, so that its
@@ -74,11 +77,12 @@
       steering_(routes_, targets_, *this, flow_log_, counters_,
                 settings.flow_capacity),
       view_(routes_, targets_, flow_log_, log, clock, counters_,
-            platform.key_of()),
+            platform.key_of(), [this] { OnViewChanged(); }),
       prober_(context_, platform.identity_field(), platform.key_of()),
       timer_(context_),
       steering_timer_(context_),
       housekeeping_timer_(context_),
+      load_timer_(context_),
       signals_(context_, SIGTERM, SIGINT, SIGHUP) {}
 
 leaf::result<void> EdgeInstance::OpenSockets() {
@@ -110,6 +114,10 @@
   WatchSignals();
   StartReaders();
   last_housekeeping_ = clock_.Now();
+  load_timer_.expires_after(kLoadPatience);
+  load_timer_.async_wait([this](const error_code& error) {
+    if (!error) port_->Start();
+  });
   Housekeep();
   context_.run();
   log_.Write(LogLevel::kInfo, "stopped", {{"name", settings_.name}});
@@ -137,7 +145,7 @@
   const TimePoint now = clock_.Now();
   last_packet_ = now;
   OnViewChanged();
-  steering_.OnPacket(packet, now, view_.is_settling());
+  steering_.OnPacket(packet, now, view_.is_settling() || !view_.is_complete());
   ArmSteering();
 }
 
@@ -189,6 +197,7 @@
 }
 
 void EdgeInstance::OnViewChanged() {
+  if (view_.is_complete()) port_->Start();
   if (lifecycle_.state() != EdgeState::kLoading || !view_.is_complete() ||
       view_.is_settling()) {
     return;
@@ -251,15 +260,15 @@
 }
 
 HttpResponse EdgeInstance::AnswerReady(const HttpRequest& request) {
-  constexpr int kOk = 200;
-  constexpr int kNotFound = 404;
-  constexpr int kUnavailable = 503;
+  constexpr int ok = 200;
+  constexpr int not_found = 404;
+  constexpr int unavailable = 503;
   if (request.target != platform_.ready_path()) {
-    return {.status = kNotFound, .body = "{}"};
+    return {.status = not_found, .body = "{}"};
   }
   OnViewChanged();
   const EdgeState state = lifecycle_.state();
-  return {.status = state == EdgeState::kServing ? kOk : kUnavailable,
+  return {.status = state == EdgeState::kServing ? ok : unavailable,
           .body = "{\"state\":\"" + std::string(Name(state)) + "\"}"};
 }
 
--- a/src/sapphirestream/edge_io/edge_instance.h
+++ b/src/sapphirestream/edge_io/edge_instance.h
@@ -110,6 +110,7 @@
   AsioTimer timer_;
   boost::asio::steady_timer steering_timer_;
   boost::asio::steady_timer housekeeping_timer_;
+  boost::asio::steady_timer load_timer_;
   boost::asio::signal_set signals_;
   std::unique_ptr<PacketPort> port_;
   std::unique_ptr<HttpServer> ready_server_;
--- a/src/sapphirestream/edge_io/edge_settings.cc
+++ b/src/sapphirestream/edge_io/edge_settings.cc
@@ -115,7 +115,7 @@
                [](std::string_view v, EdgeSettings& s) {
                  return StoreNumber(v, 8, 1U << 24U, "flows", s.flow_capacity);
                }},
-    SettingRow{"log-lines", "300", "lines of one event in 10 s at most",
+    SettingRow{"log-lines", "2000", "lines of one event in 10 s at most",
                [](std::string_view v, EdgeSettings& s) {
                  return StoreNumber(v, 1, 1000000, "lines", s.log_lines);
                }},
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <string>
 #include <unordered_set>
+#include <utility>
 
 #include "sapphirestream/base/id.h"
 
@@ -11,13 +12,14 @@
 
 EdgeView::EdgeView(RouteTable& routes, TargetDirectory& targets,
                    EdgeLog& flow_log, EventLog& log, const Clock& clock,
-                   CounterSet& counters, KeyOf key_of)
+                   CounterSet& counters, KeyOf key_of, OnRead on_read)
     : routes_(routes),
       targets_(targets),
       flow_log_(flow_log),
       log_(log),
       clock_(clock),
       key_of_(key_of),
+      on_read_(std::move(on_read)),
       lost_(counters.Emplace("store_lost_total")),
       malformed_(counters.Emplace("target_entries_malformed_total")),
       config_version_(counters.Emplace("config_version")),
@@ -76,9 +78,10 @@
 
 void EdgeView::TakeCurrent(const TargetObserver& /*observer*/) {
   flow_log_.OnTargetsRead(clock_.Now());
+  on_read_();
 }
 
-void EdgeView::TakeCurrent(const RouteObserver& /*observer*/) {}
+void EdgeView::TakeCurrent(const RouteObserver& /*observer*/) { on_read_(); }
 
 void EdgeView::TakeLost(std::string_view collection, ErrorKind error) {
   lost_.Add();
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -4,6 +4,7 @@
 #define SAPPHIRESTREAM_EDGE_IO_EDGE_VIEW_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string_view>
 #include <vector>
@@ -28,10 +29,13 @@
   // Returns the key of a target's entry by the entry's name.
   using KeyOf = std::optional<TargetKey> (*)(std::string_view name);
 
+  // Called when routes or targets were read.
+  using OnRead = std::function<void()>;
+
   // The references must outlive the view.
   EdgeView(RouteTable& routes, TargetDirectory& targets, EdgeLog& flow_log,
            EventLog& log, const Clock& clock, CounterSet& counters,
-           KeyOf key_of);
+           KeyOf key_of, OnRead on_read);
 
   [[nodiscard]] CollectionObserver<TargetRecord>& target_observer() noexcept {
     return target_observer_;
@@ -101,6 +105,7 @@
   EventLog& log_;
   const Clock& clock_;
   KeyOf key_of_;
+  OnRead on_read_;
   Counter& lost_;
   Counter& malformed_;
   Counter& config_version_;
--- a/src/sapphirestream/edge_io/line_writer.h
+++ b/src/sapphirestream/edge_io/line_writer.h
@@ -15,7 +15,7 @@
 class LineWriter final : public LogSink {
  public:
   // Bytes that wait for a slow reader.
-  static constexpr std::size_t kMaxWaiting = 64 * 1024;
+  static constexpr std::size_t kMaxWaiting = std::size_t{64} * 1024;
 
   // Makes `fd` non-blocking; the caller keeps it open.
   LineWriter(int fd, const Clock& clock, LogLevel threshold);
--- a/src/sapphirestream/edge_io/packet_port.cc
+++ b/src/sapphirestream/edge_io/packet_port.cc
@@ -26,10 +26,14 @@
   }
   std::unique_ptr<PacketPort> port(
       new PacketPort(std::move(socket), format, counters, std::move(handler)));
-  port->Wait();
   return port;
 }
 
+void PacketPort::Start() {
+  if (std::exchange(started_, true)) return;
+  Wait();
+}
+
 PacketPort::PacketPort(udp::socket socket, const PacketFormat& format,
                        CounterSet& counters, Handler handler)
     : socket_(std::move(socket)),
--- a/src/sapphirestream/edge_io/packet_port.h
+++ b/src/sapphirestream/edge_io/packet_port.h
@@ -48,6 +48,8 @@
       boost::asio::io_context& context, const Endpoint& local,
       const PacketFormat& format, CounterSet& counters, Handler handler);
 
+  // Begins to read. Until then packets wait in the socket.
+  void Start();
   void Send(TargetKey target, V4Endpoint address,
             std::span<const std::byte> packet, std::optional<FlowToken> token);
   // Sends to the client's address, at the port that packets arrive at here.
@@ -68,6 +70,7 @@
   boost::asio::ip::udp::socket socket_;
   const PacketFormat& format_;
   Handler handler_;
+  bool started_ = false;
   Counter& received_;
   Counter& malformed_;
   Counter& send_errors_;
--- a/src/sapphirestream/edge_io/target_prober.cc
+++ b/src/sapphirestream/edge_io/target_prober.cc
@@ -136,8 +136,8 @@
         key_(probe.target),
         identity_field_(prober.identity_field_),
         key_of_(prober.key_of_) {
-    constexpr unsigned kHttp11 = 11;
-    request_ = {http::verb::get, std::string(probe.health_path), kHttp11};
+    constexpr unsigned http11 = 11;
+    request_ = {http::verb::get, std::string(probe.health_path), http11};
     request_.set(http::field::host, ToString(probe.address));
     request_.set(http::field::connection, "close");
   }
--- a/src/sapphirestream/store/http_channel.cc
+++ b/src/sapphirestream/store/http_channel.cc
@@ -14,16 +14,16 @@
 // A connection whose peer lost power or track of it answers no probe; it is
 // given up after idle time plus all probes, 3 s.
 void EnableKeepAlive(boost::asio::ip::tcp::socket& socket) {
-  constexpr int kIdleSeconds = 1;
-  constexpr int kIntervalSeconds = 1;
-  constexpr int kProbes = 2;
+  constexpr int idle_seconds = 1;
+  constexpr int interval_seconds = 1;
+  constexpr int probes = 2;
   using boost::asio::detail::socket_option::integer;
   boost::system::error_code ignored;  // the call's deadline is a second guard
   socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
-  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(kIdleSeconds), ignored);
-  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(kIntervalSeconds),
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(idle_seconds), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(interval_seconds),
                     ignored);
-  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(kProbes), ignored);
+  socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(probes), ignored);
 }
 
 }  // namespace
--- a/test/edge/flow_token_test.cc
+++ b/test/edge/flow_token_test.cc
@@ -15,11 +15,11 @@
 constexpr std::uint64_t kKeyMask = (1ULL << 40U) - 1;
 
 BOOST_AUTO_TEST_CASE(each_of_120000_targets_has_a_token_of_its_own) {
-  constexpr int kTargets = 120'000;
+  constexpr int targets = 120'000;
   SeededRandom random(7);
   std::unordered_map<FlowToken, int> owners;
   std::vector<TargetKey> keys;
-  for (int i = 0; i < kTargets; ++i) {
+  for (int i = 0; i < targets; ++i) {
     keys.push_back(TargetKey{random.Next() & kKeyMask});
     for (unsigned v = 0; v < kTokensPerTarget; ++v) {
       const FlowToken token = MakeToken(keys.back(), v);
--- a/test/edge/route_table_test.cc
+++ b/test/edge/route_table_test.cc
@@ -53,8 +53,8 @@
                     {{"desk", 90}, {"intake", 10}, {"idle", 0}}}};
   routes.Apply(config);
   std::array<int, 3> counts{};
-  constexpr std::uint32_t kFlows = 10'000;
-  for (std::uint32_t i = 0; i < kFlows; ++i) {
+  constexpr std::uint32_t flows = 10'000;
+  for (std::uint32_t i = 0; i < flows; ++i) {
     const auto service =
         routes.Find(sample::kFeed)->Pick(HashPair(Value(sample::Client(i)), 1));
     ++counts.at(Value(service));
--- a/test/edge/sample.h
+++ b/test/edge/sample.h
@@ -55,14 +55,14 @@
 
 inline EdgePacket Syn(std::uint32_t client, V4Endpoint service,
                       std::uint32_t copies = 0) {
-  static constexpr std::array<std::byte, 31> kBytes{};
+  static constexpr std::array<std::byte, 31> bytes{};
   EdgePacket packet;
   packet.client = Client(client);
   packet.service = service;
   packet.sequence = 100;
   packet.acknowledged = copies;
   packet.opens = true;
-  packet.bytes = kBytes;
+  packet.bytes = bytes;
   return packet;
 }
 
@@ -70,7 +70,7 @@
 inline EdgePacket Data(std::uint32_t client, V4Endpoint service,
                        FlowToken token, std::uint32_t sequence,
                        std::size_t size, std::uint32_t acknowledged) {
-  static constexpr std::array<std::byte, 1231> kBytes{};
+  static constexpr std::array<std::byte, 1231> bytes{};
   EdgePacket packet;
   packet.client = Client(client);
   packet.service = service;
@@ -78,8 +78,8 @@
   packet.acknowledged = acknowledged;
   packet.acknowledges = true;
   packet.token = token;
-  packet.payload = std::span(kBytes).first(size);
-  packet.bytes = std::span(kBytes).first(size + 31);
+  packet.payload = std::span(bytes).first(size);
+  packet.bytes = std::span(bytes).first(size + 31);
   if (size > 0) packet.request_id = "r1";
   return packet;
 }
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -41,7 +41,9 @@
   RouteTable routes;
   TargetDirectory targets{routes, "a"};
   EdgeLog flow_log{log, routes};
-  EdgeView view{routes, targets, flow_log, log, clock, counters, KeyOf};
+  int reads = 0;
+  EdgeView view{routes, targets,  flow_log, log,
+                clock,  counters, KeyOf,    [this] { ++reads; }};
 };
 
 BOOST_FIXTURE_TEST_SUITE(edge_view, Fixture)
@@ -53,6 +55,8 @@
   ReadRoutes(1);
   BOOST_TEST(view.is_complete());
   BOOST_TEST(!view.is_settling());
+  observer().OnCurrent();
+  BOOST_TEST(reads == 1);
 }
 
 BOOST_AUTO_TEST_CASE(after_an_outage_the_view_settles) {
@@ -113,8 +117,8 @@
   BOOST_TEST(lines.back() ==
              "event=config_applied version=2 before=0 routes=3 revision=2");
   observer().OnSnapshot({Item(1, 1)}, 1);
-  BOOST_TEST(lines.back().find("event=target_listed target=1 service=desk") ==
-             0U);
+  BOOST_TEST(lines.back().find(
+                 "event=target_listed target=0000000001 service=desk") == 0U);
   observer().OnStoreLost(ErrorKind::kTimedOut);
   BOOST_TEST(lines.back() ==
              "event=store_lost collection=targets error=timed_out");
