--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -2,7 +2,7 @@
 # Installs what the build, the tests and the lint need from Debian's packages.
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
+  g++ cmake make ninja-build ccache pkg-config clang-format clang-tidy
   libboost1.81-dev libboost-test1.81-dev libboost-program-options1.81-dev
   libboost-json1.81-dev libcapnp-dev liblog4cxx-dev libsodium-dev
   libxxhash-dev libbenchmark-dev python3
--- a/src/sapphirestream/edge_io/line_writer.cc
+++ b/src/sapphirestream/edge_io/line_writer.cc
@@ -33,9 +33,15 @@
   waiting_ += '\n';
 }
 
+std::size_t LineWriter::NextWrite() const noexcept {
+  if (waiting_.size() <= kMaxWrite) return waiting_.size();
+  const std::size_t end = waiting_.rfind('\n', kMaxWrite - 1);
+  return end == std::string::npos ? kMaxWrite : end + 1;
+}
+
 bool LineWriter::Flush() noexcept {
   while (!waiting_.empty()) {
-    const ssize_t written = ::write(fd_, waiting_.data(), waiting_.size());
+    const ssize_t written = ::write(fd_, waiting_.data(), NextWrite());
     if (written < 0 && errno == EINTR) continue;
     if (written <= 0) return true;
     waiting_.erase(0, static_cast<std::size_t>(written));
--- a/src/sapphirestream/edge_io/line_writer.h
+++ b/src/sapphirestream/edge_io/line_writer.h
@@ -21,7 +21,12 @@
   LineWriter(int fd, const Clock& clock, LogLevel threshold);
 
   void Write(LogLevel level, const std::string& line) override;
-  // Writes as much as the output takes. Returns whether bytes are left.
+  // Pipes take this many bytes whole or not at all, so that lines of several
+  // writers do not mix.
+  static constexpr std::size_t kMaxWrite = 4096;
+
+  // Writes as many whole lines as the output takes. Returns whether bytes are
+  // left.
   bool Flush() noexcept;
   void set_threshold(LogLevel threshold) noexcept { threshold_ = threshold; }
   // Lines left out since the start.
@@ -31,7 +36,10 @@
   int fd_;
   const Clock& clock_;
   LogLevel threshold_;
-  // Whole lines; the first may have been written in part.
+  // Size of the first lines that are written at once; 0 if none wait.
+  [[nodiscard]] std::size_t NextWrite() const noexcept;
+
+  // Whole lines; a line above kMaxWrite may have been written in part.
   std::string waiting_;
   std::uint64_t omitted_ = 0;
   // Of these, the ones that no line has told of yet.
--- a/test/edge_io/line_writer_test.cc
+++ b/test/edge_io/line_writer_test.cc
@@ -48,6 +48,21 @@
   BOOST_TEST(ReadAll() == "time_ms=1000000 level=warn event=shown a=1\n");
 }
 
+// Found on the bench: lines were cut where a pipe was full.
+BOOST_AUTO_TEST_CASE(a_full_pipe_cuts_no_line) {
+  LineWriter lines(writer.get(), clock, LogLevel::kInfo);
+  const std::string line(700, 'x');
+  for (int i = 0; i < 90; ++i) {
+    lines.Write(LogLevel::kInfo, line);
+    if (i % 10 == 0) lines.Flush();
+  }
+  while (lines.Flush()) {
+    const std::string text = ReadAll();
+    BOOST_REQUIRE(!text.empty());
+    BOOST_TEST(text.back() == '\n');
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_reader_that_stands_still_costs_lines_and_no_time) {
   LineWriter lines(writer.get(), clock, LogLevel::kInfo);
   const std::string line(1000, 'x');
