--- a/src/sapphirestream/edge_io/edge_settings.cc
+++ b/src/sapphirestream/edge_io/edge_settings.cc
@@ -7,6 +7,7 @@
 #include <charconv>
 #include <sstream>
 #include <string_view>
+#include <utility>
 
 namespace sapphirestream {
 namespace {
@@ -58,7 +59,7 @@
     return "must be " + std::to_string(least) + " to " + std::to_string(most) +
            " " + std::string(unit);
   }
-  out = Number(*number);
+  out = static_cast<Number>(*number);
   return {};
 }
 
@@ -173,8 +174,10 @@
     }
     if (const std::string error = row.store(value, out.settings);
         !error.empty()) {
-      out.errors.push_back(std::string("name=") + row.name + " value=\"" +
-                           value + "\" " + error);
+      std::string line = "name=";
+      line.append(row.name).append(" value=\"").append(value);
+      line.append("\" ").append(error);
+      out.errors.push_back(std::move(line));
     }
   }
 }
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -138,8 +138,9 @@
     return [weak = std::weak_ptr<CollectionReader*>(self_), epoch = epoch_,
             step](auto... argument) {
       const auto self = weak.lock();
-      if (self && (*self)->epoch_ == epoch)
+      if (self && (*self)->epoch_ == epoch) {
         step(**self, std::move(argument)...);
+      }
     };
   }
 
