--- a/src/sapphirestream/edge/route_table.cc
+++ b/src/sapphirestream/edge/route_table.cc
@@ -65,12 +65,11 @@
 }
 
 ServiceNumber RouteTable::Number(std::string_view service) {
-  const auto it = std::find_if(
-      services_.begin(), services_.end(),
-      [service](const ServiceSpec& known) { return known.name == service; });
-  const auto position = static_cast<std::uint32_t>(it - services_.begin());
-  if (it == services_.end()) services_.push_back({std::string(service), {}});
-  return ServiceNumber{position};
+  const auto next = static_cast<std::uint32_t>(services_.size());
+  const auto [it, is_new] =
+      numbers_.try_emplace(std::string(service), ServiceNumber{next});
+  if (is_new) services_.push_back({std::string(service), {}});
+  return it->second;
 }
 
 std::string_view RouteTable::NameOf(ServiceNumber service) const noexcept {
--- a/src/sapphirestream/edge/route_table.h
+++ b/src/sapphirestream/edge/route_table.h
@@ -101,6 +101,7 @@
   std::uint64_t version_ = 0;
   // Number = position; names are never removed.
   std::vector<ServiceSpec> services_;
+  std::unordered_map<std::string, ServiceNumber> numbers_;
   std::unordered_map<V4Endpoint, Route, V4EndpointHash> routes_;
   // Addresses of removed routes; bounded, the oldest one gives way.
   std::deque<V4Endpoint> removed_;
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -42,9 +42,10 @@
 
 void TargetDirectory::RetireFormerOwner(const TargetRecord& record,
                                         TimePoint now) {
-  for (auto& [key, other] : targets_) {
-    const bool is_former = key != record.key &&
-                           other.record.address == record.address &&
+  const auto [begin, end] = by_address_.equal_range(record.address);
+  for (auto it = begin; it != end; ++it) {
+    EdgeTarget& other = *it->second;
+    const bool is_former = other.record.key != record.key &&
                            other.record.incarnation < record.incarnation;
     if (is_former) Retire(other, now);
   }
@@ -131,17 +132,21 @@
     by_token_.emplace(MakeToken(target.record.key, variant), &target);
   }
   by_service_[target.service].push_back(&target);
+  by_address_.emplace(target.record.address, &target);
 }
 
 void TargetDirectory::Unlink(EdgeTarget& target) {
-  for (unsigned variant = 0; variant < kTokensPerTarget; ++variant) {
-    const auto [begin, end] =
-        by_token_.equal_range(MakeToken(target.record.key, variant));
+  const auto erase_from = [&target](auto& index, const auto& key) {
+    const auto [begin, end] = index.equal_range(key);
     const auto it = std::find_if(begin, end, [&target](const auto& entry) {
       return entry.second == &target;
     });
-    if (it != end) by_token_.erase(it);
+    if (it != end) index.erase(it);
+  };
+  for (unsigned variant = 0; variant < kTokensPerTarget; ++variant) {
+    erase_from(by_token_, MakeToken(target.record.key, variant));
   }
+  erase_from(by_address_, target.record.address);
   std::erase(by_service_[target.service], &target);
 }
 
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -103,6 +103,7 @@
   std::unordered_map<TargetKey, EdgeTarget> targets_;
   std::unordered_multimap<FlowToken, EdgeTarget*> by_token_;
   std::unordered_map<ServiceNumber, std::vector<EdgeTarget*>> by_service_;
+  std::unordered_multimap<V4Endpoint, EdgeTarget*, V4EndpointHash> by_address_;
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -155,8 +155,12 @@
   void OnPage(Reply reply) {
     calling_ = false;
     if (reply.error != ErrorKind::kNone) {
-      items_.clear();
-      Fail(reply.error, [](CollectionReader& self) { self.Start(); });
+      // Pages read so far are kept: if many instances read a long list at the
+      // same time, starting over would multiply the calls.
+      Fail(reply.error, [](CollectionReader& self) {
+        self.List(self.items_.empty() ? std::string{}
+                                      : self.items_.back().name);
+      });
       return;
     }
     Succeed();
--- a/test/store/collection_reader_test.cc
+++ b/test/store/collection_reader_test.cc
@@ -119,6 +119,18 @@
              boost::test_tools::per_element());
 }
 
+// Found on the bench: 300 instances that started together were refused pages
+// for their number of calls, began again, and served only after 30 s.
+BOOST_AUTO_TEST_CASE(a_refused_page_is_asked_for_again) {
+  client.replies = {Reply(7, {"a", "b"}, true),
+                    Failure(ErrorKind::kStoreUnavailable), Reply(9, {"c"})};
+  Start();
+  time.RunFor(900ms);
+  BOOST_REQUIRE(client.calls.size() >= 3U);
+  BOOST_TEST(client.calls[2] == "list b");
+  BOOST_TEST(seen.back() == "snapshot@7 a b c");
+}
+
 BOOST_AUTO_TEST_CASE(watches_are_paced) {
   client.replies = {Reply(7, {"a"}), Reply(8, {"b"}), Reply(9, {})};
   Start();
