--- a/bench/edge_slopes.cc
+++ b/bench/edge_slopes.cc
@@ -10,6 +10,7 @@
 #include "platform/packet_codec.h"
 #include "sapphirestream/base/id.h"
 #include "sapphirestream/edge/edge_steering.h"
+#include "testing/platform_objects.h"
 
 namespace sapphirestream {
 namespace {
@@ -129,17 +130,7 @@
 }
 
 void MeasureDecode(std::uint32_t targets) {
-  std::string body = R"({"items":[)";
-  for (std::uint32_t i = 0; i < targets; ++i) {
-    if (i != 0) body += ',';
-    body += R"({"meta":{"Name":"i-)" + std::to_string(1000000000U + i) +
-            R"(","Revision":12,"CreateRevision":3,"Finalizers":[],)"
-            R"("Deleting":false},"spec":{"Service":"desk","Address":)"
-            R"("10.128.0.9:8080","Zone":"domain-1","Version":"v1","Slots":2,)"
-            R"("State":"ready","ColdRemainingMs":0,"Seq":4,)"
-            R"("born":1787949095014},"status":null})";
-  }
-  body += R"(],"Truncated":false,"CurrentRev":530})";
+  const std::string body = testing::ListOfTargets(targets);
   const double ms =
       NanosecondsEach(
           5, [&](std::uint32_t) { (void)platform::DecodeTargets(body); }) /
