Fix four failures of the edge path that operators of similar systems reported

Change: the sequence number and the end of a flow decide whether a packet belongs to the cached flow; DrainTimer counts the first request only; SuspendDetector reads a clock that counts suspension before each packet, and opening packets are dropped until the view has been read again, for 0.5 s at most; a probe connects to a target that answered within the last second at the same time, and is inconclusive if that one does not answer either.

Ruled out: a second check after the first silence.

Measured: edge_test 67 and edge_io_test 22 cases pass.

--- a/src/sapphirestream/base/clock.h
+++ b/src/sapphirestream/base/clock.h
@@ -19,6 +19,9 @@
   virtual ~Clock() = default;
   [[nodiscard]] virtual TimePoint Now() const noexcept = 0;
   [[nodiscard]] virtual WallTime WallNow() const noexcept = 0;
+  // Monotonic time that also advances while the machine is suspended. Only
+  // differences between two of its values are meaningful.
+  [[nodiscard]] virtual TimePoint BootNow() const noexcept { return Now(); }
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge/edge_sink.h
+++ b/src/sapphirestream/edge/edge_sink.h
@@ -19,6 +19,10 @@
   V4Endpoint address;
   // Path of the health check; valid during the call.
   std::string_view health_path;
+  // A target that answered recently. The probe only counts as unanswered if
+  // this target can be reached at the same time: otherwise packets may be held
+  // up on the link of this instance. Not set if no target is known to answer.
+  std::optional<V4Endpoint> control;
 };
 
 class EdgeSink {
--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -50,6 +50,11 @@
   }
 }
 
+void EdgeSteering::DropOpening(const EdgePacket& packet, TimePoint now) {
+  unplaced_.Add();
+  log_.Dropped(packet, "view_outdated", now);
+}
+
 void EdgeSteering::OnNoRoute(const EdgePacket& packet, TimePoint now) {
   no_route_.Add();
   // Before the first configuration no route is known, and a flow may use a new
@@ -211,16 +216,37 @@
                                     TimePoint now) {
   if (const auto kind =
           target.health.OnUnanswered(unanswered_since, opening, now)) {
-    StartProbe(target, *kind);
+    StartProbe(target, *kind, now);
   }
 }
 
-void EdgeSteering::StartProbe(EdgeTarget& target, ProbeKind kind) {
+void EdgeSteering::StartProbe(EdgeTarget& target, ProbeKind kind,
+                              TimePoint now) {
   probes_.Add();
+  // Repeated probes of an unreachable target do not need a control, since they
+  // can only confirm the first outcome.
   sink_.Probe({.kind = kind,
                .target = target.record.key,
                .address = target.record.address,
-               .health_path = routes_.HealthPathOf(target.service)});
+               .health_path = routes_.HealthPathOf(target.service),
+               .control = IsUnreachable(target) ? std::nullopt
+                                                : ControlFor(target, now)});
+}
+
+void EdgeSteering::OnTargetProgress(EdgeTarget& target, TimePoint now) {
+  target.health.OnFlowProgress(now);
+  if (progress_[0].target != target.record.key) progress_[1] = progress_[0];
+  progress_[0] = {target.record.key, target.record.address, now};
+}
+
+std::optional<V4Endpoint> EdgeSteering::ControlFor(const EdgeTarget& target,
+                                                   TimePoint now) const {
+  const Progress& latest =
+      progress_[progress_[0].target == target.record.key ? 1 : 0];
+  if (latest.target == TargetKey{} || now - latest.at > kControlMaxAge) {
+    return std::nullopt;
+  }
+  return latest.address;
 }
 
 void EdgeSteering::OnProbe(TargetKey key, ProbeOutcome outcome, TimePoint begun,
@@ -271,7 +297,7 @@
   targets_.ForEach([&](EdgeTarget& target) {
     if (target.presence == TargetPresence::kGone) return;
     if (target.health.StartRecheckIfDue(now)) {
-      StartProbe(target, ProbeKind::kIdentity);
+      StartProbe(target, ProbeKind::kIdentity, now);
     }
     has_unreachable_ |= target.health.state() == Reachability::kUnreachable;
   });
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -43,6 +43,9 @@
   // clients retransmit after 200 ms.
   static constexpr Duration kMinRetransmitDelay =
       std::chrono::milliseconds(150);
+  // A target is known to answer if one of its flows made progress within this
+  // time.
+  static constexpr Duration kControlMaxAge = std::chrono::seconds(1);
   // Minimum time between two calls of EdgeSink::RefreshTargets.
   static constexpr Duration kMinRefreshInterval =
       std::chrono::milliseconds(300);
@@ -55,6 +58,9 @@
   // so a service without targets may have some shortly.
   void OnPacket(const EdgePacket& packet, TimePoint now,
                 bool targets_recovering = false);
+  // Drops an opening packet that arrived before the view was read again after a
+  // pause; the client retransmits it.
+  void DropOpening(const EdgePacket& packet, TimePoint now);
   // `begun` is when the probe was requested.
   void OnProbe(TargetKey key, ProbeOutcome outcome, TimePoint begun,
                TimePoint now);
@@ -83,6 +89,13 @@
     TimePoint began;
   };
 
+  // A target whose flow made progress.
+  struct Progress {
+    TargetKey target{};
+    V4Endpoint address;
+    TimePoint at{};
+  };
+
   void OnNoRoute(const EdgePacket& packet, TimePoint now);
 
   // Opening packets (SYN).
@@ -128,7 +141,11 @@
   // Reports a missing response to the target's health; may start a probe.
   void ReportUnanswered(EdgeTarget& target, TimePoint unanswered_since,
                         bool opening, TimePoint now);
-  void StartProbe(EdgeTarget& target, ProbeKind kind);
+  void StartProbe(EdgeTarget& target, ProbeKind kind, TimePoint now);
+  void OnTargetProgress(EdgeTarget& target, TimePoint now);
+  // Returns a target other than `target` that is known to answer.
+  [[nodiscard]] std::optional<V4Endpoint> ControlFor(const EdgeTarget& target,
+                                                     TimePoint now) const;
   [[nodiscard]] static bool IsUnreachable(const EdgeTarget& target) noexcept;
   [[nodiscard]] static bool MayReset(const CachedFlow& flow, const Route& route,
                                      const EdgeTarget& target) noexcept;
@@ -159,6 +176,8 @@
   // Whether any target is unreachable and therefore probed periodically.
   bool has_unreachable_ = false;
   TimePoint next_recheck_{};
+  // The two targets with the most recent progress, the latest one first.
+  std::array<Progress, 2> progress_;
   TimePoint last_refresh_{};
 
   Counter& forwarded_;
--- a/src/sapphirestream/edge/edge_steering_flows.cc
+++ b/src/sapphirestream/edge/edge_steering_flows.cc
@@ -13,11 +13,21 @@
   return static_cast<std::int32_t>(a - b) > 0;
 }
 
+// Whether the client has started another flow from the same port. Flows start
+// at a random sequence number; this instance may have missed some packets.
+constexpr bool IsOtherFlow(const EdgePacket& packet,
+                           const CachedFlow& flow) noexcept {
+  constexpr std::uint32_t max_missed_bytes = 1U << 20U;
+  return packet.sequence - flow.sequence_end + max_missed_bytes >
+         2 * max_missed_bytes;
+}
+
 }  // namespace
 
 void EdgeSteering::OnFlowPacket(const EdgePacket& packet, const Route& route,
                                 TimePoint now) {
   CachedFlow* flow = flows_.Find(packet.client, packet.service);
+  if (flow != nullptr && IsOtherFlow(packet, *flow)) flow = nullptr;
   EdgeTarget* const target = TargetOf(packet, route, flow);
   if (target == nullptr) {
     DropUnknownToken(packet, now);
@@ -32,10 +42,14 @@
   UpdateFlowTarget(*flow, *target, packet, now);
   OnProgress(packet, *flow, *target, now);
   if (!packet.payload.empty()) OnData(packet, *flow, *target, now);
-  if (packet.finishes || packet.resets) EndRequest(*flow);
+  if (packet.finishes || packet.resets) {
+    EndRequest(*flow);
+    // The client may use the port for another flow from now on.
+    flow->moved = false;
+  }
   if (target->presence == TargetPresence::kGone && !packet.payload.empty() &&
       target->health.StartIdentityProbeIfDue(now)) {
-    StartProbe(*target, ProbeKind::kIdentity);
+    StartProbe(*target, ProbeKind::kIdentity, now);
   }
   if (!packet.payload.empty() && MayReset(*flow, route, *target)) {
     ResetFlow(*flow, *target, packet.request_id, now);
@@ -80,7 +94,7 @@
   flow.acknowledged = packet.acknowledged;
   if (flow.repeats == 0) log_.opening_latency().Add(now - flow.waiting_since);
   flow.repeats = 0;
-  target.health.OnFlowProgress(now);
+  OnTargetProgress(target, now);
 }
 
 void EdgeSteering::OnProgress(const EdgePacket& packet, CachedFlow& flow,
@@ -91,7 +105,7 @@
   }
   flow.acknowledged = packet.acknowledged;
   flow.repeats = 0;
-  target.health.OnFlowProgress(now);
+  OnTargetProgress(target, now);
   if (!flow.waiting) return;
   log_.request_latency().Add(now - flow.waiting_since);
   EndRequest(flow);
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -20,18 +20,8 @@
 constexpr std::chrono::milliseconds kInitialLoadTimeout{200};
 // Period of tasks that are not triggered by packets.
 constexpr std::chrono::milliseconds kHousekeepingPeriod{250};
-// If a period exceeds kHousekeepingPeriod by this time, the process was
-// suspended and its view may be out of date.
-constexpr std::chrono::milliseconds kSuspendThreshold{1000};
 // Interval at which the settings file is checked for changes.
 constexpr std::chrono::milliseconds kSettingsCheckPeriod{1000};
-// The fabric stops sending packets here after two failed readiness checks that
-// are half a second apart.
-constexpr std::chrono::milliseconds kMinDrainTime{1500};
-// If no packet arrives for this time, the fabric sends them to other instances.
-constexpr std::chrono::milliseconds kDrainIdleTime{700};
-// Part of the grace period that is reserved for the shutdown of the process.
-constexpr std::chrono::milliseconds kShutdownReserve{500};
 
 // Targets change frequently, and their changes tolerate the short delay of
 // cached reads.
@@ -80,6 +70,7 @@
       view_(routes_, targets_, flow_log_, log, clock, counters_,
             platform.key_of(), [this] { OnViewChanged(); }),
       prober_(context_, platform.identity_field(), platform.key_of()),
+      suspend_detector_(kHousekeepingPeriod, clock.BootNow()),
       timer_(context_),
       steering_timer_(context_),
       housekeeping_timer_(context_),
@@ -114,7 +105,6 @@
               {"store", ToString(settings_.store)}});
   WatchSignals();
   StartReaders();
-  last_housekeeping_ = clock_.Now();
   initial_load_timer_.expires_after(kInitialLoadTimeout);
   initial_load_timer_.async_wait([this](const error_code& error) {
     if (!error) port_->Start();
@@ -145,8 +135,14 @@
 }
 
 void EdgeInstance::OnPacket(const EdgePacket& packet) {
+  // Packets that arrived during a pause are handled before the timers.
+  CheckForSuspend();
   const TimePoint now = clock_.Now();
-  last_packet_ = now;
+  drain_timer_.OnPacket(now);
+  if (packet.opens && view_.is_outdated()) {
+    steering_.DropOpening(packet, now);
+    return;
+  }
   steering_.OnPacket(packet, now,
                      view_.is_recovering() || !view_.is_complete());
   ArmSteering();
@@ -167,8 +163,8 @@
 }
 
 void EdgeInstance::Housekeep() {
+  CheckForSuspend();
   const TimePoint now = clock_.Now();
-  CheckForSuspend(now);
   OnViewChanged();
   targets_.Expire(now);
   if (now - last_settings_check_ >= kSettingsCheckPeriod) {
@@ -181,7 +177,6 @@
   }
   StopWhenDrained(now);
   lines_.Flush();
-  last_housekeeping_ = now;
   if (lifecycle_.state() == EdgeState::kStopped) {
     context_.stop();
     return;
@@ -192,13 +187,14 @@
   });
 }
 
-void EdgeInstance::CheckForSuspend(TimePoint now) {
-  const Duration gap = now - last_housekeeping_ - kHousekeepingPeriod;
-  if (gap < kSuspendThreshold) return;
-  log_.Write(
-      LogLevel::kWarn, "woke",
-      {{"slept_ms",
-        std::chrono::duration_cast<std::chrono::milliseconds>(gap).count()}});
+void EdgeInstance::CheckForSuspend() {
+  const auto pause = suspend_detector_.Check(clock_.BootNow());
+  if (!pause) return;
+  log_.Write(LogLevel::kWarn, "woke",
+             {{"slept_ms",
+               std::chrono::duration_cast<std::chrono::milliseconds>(*pause)
+                   .count()}});
+  view_.Invalidate();
   // Pending calls may be waiting for a response on a broken connection.
   StartReaders();
 }
@@ -252,7 +248,7 @@
 }
 
 void EdgeInstance::RequestStop() {
-  stop_requested_ = clock_.Now();
+  drain_timer_.OnStopRequested(clock_.Now());
   lifecycle_.Apply(EdgeEvent::kStopRequested);
   log_.Write(LogLevel::kInfo, "stopping",
              {{"state", Name(lifecycle_.state())}});
@@ -260,11 +256,9 @@
 
 void EdgeInstance::StopWhenDrained(TimePoint now) {
   if (lifecycle_.state() != EdgeState::kLeaving) return;
-  const Duration leaving = now - stop_requested_;
-  const bool is_drained =
-      leaving >= kMinDrainTime && now - last_packet_ >= kDrainIdleTime;
-  const bool is_over = leaving >= settings_.grace - kShutdownReserve;
-  if (is_drained || is_over) lifecycle_.Apply(EdgeEvent::kDrainFinished);
+  if (drain_timer_.IsOver(now, settings_.grace)) {
+    lifecycle_.Apply(EdgeEvent::kDrainFinished);
+  }
 }
 
 HttpResponse EdgeInstance::HandleReadinessCheck(const HttpRequest& request) {
--- a/src/sapphirestream/edge_io/edge_instance.h
+++ b/src/sapphirestream/edge_io/edge_instance.h
@@ -17,8 +17,10 @@
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/base/event_log.h"
 #include "sapphirestream/base/random.h"
+#include "sapphirestream/edge/drain_timer.h"
 #include "sapphirestream/edge/edge_lifecycle.h"
 #include "sapphirestream/edge/edge_steering.h"
+#include "sapphirestream/edge/suspend_detector.h"
 #include "sapphirestream/edge_io/edge_settings.h"
 #include "sapphirestream/edge_io/edge_view.h"
 #include "sapphirestream/edge_io/line_writer.h"
@@ -86,7 +88,8 @@
   void WatchSignals();
   void OnSignal(int number);
   void ReloadSettings(std::string_view cause);
-  void CheckForSuspend(TimePoint now);
+  // Reads the view again if the process was paused.
+  void CheckForSuspend();
   void RequestStop();
   void StopWhenDrained(TimePoint now);
   [[nodiscard]] HttpResponse HandleReadinessCheck(const HttpRequest& request);
@@ -109,6 +112,8 @@
   EdgeView view_;
   EdgeLifecycle lifecycle_;
   TargetProber prober_;
+  SuspendDetector suspend_detector_;
+  DrainTimer drain_timer_;
   AsioTimer timer_;
   boost::asio::steady_timer steering_timer_;
   boost::asio::steady_timer housekeeping_timer_;
@@ -125,11 +130,8 @@
 
   // Expiry of steering_timer_, if it is set.
   std::optional<TimePoint> armed_;
-  TimePoint last_housekeeping_{};
   TimePoint last_settings_check_{};
   TimePoint last_route_check_{};
-  TimePoint last_packet_{};
-  TimePoint stop_requested_{};
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -81,11 +81,26 @@
 }
 
 void EdgeView::ReportCurrent(const TargetObserver& /*observer*/) {
+  targets_outdated_ = false;
   flow_log_.OnTargetsRead(clock_.Now());
   on_read_();
 }
 
-void EdgeView::ReportCurrent(const RouteObserver& /*observer*/) { on_read_(); }
+void EdgeView::ReportCurrent(const RouteObserver& /*observer*/) {
+  routes_outdated_ = false;
+  on_read_();
+}
+
+void EdgeView::Invalidate() noexcept {
+  targets_outdated_ = true;
+  routes_outdated_ = true;
+  invalidated_at_ = clock_.Now();
+}
+
+bool EdgeView::is_outdated() const noexcept {
+  return (targets_outdated_ || routes_outdated_) &&
+         clock_.Now() - invalidated_at_ < kMaxOutdatedTime;
+}
 
 void EdgeView::ReportStoreLost(std::string_view collection, ErrorKind error) {
   lost_.Add();
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -26,6 +26,9 @@
   // a store outage.
   static constexpr std::size_t kExpiryDivisor = 2;
   static constexpr std::size_t kMinExpired = 3;
+  // Longest time for which new flows wait for the view to be read again after a
+  // pause. If the store cannot be reached, the last view is used.
+  static constexpr Duration kMaxOutdatedTime = std::chrono::milliseconds(500);
 
   // Maps the name of a target's entry to the target's key.
   using KeyOf = std::optional<TargetKey> (*)(std::string_view name);
@@ -48,6 +51,12 @@
   [[nodiscard]] bool is_complete() const noexcept {
     return has_targets_ && routes_.version() != 0;
   }
+  // Marks the view as outdated until both collections have been read again,
+  // because the process was paused: a target may have left or a route may have
+  // been withdrawn meanwhile.
+  void Invalidate() noexcept;
+  // Whether new flows have to wait for the view to be read again.
+  [[nodiscard]] bool is_outdated() const noexcept;
   // Whether targets may be missing because their entries expired during a store
   // outage and have not been written again yet.
   [[nodiscard]] bool is_recovering() const noexcept {
@@ -121,6 +130,10 @@
   Counter& config_version_;
   Counter& listed_;
   bool has_targets_ = false;
+  // Whether a collection has not been read since the last pause.
+  bool targets_outdated_ = false;
+  bool routes_outdated_ = false;
+  TimePoint invalidated_at_{};
   // When the store last recovered from an outage.
   TimePoint recovered_at_{};
   TargetObserver target_observer_{*this, "targets"};
--- a/src/sapphirestream/edge_io/target_prober.cc
+++ b/src/sapphirestream/edge_io/target_prober.cc
@@ -31,6 +31,10 @@
   return is_timeout ? ProbeOutcome::kSilent : ProbeOutcome::kFailed;
 }
 
+tcp::endpoint ToTcp(V4Endpoint endpoint) {
+  return {asio::ip::address_v4(endpoint.address), endpoint.port};
+}
+
 }  // namespace
 
 // A probe in progress; kept alive by its pending operations.
@@ -42,6 +46,20 @@
   Attempt(const Attempt&) = delete;
   Attempt& operator=(const Attempt&) = delete;
 
+  // Connects to the control target as well: without an answer from it, an
+  // unanswered probe says nothing about the probed target.
+  void ConnectToControl(const std::optional<V4Endpoint>& control) {
+    if (!control) return;
+    control_sockets_.reserve(kConnections);
+    for (unsigned i = 0; i < kConnections; ++i) {
+      control_sockets_.emplace_back(context_).async_connect(
+          ToTcp(*control),
+          [this, self = shared_from_this()](const error_code& error) {
+            if (!is_over()) OnControl(OutcomeOf(error));
+          });
+    }
+  }
+
  protected:
   // Ends the attempt after `time`. Another call replaces the timeout.
   void SetTimeout(std::chrono::milliseconds time) {
@@ -57,7 +75,10 @@
     const Done done = std::exchange(done_, nullptr);
     timer_.cancel();
     CloseSockets();
-    done(outcome, begun_);
+    const bool needs_control = outcome == ProbeOutcome::kSilent &&
+                               !control_sockets_.empty() && !control_answered_;
+    control_sockets_.clear();
+    done(needs_control ? ProbeOutcome::kFailed : outcome, begun_);
   }
 
   [[nodiscard]] bool is_over() const noexcept { return !done_; }
@@ -66,6 +87,11 @@
   virtual void CloseSockets() = 0;
 
  private:
+  void OnControl(ProbeOutcome outcome) {
+    control_answered_ |=
+        outcome == ProbeOutcome::kAccepted || outcome == ProbeOutcome::kRefused;
+  }
+
   void OnTimer(std::chrono::milliseconds time) {
     if (std::chrono::steady_clock::now() - timer_.expiry() >=
         kTimerLatenessLimit) {
@@ -81,6 +107,8 @@
   asio::io_context& context_;
   asio::steady_timer timer_;
   Done done_;
+  std::vector<tcp::socket> control_sockets_;
+  bool control_answered_ = false;
   TimePoint begun_ = std::chrono::steady_clock::now();
 };
 
@@ -213,17 +241,22 @@
 };
 
 void TargetProber::Probe(const ProbeRequest& probe, Done done) {
-  const tcp::endpoint target(asio::ip::address_v4(probe.address.address),
-                             probe.address.port);
+  const tcp::endpoint target = ToTcp(probe.address);
   switch (probe.kind) {
-    case ProbeKind::kConnection:
-      std::make_shared<ConnectionAttempt>(context_, std::move(done))
-          ->Start(target);
+    case ProbeKind::kConnection: {
+      const auto attempt =
+          std::make_shared<ConnectionAttempt>(context_, std::move(done));
+      attempt->Start(target);
+      attempt->ConnectToControl(probe.control);
       return;
-    case ProbeKind::kIdentity:
-      std::make_shared<IdentityAttempt>(context_, *this, probe, std::move(done))
-          ->Start(target);
+    }
+    case ProbeKind::kIdentity: {
+      const auto attempt = std::make_shared<IdentityAttempt>(
+          context_, *this, probe, std::move(done));
+      attempt->Start(target);
+      attempt->ConnectToControl(probe.control);
       return;
+    }
   }
 }
 
--- a/src/sapphirestream/edge_io/target_prober.h
+++ b/src/sapphirestream/edge_io/target_prober.h
@@ -38,7 +38,8 @@
                std::string_view identity_field, KeyOf key_of)
       : context_(context), identity_field_(identity_field), key_of_(key_of) {}
 
-  // Calls `done` asynchronously with the outcome.
+  // Calls `done` asynchronously with the outcome. kSilent is reported only if
+  // the control target, if there is one, answers while the target does not.
   void Probe(const ProbeRequest& probe, Done done);
 
  private:
--- a/test/edge/edge_steering_test.cc
+++ b/test/edge/edge_steering_test.cc
@@ -37,6 +37,7 @@
   void Reset(const ClientReset& reset) override { resets.push_back(reset); }
   void Probe(const ProbeRequest& probe) override {
     probes.push_back(probe.target);
+    control = probe.control;
     probe_begun = clock.Now();
   }
   void RefreshTargets() override { ++refreshes; }
@@ -92,6 +93,8 @@
   std::vector<Sent> sent;
   std::vector<ClientReset> resets;
   std::vector<TargetKey> probes;
+  // Control target of the last probe.
+  std::optional<V4Endpoint> control;
   TimePoint probe_begun;
   int refreshes = 0;
   std::vector<std::string> lines;
@@ -112,6 +115,16 @@
   BOOST_TEST(!sent[1].token.has_value());
 }
 
+BOOST_AUTO_TEST_CASE(an_opening_packet_dropped_after_a_pause_is_not_refused) {
+  steering.DropOpening(Syn(1, sample::kFeed), clock.Now());
+  BOOST_TEST(sent.empty());
+  BOOST_TEST(resets.empty());
+  BOOST_TEST(lines.back().find("view_outdated") != std::string::npos);
+  // The retransmission is placed like a first packet.
+  Handle(Syn(1, sample::kFeed, /*copies=*/1));
+  BOOST_TEST(sent.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_token_of_another_service_is_dropped) {
   Handle(Data(1, sample::kFeed, targets.TokenOf(TargetKey{9}), 101, 100, 1));
   BOOST_TEST(sent.empty());
@@ -215,6 +228,36 @@
   BOOST_TEST(resets.empty());
 }
 
+// A probe through the full link of this instance stays unanswered although its
+// target lives. An open flow was reset because of that.
+BOOST_AUTO_TEST_CASE(a_probe_names_another_target_that_answered_recently) {
+  Handle(Syn(1, sample::kFeed));
+  const TargetKey silent = sent.back().target;
+  std::uint32_t client = 2;
+  TargetKey answering = Open(client);
+  while (answering == silent) answering = Open(++client);
+  Request(client, answering);
+  clock.Advance(EdgeSteering::kOpeningTimeout);
+  steering.Tick(clock.Now());
+  BOOST_REQUIRE(!probes.empty());
+  BOOST_TEST((probes.back() == silent));
+  BOOST_REQUIRE(control.has_value());
+  BOOST_TEST((*control == targets.Find(answering)->record.address));
+}
+
+BOOST_AUTO_TEST_CASE(a_probe_has_no_control_if_no_other_target_answers) {
+  const TargetKey only = Open(1);
+  clock.Advance(EdgeSteering::kControlMaxAge);
+  std::uint32_t client = 2;
+  do {
+    Handle(Syn(client++, sample::kFeed));
+  } while (sent.back().target == only);
+  clock.Advance(1ms);
+  Advance(EdgeSteering::kOpeningTimeout);
+  BOOST_REQUIRE(!probes.empty());
+  BOOST_TEST(!control.has_value());
+}
+
 // Two machines may lose power together, and the client retransmits only after
 // 200 ms.
 BOOST_AUTO_TEST_CASE(
@@ -253,6 +296,31 @@
   BOOST_TEST(!sent.back().token.has_value());
 }
 
+// A client port is used again while this instance remembers the former flow,
+// whose opening packet had been moved. The new flow was sent to the target of
+// the former one, which reset it.
+BOOST_AUTO_TEST_CASE(a_reused_port_is_not_steered_by_a_former_moved_flow) {
+  for (const bool end_was_seen : {false, true}) {
+    Handle(Syn(1, sample::kFeed));
+    const TargetKey first = sent.back().target;
+    Advance(EdgeSteering::kOpeningTimeout);
+    clock.Advance(60ms);
+    FinishProbe(first, ProbeOutcome::kSilent);
+    const TargetKey second = sent.back().target;
+    BOOST_REQUIRE((second != first));
+    EdgePacket last =
+        Data(1, sample::kFeed, targets.TokenOf(second), 101, 100, 1);
+    last.finishes = end_was_seen;
+    Handle(last);
+    // Opened through another instance.
+    const std::uint32_t start = end_was_seen ? 300 : 0x50000000;
+    Handle(Data(1, sample::kFeed, targets.TokenOf(first), start, 100, 7));
+    BOOST_TEST((sent.back().target == first));
+    BOOST_TEST(!sent.back().token.has_value());
+    targets.Find(first)->health = {};
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_answered_opening_packet_causes_no_probe) {
   Open(1);
   Advance(1s);
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -80,6 +80,27 @@
   BOOST_TEST(sink.lines.size() == 2U);
 }
 
+// After a pause, new flows went to targets that had left and used routes that
+// had been withdrawn until the next call to the store.
+BOOST_AUTO_TEST_CASE(after_a_pause_both_collections_must_be_read_again) {
+  observer().OnSnapshot({Item(1, 1)}, 1);
+  ReadRoutes(1);
+  BOOST_TEST(!view.is_outdated());
+  view.Invalidate();
+  BOOST_TEST(view.is_outdated());
+  observer().OnSynced();
+  BOOST_TEST(view.is_outdated());
+  view.route_observer().OnSynced();
+  BOOST_TEST(!view.is_outdated());
+}
+
+// An instance that is cut off from the store goes on serving.
+BOOST_AUTO_TEST_CASE(an_outdated_view_is_used_if_the_store_does_not_answer) {
+  view.Invalidate();
+  clock.Advance(EdgeView::kMaxOutdatedTime);
+  BOOST_TEST(!view.is_outdated());
+}
+
 BOOST_AUTO_TEST_CASE(the_view_is_recovering_after_an_outage) {
   observer().OnStoreUnavailable(ErrorKind::kTimedOut);
   observer().OnStoreRecovered(3s);
