Cut the store calls of an instance: one probe in an outage, paced watches

Failed calls are charged in full, also cached ones.

Change: one of the two readers probes an unavailable store, 1 to 2 s apart; its first success resumes the other. Configuration watches are a quarter of the bound on a change apart (setting config-bound-ms). A first list with pages from the cache is used only after a current read of the changes since. The deadline of calls doubles after a timeout, 4 s at most. The types of a collection move to store/collection.h.

--- a/scripts/build_deploy.sh
+++ b/scripts/build_deploy.sh
@@ -10,6 +10,7 @@
 settings=$(mktemp)
 trap 'rm -f "$settings"' EXIT
 sed -E -e 's/\{\{(Listen[^}]*|platform\.Address)\}\}/127.0.0.1:7000/g' \
-  -e 's/\{\{Ip\}\}/127.0.0.1/g' -e 's/\{\{[^}]*\}\}/7/g' \
+  -e 's/\{\{Ip\}\}/127.0.0.1/g' -e 's/\{\{[^}]*Ms\}\}/3000/g' \
+  -e 's/\{\{[^}]*\}\}/7/g' \
   deploy/edge.settings >"$settings"
 SAPPHIRESTREAM_SETTINGS="$settings" target/sapphire_edge --check
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -36,7 +36,7 @@
 CollectionReaderOptions RouteOptions(const EdgeSettings& settings) {
   CollectionReaderOptions options;
   options.watch_timeout = settings.watch_wait;
-  options.min_watch_interval = settings.config_pause;
+  options.min_watch_interval = ConfigWatchInterval(settings);
   return options;
 }
 
@@ -67,8 +67,10 @@
       flow_log_(log, routes_),
       steering_(routes_, targets_, *this, flow_log_, counters_,
                 settings.flow_capacity),
-      view_(routes_, targets_, flow_log_, log, clock, counters_,
-            platform.key_of(), [this] { OnViewChanged(); }),
+      view_(
+          routes_, targets_, flow_log_, log, clock, counters_,
+          platform.key_of(), [this] { OnViewChanged(); },
+          [this] { RetryReaders(); }),
       prober_(context_, platform.identity_field(), platform.key_of()),
       suspend_detector_(kHousekeepingPeriod, clock.BootNow()),
       timer_(context_),
@@ -126,14 +128,19 @@
       platform_.MakeRouteClient(context_, settings_.store, counters_);
   target_reader_ = std::make_unique<CollectionReader<TargetRecord>>(
       *target_client_, timer_, clock_, random_, view_.target_observer(),
-      TargetOptions(settings_));
+      probe_lock_, TargetOptions(settings_));
   route_reader_ = std::make_unique<CollectionReader<RouteConfig>>(
       *route_client_, timer_, clock_, random_, view_.route_observer(),
-      RouteOptions(settings_));
+      probe_lock_, RouteOptions(settings_));
   target_reader_->Start();
   route_reader_->Start();
 }
 
+void EdgeInstance::RetryReaders() {
+  target_reader_->RetryNow();
+  route_reader_->RetryNow();
+}
+
 void EdgeInstance::OnPacket(const EdgePacket& packet) {
   // Packets that arrived during a pause are handled before the timers.
   CheckForSuspend();
@@ -233,11 +240,12 @@
       next->domain != settings_.domain || next->data != settings_.data ||
       next->ready != settings_.ready || next->metrics != settings_.metrics ||
       next->flow_capacity != settings_.flow_capacity;
-  const bool watches_changed = next->store != settings_.store ||
-                               next->watch_wait != settings_.watch_wait ||
-                               next->cached_wait != settings_.cached_wait ||
-                               next->target_pause != settings_.target_pause ||
-                               next->config_pause != settings_.config_pause;
+  const bool watches_changed =
+      next->store != settings_.store ||
+      next->watch_wait != settings_.watch_wait ||
+      next->cached_wait != settings_.cached_wait ||
+      next->target_pause != settings_.target_pause ||
+      ConfigWatchInterval(*next) != ConfigWatchInterval(settings_);
   settings_ = *next;
   lines_.set_threshold(settings_.log_level);
   if (watches_changed) StartReaders();
--- a/src/sapphirestream/edge_io/edge_instance.h
+++ b/src/sapphirestream/edge_io/edge_instance.h
@@ -27,6 +27,7 @@
 #include "sapphirestream/edge_io/packet_port.h"
 #include "sapphirestream/edge_io/target_prober.h"
 #include "sapphirestream/store/asio_timer.h"
+#include "sapphirestream/store/collection_reader.h"
 
 namespace sapphirestream {
 
@@ -80,6 +81,8 @@
 
   leaf::result<void> OpenSockets();
   void StartReaders();
+  // Ends the backoff of both readers.
+  void RetryReaders();
   void OnPacket(const EdgePacket& packet);
   // Sets the steering timer to the next deadline of EdgeSteering.
   void ArmSteering();
@@ -125,6 +128,7 @@
   std::unique_ptr<CollectionClient<TargetRecord>> target_client_;
   std::unique_ptr<CollectionClient<RouteConfig>> route_client_;
   std::unique_ptr<CollectionClient<RouteConfig>> route_check_client_;
+  ProbeLock probe_lock_;
   std::unique_ptr<CollectionReader<TargetRecord>> target_reader_;
   std::unique_ptr<CollectionReader<RouteConfig>> route_reader_;
 
--- a/src/sapphirestream/edge_io/edge_settings.cc
+++ b/src/sapphirestream/edge_io/edge_settings.cc
@@ -116,6 +116,11 @@
                [](std::string_view v, EdgeSettings& s) {
                  return AssignNumber(v, 0, 10000, "ms", s.config_pause);
                }},
+    SettingRow{"config-bound-ms", "2000",
+               "time within which a configuration must take effect in ms",
+               [](std::string_view v, EdgeSettings& s) {
+                 return AssignNumber(v, 100, 600000, "ms", s.config_bound);
+               }},
     SettingRow{"flow-capacity", "2048",
                "flows tracked for load and failure detection",
                [](std::string_view v, EdgeSettings& s) {
@@ -191,6 +196,13 @@
 
 }  // namespace
 
+std::chrono::milliseconds ConfigWatchInterval(
+    const EdgeSettings& settings) noexcept {
+  // The rest of the bound is left for a slow reply and a repeated call.
+  constexpr int bound_divisor = 4;
+  return std::max(settings.config_pause, settings.config_bound / bound_divisor);
+}
+
 ParsedEdgeSettings ParseEdgeSettings(const std::vector<std::string>& arguments,
                                      const Environment& environment,
                                      const std::string& file) {
--- a/src/sapphirestream/edge_io/edge_settings.h
+++ b/src/sapphirestream/edge_io/edge_settings.h
@@ -40,8 +40,11 @@
   // Minimum time between two watches of targets. A draining target must get no
   // new flows after 3 s.
   std::chrono::milliseconds target_pause{};
-  // Minimum time between two watches of the configuration.
+  // Minimum time between two watches of the configuration; see
+  // ConfigWatchInterval.
   std::chrono::milliseconds config_pause{};
+  // Time within which an accepted configuration must take effect.
+  std::chrono::milliseconds config_bound{};
   std::size_t flow_capacity = 0;
   // Maximum number of log lines per event in 10 s; further lines are only
   // counted.
@@ -51,6 +54,12 @@
   bool operator==(const EdgeSettings&) const = default;
 };
 
+// Returns the minimum time between the starts of two configuration watches. It
+// grows with the bound on a change, so that configurations in quick succession
+// cost fewer calls where more time is allowed.
+[[nodiscard]] std::chrono::milliseconds ConfigWatchInterval(
+    const EdgeSettings& settings) noexcept;
+
 enum class EdgeStartMode : std::uint8_t { kRun, kCheck, kHelp, kVersion };
 
 struct ParsedEdgeSettings {
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -12,7 +12,8 @@
 
 EdgeView::EdgeView(RouteTable& routes, TargetDirectory& targets,
                    EdgeLog& flow_log, EventLog& log, const Clock& clock,
-                   CounterSet& counters, KeyOf key_of, OnRead on_read)
+                   CounterSet& counters, KeyOf key_of, OnRead on_read,
+                   OnStoreRecovered on_store_recovered)
     : routes_(routes),
       targets_(targets),
       flow_log_(flow_log),
@@ -20,6 +21,7 @@
       clock_(clock),
       key_of_(key_of),
       on_read_(std::move(on_read)),
+      on_store_recovered_(std::move(on_store_recovered)),
       lost_(counters.Emplace("store_lost_total")),
       refused_(counters.Emplace("store_refusals_total")),
       malformed_(counters.Emplace("target_entries_malformed_total")),
@@ -115,6 +117,12 @@
       {{"collection", collection},
        {"away_ms",
         std::chrono::duration_cast<std::chrono::milliseconds>(away).count()}});
+  on_store_recovered_();
+}
+
+void EdgeView::ReportCacheOutdated(std::string_view collection) {
+  log_.Write(LogLevel::kWarn, "store_cache_outdated",
+             {{"collection", collection}});
 }
 
 void EdgeView::ReportCheckFailed(std::string_view collection, ErrorKind error) {
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -15,7 +15,7 @@
 #include "sapphirestream/edge/edge_log.h"
 #include "sapphirestream/edge/route_table.h"
 #include "sapphirestream/edge/target_directory.h"
-#include "sapphirestream/store/collection_reader.h"
+#include "sapphirestream/store/collection.h"
 
 namespace sapphirestream {
 
@@ -35,11 +35,13 @@
 
   // Called after routes or targets have been read.
   using OnRead = std::function<void()>;
+  // Called when a call succeeds after an outage of the store.
+  using OnStoreRecovered = std::function<void()>;
 
   // The references must outlive the view.
   EdgeView(RouteTable& routes, TargetDirectory& targets, EdgeLog& flow_log,
            EventLog& log, const Clock& clock, CounterSet& counters,
-           KeyOf key_of, OnRead on_read);
+           KeyOf key_of, OnRead on_read, OnStoreRecovered on_store_recovered);
 
   [[nodiscard]] CollectionObserver<TargetRecord>& target_observer() noexcept {
     return target_observer_;
@@ -83,6 +85,7 @@
     void OnStoreRecovered(Duration away) override {
       view_.ReportStoreRegained(collection_, away);
     }
+    void OnCacheOutdated() override { view_.ReportCacheOutdated(collection_); }
     void OnPollFailed(ErrorKind error) override {
       view_.ReportCheckFailed(collection_, error);
     }
@@ -105,6 +108,7 @@
   void ReportCurrent(const RouteObserver& observer);
   void ReportStoreLost(std::string_view collection, ErrorKind error);
   void ReportStoreRegained(std::string_view collection, Duration away);
+  void ReportCacheOutdated(std::string_view collection);
   void ReportCheckFailed(std::string_view collection, ErrorKind error);
   void ReportRefused(std::string_view collection);
 
@@ -124,6 +128,7 @@
   const Clock& clock_;
   KeyOf key_of_;
   OnRead on_read_;
+  OnStoreRecovered on_store_recovered_;
   Counter& lost_;
   Counter& refused_;
   Counter& malformed_;
--- a/src/sapphirestream/store/backoff.h
+++ b/src/sapphirestream/store/backoff.h
@@ -1,6 +1,6 @@
-// Exponential backoff with full jitter: each delay is uniformly distributed
-// between zero and a ceiling that doubles with every attempt, so that clients
-// that failed at the same time do not retry at the same time.
+// Exponential backoff with jitter: each delay is uniformly distributed between
+// a fraction of a ceiling and the ceiling, which doubles with every attempt, so
+// that clients that failed at the same time do not retry at the same time.
 #ifndef SAPPHIRESTREAM_STORE_BACKOFF_H_
 #define SAPPHIRESTREAM_STORE_BACKOFF_H_
 
@@ -14,6 +14,9 @@
 struct BackoffOptions {
   Duration base = std::chrono::milliseconds(20);
   Duration cap = std::chrono::seconds(2);
+  // Shortest delay as a fraction of the ceiling, 0 (full jitter) to 1 (none).
+  // A larger fraction makes fewer attempts for the same longest delay.
+  double min_fraction = 0;
 };
 
 class Backoff {
@@ -23,7 +26,8 @@
 
   // Returns the delay before the next attempt and doubles the ceiling.
   [[nodiscard]] Duration Next(Random& random) {
-    const double fraction = random.Unit();
+    const double fraction =
+        options_.min_fraction + (1 - options_.min_fraction) * random.Unit();
     const auto delay = Duration(static_cast<Duration::rep>(
         fraction * static_cast<double>(ceiling_.count())));
     ceiling_ = std::min(options_.cap, ceiling_ * 2);
--- /dev/null
+++ b/src/sapphirestream/store/collection.h
@@ -0,0 +1,89 @@
+// A collection of objects in a store: its items, the calls that read it, and
+// the events that a reader reports.
+#ifndef SAPPHIRESTREAM_STORE_COLLECTION_H_
+#define SAPPHIRESTREAM_STORE_COLLECTION_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/error.h"
+
+namespace sapphirestream {
+
+template <typename Record>
+struct CollectionItem {
+  std::string name;
+  std::uint64_t revision = 0;
+  bool deleted = false;
+  // Empty if the object is deleted or cannot be parsed.
+  std::optional<Record> record;
+};
+
+template <typename Record>
+struct CollectionReply {
+  // kNone, kHistoryLost (the list must be read again), kRateLimited,
+  // kStoreUnavailable or kTimedOut.
+  ErrorKind error = ErrorKind::kNone;
+  // Revision of the whole store at the time of the reply.
+  std::uint64_t revision = 0;
+  // Whether more items follow after the name of the last one.
+  bool has_more = false;
+  std::vector<CollectionItem<Record>> items;
+};
+
+// Required consistency of a read.
+enum class Freshness : std::uint8_t {
+  kCurrent,
+  // May be served from a cache of the store that can lag behind. Costs a tenth
+  // of a current read and is never rate limited.
+  kCached,
+};
+
+// Asynchronous calls for one collection. Callbacks run on the control thread.
+template <typename Record>
+class CollectionClient {
+ public:
+  using Done = std::function<void(CollectionReply<Record>)>;
+
+  virtual ~CollectionClient() = default;
+  // Reads one page of the items whose names are greater than `after`.
+  virtual void List(const std::string& after, Freshness freshness,
+                    Duration deadline, Done done) = 0;
+  // Reads the changes since a revision. If there are none, waits up to `wait`
+  // for the first one.
+  virtual void Watch(std::uint64_t since, Duration wait, Freshness freshness,
+                     Duration deadline, Done done) = 0;
+};
+
+template <typename Record>
+class CollectionObserver {
+ public:
+  virtual ~CollectionObserver() = default;
+  // Receives the complete collection; objects that are not in `items` do not
+  // exist.
+  virtual void OnSnapshot(const std::vector<CollectionItem<Record>>& items,
+                          std::uint64_t revision) = 0;
+  virtual void OnChanges(const std::vector<CollectionItem<Record>>& items) = 0;
+  // A successful reply confirmed that the collection is up to date.
+  virtual void OnSynced() {}
+  // Called on the first failed call of an outage, and on the first successful
+  // reply after it.
+  virtual void OnStoreUnavailable(ErrorKind error) = 0;
+  virtual void OnStoreRecovered(Duration outage) = 0;
+  // The changes missing from a cached list could not be read because the store
+  // has lost its history; the list is read again.
+  virtual void OnCacheOutdated() {}
+  // A poll failed; see CollectionReader::Poll.
+  virtual void OnPollFailed(ErrorKind /*error*/) {}
+  // The store rejected a call because all instances together exceed its rate
+  // limit.
+  virtual void OnRateLimited() {}
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_STORE_COLLECTION_H_
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -1,5 +1,6 @@
 // Keeps a local view of a collection of objects in a store: lists it page by
-// page, then watches for changes. Independent of the type of the objects and of
+// page, then watches for changes. While the store is unavailable, it is probed
+// with inexpensive cached reads. Independent of the type of the objects and of
 // the store protocol.
 #ifndef SAPPHIRESTREAM_STORE_COLLECTION_READER_H_
 #define SAPPHIRESTREAM_STORE_COLLECTION_READER_H_
@@ -15,89 +16,26 @@
 #include <vector>
 
 #include "sapphirestream/base/clock.h"
-#include "sapphirestream/base/error.h"
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/store/backoff.h"
+#include "sapphirestream/store/collection.h"
 #include "sapphirestream/store/timer.h"
 
 namespace sapphirestream {
 
-template <typename Record>
-struct CollectionItem {
-  std::string name;
-  std::uint64_t revision = 0;
-  bool deleted = false;
-  // Empty if the object is deleted or cannot be parsed.
-  std::optional<Record> record;
-};
-
-template <typename Record>
-struct CollectionReply {
-  // kNone, kHistoryLost (the list must be read again), kRateLimited,
-  // kStoreUnavailable or kTimedOut.
-  ErrorKind error = ErrorKind::kNone;
-  // Revision of the whole store at the time of the reply.
-  std::uint64_t revision = 0;
-  // Whether more items follow after the name of the last one.
-  bool has_more = false;
-  std::vector<CollectionItem<Record>> items;
-};
-
-// Required consistency of a read.
-enum class Freshness : std::uint8_t {
-  kCurrent,
-  // May be served from a cache of the store that can lag behind. Costs a tenth
-  // of a current read and is never rate limited.
-  kCached,
-};
-
-// Asynchronous calls for one collection. Callbacks run on the control thread.
-template <typename Record>
-class CollectionClient {
- public:
-  using Done = std::function<void(CollectionReply<Record>)>;
-
-  virtual ~CollectionClient() = default;
-  // Reads one page of the items whose names are greater than `after`.
-  virtual void List(const std::string& after, Freshness freshness,
-                    Duration deadline, Done done) = 0;
-  // Reads the changes since a revision. If there are none, waits up to `wait`
-  // for the first one.
-  virtual void Watch(std::uint64_t since, Duration wait, Freshness freshness,
-                     Duration deadline, Done done) = 0;
-};
-
-template <typename Record>
-class CollectionObserver {
- public:
-  virtual ~CollectionObserver() = default;
-  // Receives the complete collection; objects that are not in `items` do not
-  // exist.
-  virtual void OnSnapshot(const std::vector<CollectionItem<Record>>& items,
-                          std::uint64_t revision) = 0;
-  virtual void OnChanges(const std::vector<CollectionItem<Record>>& items) = 0;
-  // A successful reply confirmed that the collection is up to date.
-  virtual void OnSynced() {}
-  // Called on the first failed call of an outage, and on the first successful
-  // reply after it.
-  virtual void OnStoreUnavailable(ErrorKind error) = 0;
-  virtual void OnStoreRecovered(Duration outage) = 0;
-  // A poll failed; see CollectionReader::Poll.
-  virtual void OnPollFailed(ErrorKind /*error*/) {}
-  // The store rejected a call because all instances together exceed its rate
-  // limit.
-  virtual void OnRateLimited() {}
-};
-
 struct CollectionReaderOptions {
   Duration call_deadline = std::chrono::seconds(1);
+  // The deadline doubles after each call that exceeds it, up to this one:
+  // repeating large replies that are slow to arrive would keep the link of the
+  // store full.
+  Duration max_call_deadline = std::chrono::seconds(4);
   // Time that the store holds a watch open waiting for a change.
   Duration watch_timeout = std::chrono::seconds(10);
   // Minimum time between the starts of two watches, which batches changes in
   // quick succession.
   Duration min_watch_interval = std::chrono::milliseconds(500);
-  // Consistency of watches and of periodic relists. Other lists use kCurrent
-  // until the store rate limits a page.
+  // Consistency of watches and of all lists but the first, which is current.
+  // Pages are read from the cache after a failed or rate-limited page.
   Freshness freshness = Freshness::kCurrent;
   // Time for which watches use kCurrent after a cached reply was found to be
   // stale.
@@ -105,8 +43,31 @@
   // Interval at which the whole list is read again, in case a change was
   // missed.
   Duration relist_period = std::chrono::seconds(30);
-  BackoffOptions backoff{std::chrono::milliseconds(100),
-                         std::chrono::seconds(1)};
+  // Backoff until the first list has been read.
+  BackoffOptions initial_backoff{std::chrono::milliseconds(100),
+                                 std::chrono::seconds(1)};
+  // Backoff afterwards. It is longer because the local view stays usable, and a
+  // failed call is charged as a current read.
+  BackoffOptions backoff{std::chrono::milliseconds(200),
+                         std::chrono::seconds(2), /*min_fraction=*/0.5};
+};
+
+// Shared by the readers of one store, so that only one of them probes it while
+// it is unavailable. The others wait for CollectionReader::RetryNow.
+class ProbeLock {
+ public:
+  // Returns whether `reader` holds the lock.
+  [[nodiscard]] bool TryAcquire(const void* reader) noexcept {
+    if (holder_ == nullptr) holder_ = reader;
+    return holder_ == reader;
+  }
+  // Does nothing if another reader holds the lock.
+  void Release(const void* reader) noexcept {
+    if (holder_ == reader) holder_ = nullptr;
+  }
+
+ private:
+  const void* holder_ = nullptr;
 };
 
 // Not thread-safe: all calls and callbacks happen on the control thread.
@@ -118,21 +79,36 @@
   // The references must outlive the reader.
   CollectionReader(CollectionClient<Record>& client, Timer& timer,
                    const Clock& clock, Random& random,
-                   CollectionObserver<Record>& observer,
+                   CollectionObserver<Record>& observer, ProbeLock& probe_lock,
                    const CollectionReaderOptions& options)
       : client_(client),
         timer_(timer),
         clock_(clock),
         random_(random),
         observer_(observer),
+        probe_lock_(probe_lock),
         options_(options),
-        backoff_(options.backoff) {}
-  ~CollectionReader() { timer_.Cancel(next_timer_); }
+        backoff_(options.initial_backoff),
+        call_deadline_(options.call_deadline) {}
+  ~CollectionReader() {
+    timer_.Cancel(next_timer_);
+    probe_lock_.Release(this);
+  }
   CollectionReader(const CollectionReader&) = delete;
   CollectionReader& operator=(const CollectionReader&) = delete;
 
-  // Starts following the collection, or restarts with a full list.
-  void Start() { ReadList(Freshness::kCurrent); }
+  // Starts following the collection, or restarts with a full list. The first
+  // list is current, since a cached one takes another call to confirm.
+  void Start() {
+    ReadList(has_list_ ? options_.freshness : Freshness::kCurrent);
+  }
+  // Repeats a failed call immediately instead of after its backoff. For use
+  // when another call has shown that the store is available.
+  void RetryNow() {
+    if (!retry_) return;
+    timer_.Cancel(next_timer_);
+    std::exchange(retry_, nullptr)();
+  }
   // Starts a watch immediately unless a call is in flight.
   void Refresh() {
     if (call_in_flight_ || !has_list_) return;
@@ -140,17 +116,22 @@
   }
   // Polls for changes through another client, in case the reply to the pending
   // watch was lost. Inexpensive: uses a cached read, which returns items only
-  // if the watch is behind.
+  // if the watch is behind. Does nothing while a failed call waits for its
+  // repetition.
   void Poll(CollectionClient<Record>& client) {
-    if (!has_list_) return;
+    if (!has_list_ || retry_) return;
     client.Watch(revision_, Duration::zero(), Freshness::kCached,
                  options_.call_deadline,
                  InEpoch([](CollectionReader& self, Reply reply) {
                    if (reply.error == ErrorKind::kHistoryLost) {
-                     self.Start();
-                   } else if (reply.error != ErrorKind::kNone) {
+                     self.ReadCurrentList();
+                     return;
+                   }
+                   if (reply.error != ErrorKind::kNone) {
                      self.observer_.OnPollFailed(reply.error);
-                   } else if (!reply.items.empty()) {
+                     return;
+                   }
+                   if (!reply.items.empty()) {
                      self.observer_.OnChanges(reply.items);
                    }
                  }));
@@ -172,6 +153,7 @@
   void ReadList(Freshness freshness) {
     ++epoch_;
     timer_.Cancel(next_timer_);
+    retry_ = nullptr;
     listed_items_.clear();
     list_revision_.reset();
     list_freshness_ = freshness;
@@ -183,7 +165,7 @@
     call_in_flight_ = true;
     client_.List(
         listed_items_.empty() ? std::string{} : listed_items_.back().name,
-        list_freshness_, options_.call_deadline,
+        list_freshness_, call_deadline_,
         InEpoch([](CollectionReader& self, Reply reply) {
           self.OnPage(std::move(reply));
         }));
@@ -193,16 +175,11 @@
     call_in_flight_ = false;
     // Pages read so far are kept: if many instances read a long list at the
     // same time, starting over would multiply the calls.
-    if (reply.error == ErrorKind::kRateLimited) {
-      // Read the remaining pages from the cache, since a long list has too many
-      // pages to retry each one after a rejection.
-      list_freshness_ = Freshness::kCached;
-      RetryAfterRejection([](CollectionReader& self) { self.ReadPage(); });
-      return;
-    }
     if (reply.error != ErrorKind::kNone) {
-      RetryAfterFailure(reply.error,
-                        [](CollectionReader& self) { self.ReadPage(); });
+      // The remaining pages come from the cache: failed calls are charged, and
+      // a long list has too many pages to retry each one after a rejection.
+      list_freshness_ = Freshness::kCached;
+      Retry(reply.error, [](CollectionReader& self) { self.ReadPage(); });
       return;
     }
     OnSuccess();
@@ -218,23 +195,103 @@
       ReadPage();
       return;
     }
-    revision_ = *std::exchange(list_revision_, std::nullopt);
+    if (!has_list_ && list_freshness_ == Freshness::kCached) {
+      ConfirmList();
+      return;
+    }
+    CompleteList(*list_revision_);
+  }
+
+  // Reads the changes since a cached list was made. Without a previous view, a
+  // cached list alone may name targets that have left since.
+  void ConfirmList() {
+    call_in_flight_ = true;
+    client_.Watch(*list_revision_, Duration::zero(), Freshness::kCurrent,
+                  call_deadline_,
+                  InEpoch([](CollectionReader& self, Reply reply) {
+                    self.OnListConfirmed(std::move(reply));
+                  }));
+  }
+
+  void OnListConfirmed(Reply reply) {
+    call_in_flight_ = false;
+    if (reply.error == ErrorKind::kHistoryLost) {
+      OnSuccess();
+      observer_.OnCacheOutdated();
+      ReadCurrentList();
+      return;
+    }
+    if (reply.error != ErrorKind::kNone) {
+      Retry(reply.error, [](CollectionReader& self) { self.ConfirmList(); });
+      return;
+    }
+    OnSuccess();
+    for (auto& change : reply.items) ApplyToList(std::move(change));
+    list_freshness_ = Freshness::kCurrent;
+    CompleteList(std::max(*list_revision_, reply.revision));
+  }
+
+  void ApplyToList(CollectionItem<Record> change) {
+    const auto listed = std::find_if(
+        listed_items_.begin(), listed_items_.end(),
+        [&](const auto& item) { return item.name == change.name; });
+    if (listed == listed_items_.end()) {
+      listed_items_.push_back(std::move(change));
+    } else {
+      *listed = std::move(change);
+    }
+    std::erase_if(listed_items_, [](const auto& item) { return item.deleted; });
+  }
+
+  void CompleteList(std::uint64_t revision) {
+    revision_ = revision;
+    list_revision_.reset();
     has_list_ = true;
+    backoff_ = Backoff{options_.backoff};
     const auto items = std::exchange(listed_items_, {});
     observer_.OnSnapshot(items, revision_);
     observer_.OnSynced();
     ScheduleWatch();
   }
 
+  // Checks whether the store is available again.
+  void Probe() {
+    call_in_flight_ = true;
+    client_.Watch(revision_, Duration::zero(), Freshness::kCached,
+                  call_deadline_,
+                  InEpoch([](CollectionReader& self, Reply reply) {
+                    self.OnProbe(reply.error);
+                  }));
+  }
+
+  void OnProbe(ErrorKind error) {
+    call_in_flight_ = false;
+    if (error != ErrorKind::kNone && error != ErrorKind::kHistoryLost) {
+      Retry(error, [](CollectionReader& self) { self.Probe(); });
+      return;
+    }
+    OnSuccess();
+    if (error == ErrorKind::kHistoryLost) {
+      ReadCurrentList();
+    } else {
+      Start();
+    }
+  }
+
+  // A cached list can be older than the history that the store has kept, so
+  // that the watch after it would fail again.
+  void ReadCurrentList() { ReadList(Freshness::kCurrent); }
+
   void Watch() {
     timer_.Cancel(next_timer_);
+    retry_ = nullptr;
     call_in_flight_ = true;
     last_watch_ = clock_.Now();
     const bool bypass_cache = last_watch_ < bypass_cache_until_ ||
                               list_freshness_ == Freshness::kCached;
     client_.Watch(revision_, options_.watch_timeout,
                   bypass_cache ? Freshness::kCurrent : options_.freshness,
-                  options_.watch_timeout + options_.call_deadline,
+                  options_.watch_timeout + call_deadline_,
                   InEpoch([](CollectionReader& self, Reply reply) {
                     self.OnWatch(std::move(reply));
                   }));
@@ -244,18 +301,18 @@
     call_in_flight_ = false;
     if (reply.error == ErrorKind::kHistoryLost) {
       OnSuccess();
-      Start();
+      ReadCurrentList();
       return;
     }
     if (reply.error == ErrorKind::kRateLimited) {
-      RetryAfterRejection([](CollectionReader& self) { self.Watch(); });
+      Retry(reply.error, [](CollectionReader& self) { self.Watch(); });
       return;
     }
     if (reply.error != ErrorKind::kNone) {
-      // After losing its history, the store may hold a new watch although the
-      // changes that it waits for have already been made.
-      RetryAfterFailure(reply.error,
-                        [](CollectionReader& self) { self.Start(); });
+      // The list is read again once the store is available: after losing its
+      // history, the store may hold a new watch although the changes that it
+      // waits for have already been made.
+      Retry(reply.error, [](CollectionReader& self) { self.Probe(); });
       return;
     }
     OnSuccess();
@@ -279,24 +336,31 @@
           [](CollectionReader& self) { self.Watch(); });
   }
 
-  // Does not report an outage, since a rate-limited store is available.
   template <typename Step>
-  void RetryAfterRejection(Step step) {
-    observer_.OnRateLimited();
-    After(backoff_.Next(random_), step);
-  }
-
-  template <typename Step>
-  void RetryAfterFailure(ErrorKind error, Step retry) {
-    if (!unavailable_since_) {
+  void Retry(ErrorKind error, Step step) {
+    if (error == ErrorKind::kTimedOut) {
+      call_deadline_ = std::min(2 * call_deadline_, options_.max_call_deadline);
+    }
+    if (error == ErrorKind::kRateLimited) {
+      // Not an outage: a store that rejects calls is available.
+      observer_.OnRateLimited();
+    } else if (!unavailable_since_) {
       unavailable_since_ = clock_.Now();
       observer_.OnStoreUnavailable(error);
     }
-    After(backoff_.Next(random_), retry);
+    retry_ = [this, step] { step(*this); };
+    // Another reader probes the store; its success ends the wait.
+    const bool must_wait =
+        has_list_ && unavailable_since_ && !probe_lock_.TryAcquire(this);
+    if (must_wait) return;
+    After(backoff_.Next(random_),
+          [](CollectionReader& self) { self.RetryNow(); });
   }
 
   void OnSuccess() {
     backoff_.Reset();
+    call_deadline_ = options_.call_deadline;
+    probe_lock_.Release(this);
     if (!unavailable_since_) return;
     const Duration outage =
         clock_.Now() - *std::exchange(unavailable_since_, {});
@@ -313,8 +377,10 @@
   const Clock& clock_;
   Random& random_;
   CollectionObserver<Record>& observer_;
+  ProbeLock& probe_lock_;
   CollectionReaderOptions options_;
   Backoff backoff_;
+  Duration call_deadline_;
 
   // Items of the pages read so far.
   std::vector<CollectionItem<Record>> listed_items_;
@@ -334,6 +400,8 @@
   // Incremented by each list; replies to calls of earlier epochs are ignored.
   std::uint64_t epoch_ = 0;
   TimerId next_timer_ = kNoTimer;
+  // The call that will be repeated after its backoff; empty if there is none.
+  std::function<void()> retry_;
   // Expires with the reader, so that late callbacks can detect its destruction.
   std::shared_ptr<CollectionReader*> self_ =
       std::make_shared<CollectionReader*>(this);
--- a/test/edge_io/edge_settings_test.cc
+++ b/test/edge_io/edge_settings_test.cc
@@ -58,6 +58,20 @@
   BOOST_TEST(has_unit);
 }
 
+// With a fixed interval of 500 ms, 300 instances read each configuration of a
+// quick succession although much more time was allowed.
+BOOST_AUTO_TEST_CASE(configuration_watches_follow_the_bound_on_a_change) {
+  const auto interval_for = [](std::vector<std::string> flags) {
+    const auto parsed = ParseEdgeSettings(flags, Variables({}), kFile);
+    BOOST_TEST(parsed.errors.empty());
+    return ConfigWatchInterval(parsed.settings).count();
+  };
+  BOOST_TEST(interval_for({}) == 500);
+  BOOST_TEST(interval_for({"--config-bound-ms=6000"}) == 1500);
+  BOOST_TEST(interval_for({"--config-bound-ms=400"}) == 500);
+  BOOST_TEST(interval_for({"--config-pause-ms=2000"}) == 2000);
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_flag_is_an_error) {
   const auto parsed = ParseEdgeSettings({"--domian=a"}, Variables({}), kFile);
   BOOST_TEST(!parsed.errors.empty());
