--- a/src/sapphirestream/flow/verdict.h
+++ b/src/sapphirestream/flow/verdict.h
@@ -44,6 +44,10 @@
   return {.kind = VerdictKind::kDrop, .reason = reason};
 }
 
+[[nodiscard]] constexpr Verdict AnswerWith(ErrorKind reason) noexcept {
+  return {.kind = VerdictKind::kAnswer, .reason = reason};
+}
+
 }  // namespace sapphirestream
 
 #endif  // SAPPHIRESTREAM_FLOW_VERDICT_H_
