--- a/src/sapphirestream/edge/target_health.h
+++ b/src/sapphirestream/edge/target_health.h
@@ -39,7 +39,9 @@
   kRefused,   // no connection was accepted and at least one was refused
   kSilent,    // all connection attempts timed out
   kStranger,  // another target responded at this address
-  kFailed,    // local error; says nothing about the target
+  // Local error, or a control target did not answer either; says nothing about
+  // the target.
+  kFailed,
 };
 
 [[nodiscard]] std::string_view Name(ProbeOutcome outcome) noexcept;
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -67,6 +67,7 @@
   }
 
  private:
+  // The reader that probes; null if there is none.
   const void* holder_ = nullptr;
 };
 
