--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -19,6 +19,7 @@
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/store/backoff.h"
 #include "sapphirestream/store/collection.h"
+#include "sapphirestream/store/probe_lock.h"
 #include "sapphirestream/store/timer.h"
 
 namespace sapphirestream {
@@ -52,25 +53,6 @@
                          std::chrono::seconds(2), /*min_fraction=*/0.5};
 };
 
-// Shared by the readers of one store, so that only one of them probes it while
-// it is unavailable. The others wait for CollectionReader::RetryNow.
-class ProbeLock {
- public:
-  // Returns whether `reader` holds the lock.
-  [[nodiscard]] bool TryAcquire(const void* reader) noexcept {
-    if (holder_ == nullptr) holder_ = reader;
-    return holder_ == reader;
-  }
-  // Does nothing if another reader holds the lock.
-  void Release(const void* reader) noexcept {
-    if (holder_ == reader) holder_ = nullptr;
-  }
-
- private:
-  // The reader that probes; null if there is none.
-  const void* holder_ = nullptr;
-};
-
 // Not thread-safe: all calls and callbacks happen on the control thread.
 template <typename Record>
 class CollectionReader {
