Pass the flags of a settings test by reference

Change: the lambda of configuration_watches_follow_the_bound_on_a_change takes a const reference. The test checks the same.

--- a/test/edge_io/edge_settings_test.cc
+++ b/test/edge_io/edge_settings_test.cc
@@ -61,7 +61,7 @@
 // With a fixed interval of 500 ms, 300 instances read each configuration of a
 // quick succession although much more time was allowed.
 BOOST_AUTO_TEST_CASE(configuration_watches_follow_the_bound_on_a_change) {
-  const auto interval_for = [](std::vector<std::string> flags) {
+  const auto interval_for = [](const std::vector<std::string>& flags) {
     const auto parsed = ParseEdgeSettings(flags, Variables({}), kFile);
     BOOST_TEST(parsed.errors.empty());
     return ConfigWatchInterval(parsed.settings).count();
