--- a/bench/edge_slopes.cc
+++ b/bench/edge_slopes.cc
@@ -104,7 +104,8 @@
   const double upsert_us =
       NanosecondsPerCall(count,
                          [&](std::uint32_t i) {
-                           targets.Upsert(Target(i, services), i + 1U,
+                           targets.Upsert(Target(i, services),
+                                          {StoreEra{1}, i + 1U},
                                           /*propagated=*/true, clock.Now());
                          }) /
       1e3;
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -10,11 +10,16 @@
   return names[static_cast<std::size_t>(presence)];
 }
 
-bool TargetDirectory::Upsert(const TargetRecord& record, std::uint64_t revision,
-                             bool propagated, TimePoint now) {
+EntryOutcome TargetDirectory::Upsert(const TargetRecord& record,
+                                     StoreRevision revision, bool propagated,
+                                     TimePoint now) {
   auto it = targets_.find(record.key);
   const bool is_new = it == targets_.end();
-  if (!is_new && revision <= it->second.revision) return false;
+  if (!is_new) {
+    const std::uint64_t held = it->second.revision.number;
+    if (revision.number == held) return EntryOutcome::kUnchanged;
+    if (revision.number < held) return EntryOutcome::kOutdated;
+  }
   if (is_new) it = targets_.try_emplace(record.key).first;
   EdgeTarget& target = it->second;
   const bool restarted =
@@ -37,7 +42,7 @@
   target.is_local = record.domain == domain_;
   target.cold_until = now + record.cold_remaining;
   AddToIndexes(target);
-  return changed;
+  return changed ? EntryOutcome::kApplied : EntryOutcome::kUnchanged;
 }
 
 void TargetDirectory::RetirePreviousOwner(const TargetRecord& record,
@@ -57,17 +62,20 @@
   target.unlisted_at = now;
 }
 
-bool TargetDirectory::Erase(TargetKey key, std::uint64_t revision,
-                            bool store_was_unavailable, TimePoint now) {
+EntryOutcome TargetDirectory::Erase(TargetKey key, StoreRevision revision,
+                                    bool store_was_unavailable, TimePoint now) {
   EdgeTarget* target = Find(key);
-  if (target == nullptr || revision < target->revision) return false;
+  if (target == nullptr) return EntryOutcome::kUnchanged;
+  if (revision.number < target->revision.number) return EntryOutcome::kOutdated;
   target->revision = revision;
-  if (target->presence != TargetPresence::kListed) return false;
+  if (target->presence != TargetPresence::kListed) {
+    return EntryOutcome::kUnchanged;
+  }
   const bool may_return = store_was_unavailable && !target->record.draining;
   target->presence =
       may_return ? TargetPresence::kMissing : TargetPresence::kGone;
   target->unlisted_at = now;
-  return true;
+  return EntryOutcome::kApplied;
 }
 
 void TargetDirectory::Expire(TimePoint now) {
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/store_revision.h"
 #include "sapphirestream/edge/flow_token.h"
 #include "sapphirestream/edge/fwd.h"
 #include "sapphirestream/edge/route_table.h"
@@ -26,12 +27,19 @@
 
 [[nodiscard]] std::string_view Name(TargetPresence presence) noexcept;
 
+// What became of an entry that was offered to the directory.
+enum class EntryOutcome : std::uint8_t {
+  kApplied,    // a field that affects flows has changed
+  kUnchanged,  // nothing that affects flows has changed
+  kOutdated,   // ignored, since a later revision is known
+};
+
 struct EdgeTarget {
   TargetRecord record;
   ServiceNumber service{};
   TargetPresence presence = TargetPresence::kListed;
   // Store revision of the entry. Entries with a lower one are ignored.
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   bool is_local = false;
   // When the other instances have read the entry as well.
   TimePoint usable_from{};
@@ -60,16 +68,15 @@
   TargetDirectory(RouteTable& routes, std::string_view domain)
       : routes_(routes), domain_(domain) {}
 
-  // Adds or updates a target, unless a higher revision is known. `propagated`:
-  // the other instances know the entry as well. Returns whether a field that
-  // affects flows has changed.
-  bool Upsert(const TargetRecord& record, std::uint64_t revision,
-              bool propagated, TimePoint now);
+  // Adds or updates a target, unless a later revision is known. `propagated`:
+  // the other instances know the entry as well.
+  EntryOutcome Upsert(const TargetRecord& record, StoreRevision revision,
+                      bool propagated, TimePoint now);
   // Marks a target's entry as removed. `store_was_unavailable`: the entry may
   // have expired because of a store outage although the target is alive.
-  // Returns whether the target was listed.
-  bool Erase(TargetKey key, std::uint64_t revision, bool store_was_unavailable,
-             TimePoint now);
+  // kApplied if the target was listed.
+  EntryOutcome Erase(TargetKey key, StoreRevision revision,
+                     bool store_was_unavailable, TimePoint now);
   // Marks a target as gone, regardless of service discovery.
   static void Retire(EdgeTarget& target, TimePoint now) noexcept;
   // Applies the time limits: missing targets become gone, and gone targets are
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -26,11 +26,16 @@
       refused_(counters.Emplace("store_refusals_total")),
       malformed_(counters.Emplace("target_entries_malformed_total")),
       config_version_(counters.Emplace("config_version")),
-      listed_(counters.Emplace("targets_listed")) {}
+      listed_(counters.Emplace("targets_listed")),
+      era_(counters.Emplace("store_era")),
+      era_changes_(counters.Emplace("store_era_changes_total")),
+      outdated_entries_(counters.Emplace("target_entries_outdated_total")),
+      outdated_configs_(counters.Emplace("configs_outdated_total")) {}
 
 void EdgeView::ApplySnapshot(
     const std::vector<CollectionItem<TargetRecord>>& items,
-    std::uint64_t revision) {
+    StoreRevision revision) {
+  if (has_targets_) ReportList("targets", items.size(), revision);
   std::unordered_set<TargetKey> seen;
   for (const auto& item : items) {
     ApplyTarget(item, /*propagated=*/!has_targets_);
@@ -47,14 +52,18 @@
   for (const TargetKey key : vanished) EraseTarget(key, revision);
   listed_.Set(targets_.listed());
   if (!std::exchange(has_targets_, true)) {
+    era_.Set(Value(revision.era));
     log_.Write(LogLevel::kInfo, "targets_loaded",
-               {{"targets", targets_.listed()}, {"revision", revision}});
+               {{"targets", targets_.listed()},
+                {"revision", revision.number},
+                {"era", Value(revision.era)}});
   }
 }
 
 void EdgeView::ApplySnapshot(
     const std::vector<CollectionItem<RouteConfig>>& items,
-    std::uint64_t /*revision*/) {
+    StoreRevision revision) {
+  if (routes_.version() != 0) ReportList("routes", items.size(), revision);
   ApplyChanges(items);
 }
 
@@ -72,13 +81,23 @@
   for (const auto& item : items) {
     if (!item.record) continue;
     const std::uint64_t before = routes_.version();
-    if (!routes_.Apply(*item.record)) continue;
+    if (!routes_.Apply(*item.record)) {
+      if (item.record->version == before) continue;
+      outdated_configs_.Add();
+      log_.Write(LogLevel::kWarn, "config_outdated",
+                 {{"version", before},
+                  {"offered", item.record->version},
+                  {"revision", item.revision.number},
+                  {"era", Value(item.revision.era)}});
+      continue;
+    }
     config_version_.Set(routes_.version());
     log_.Write(LogLevel::kInfo, "config_applied",
                {{"version", routes_.version()},
                 {"before", before},
                 {"routes", routes_.size()},
-                {"revision", item.revision}});
+                {"revision", item.revision.number},
+                {"era", Value(item.revision.era)}});
   }
 }
 
@@ -130,6 +149,28 @@
              {{"collection", collection}, {"error", AnswerFor(error).name}});
 }
 
+void EdgeView::ReportEraChanged(std::string_view collection, StoreRevision held,
+                                StoreRevision offered) {
+  era_.Set(Value(offered.era));
+  era_changes_.Add();
+  log_.Write(LogLevel::kWarn, "store_era_changed",
+             {{"collection", collection},
+              {"held_era", Value(held.era)},
+              {"held_revision", held.number},
+              {"era", Value(offered.era)},
+              {"revision", offered.number}});
+}
+
+void EdgeView::ReportList(std::string_view collection, std::size_t items,
+                          StoreRevision revision) {
+  era_.Set(Value(revision.era));
+  log_.Write(LogLevel::kInfo, "list_read",
+             {{"collection", collection},
+              {"items", items},
+              {"revision", revision.number},
+              {"era", Value(revision.era)}});
+}
+
 void EdgeView::ReportRefused(std::string_view collection) {
   refused_.Add();
   log_.Write(LogLevel::kWarn, "store_refused", {{"collection", collection}});
@@ -159,7 +200,15 @@
     return;
   }
   const TargetRecord& record = *item.record;
-  if (!targets_.Upsert(record, item.revision, propagated, clock_.Now())) return;
+  switch (targets_.Upsert(record, item.revision, propagated, clock_.Now())) {
+    case EntryOutcome::kApplied:
+      break;
+    case EntryOutcome::kUnchanged:
+      return;
+    case EntryOutcome::kOutdated:
+      ReportOutdated(*targets_.Find(record.key), &record, item.revision);
+      return;
+  }
   // A line for each target of the first list would fill the log buffer.
   log_.Write(has_targets_ ? LogLevel::kInfo : LogLevel::kDebug, "target_listed",
              {{"target", ToString(record.key)},
@@ -167,17 +216,50 @@
               {"address", ToString(record.address)},
               {"domain", record.domain},
               {"draining", record.draining ? 1 : 0},
-              {"revision", item.revision}});
+              {"revision", item.revision.number},
+              {"era", Value(item.revision.era)}});
 }
 
-void EdgeView::EraseTarget(TargetKey key, std::uint64_t revision) {
+void EdgeView::EraseTarget(TargetKey key, StoreRevision revision) {
   const bool was_unavailable = StoreRecentlyRecovered();
-  if (!targets_.Erase(key, revision, was_unavailable, clock_.Now())) return;
+  switch (targets_.Erase(key, revision, was_unavailable, clock_.Now())) {
+    case EntryOutcome::kApplied:
+      break;
+    case EntryOutcome::kUnchanged:
+      return;
+    case EntryOutcome::kOutdated:
+      ReportOutdated(*targets_.Find(key), nullptr, revision);
+      return;
+  }
   log_.Write(LogLevel::kInfo, "target_unlisted",
              {{"target", ToString(key)},
               {"presence", Name(targets_.Find(key)->presence)},
               {"store_was_away", was_unavailable ? 1 : 0},
-              {"revision", revision}});
+              {"revision", revision.number},
+              {"era", Value(revision.era)}});
+}
+
+void EdgeView::ReportOutdated(const EdgeTarget& held,
+                              const TargetRecord* offered,
+                              StoreRevision revision) {
+  const bool is_same = offered != nullptr &&
+                       offered->incarnation == held.record.incarnation &&
+                       offered->draining == held.record.draining &&
+                       held.presence == TargetPresence::kListed;
+  // Lists repeat entries; only one that says something else is worth a line.
+  if (is_same) return;
+  outdated_entries_.Add();
+  log_.Write(LogLevel::kWarn, "target_entry_outdated",
+             {{"target", ToString(held.record.key)},
+              {"presence", Name(held.presence)},
+              {"draining", held.record.draining ? 1 : 0},
+              {"revision", held.revision.number},
+              {"era", Value(held.revision.era)},
+              {"offered", offered == nullptr  ? "removed"
+                          : offered->draining ? "draining"
+                                              : "ready"},
+              {"offered_revision", revision.number},
+              {"offered_era", Value(revision.era)}});
 }
 
 bool EdgeView::StoreRecentlyRecovered() const noexcept {
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -72,7 +72,7 @@
     Observer(EdgeView& view, std::string_view collection)
         : view_(view), collection_(collection) {}
     void OnSnapshot(const std::vector<CollectionItem<Record>>& items,
-                    std::uint64_t revision) override {
+                    StoreRevision revision) override {
       view_.ApplySnapshot(items, revision);
     }
     void OnChanges(const std::vector<CollectionItem<Record>>& items) override {
@@ -89,6 +89,9 @@
     void OnPollFailed(ErrorKind error) override {
       view_.ReportCheckFailed(collection_, error);
     }
+    void OnEraChanged(StoreRevision held, StoreRevision offered) override {
+      view_.ReportEraChanged(collection_, held, offered);
+    }
     void OnRateLimited() override { view_.ReportRefused(collection_); }
 
    private:
@@ -99,9 +102,9 @@
   using RouteObserver = Observer<RouteConfig>;
 
   void ApplySnapshot(const std::vector<CollectionItem<TargetRecord>>& items,
-                     std::uint64_t revision);
+                     StoreRevision revision);
   void ApplySnapshot(const std::vector<CollectionItem<RouteConfig>>& items,
-                     std::uint64_t revision);
+                     StoreRevision revision);
   void ApplyChanges(const std::vector<CollectionItem<TargetRecord>>& items);
   void ApplyChanges(const std::vector<CollectionItem<RouteConfig>>& items);
   void ReportCurrent(const TargetObserver& observer);
@@ -111,6 +114,10 @@
   void ReportCacheOutdated(std::string_view collection);
   void ReportCheckFailed(std::string_view collection, ErrorKind error);
   void ReportRefused(std::string_view collection);
+  void ReportEraChanged(std::string_view collection, StoreRevision held,
+                        StoreRevision offered);
+  void ReportList(std::string_view collection, std::size_t items,
+                  StoreRevision revision);
 
   void ApplyTarget(const CollectionItem<TargetRecord>& item, bool propagated);
   // Treats the removal of many targets at once as a store outage, even if no
@@ -118,7 +125,11 @@
   void DetectMassExpiry(std::size_t vanished);
   // Whether the item removes a target that could get new flows.
   [[nodiscard]] bool RemovesTarget(const CollectionItem<TargetRecord>& item);
-  void EraseTarget(TargetKey key, std::uint64_t revision);
+  void EraseTarget(TargetKey key, StoreRevision revision);
+  // Reports that an entry was ignored because a later revision is known.
+  // `offered` is null for a removal.
+  void ReportOutdated(const EdgeTarget& held, const TargetRecord* offered,
+                      StoreRevision revision);
   [[nodiscard]] bool StoreRecentlyRecovered() const noexcept;
 
   RouteTable& routes_;
@@ -134,6 +145,10 @@
   Counter& malformed_;
   Counter& config_version_;
   Counter& listed_;
+  Counter& era_;
+  Counter& era_changes_;
+  Counter& outdated_entries_;
+  Counter& outdated_configs_;
   bool has_targets_ = false;
   // Whether a collection has not been read since the last pause.
   bool targets_outdated_ = false;
--- a/src/sapphirestream/store/collection.h
+++ b/src/sapphirestream/store/collection.h
@@ -11,13 +11,14 @@
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/error.h"
+#include "sapphirestream/base/store_revision.h"
 
 namespace sapphirestream {
 
 template <typename Record>
 struct CollectionItem {
   std::string name;
-  std::uint64_t revision = 0;
+  StoreRevision revision;
   bool deleted = false;
   // Empty if the object is deleted or cannot be parsed.
   std::optional<Record> record;
@@ -28,8 +29,9 @@
   // kNone, kHistoryLost (the list must be read again), kRateLimited,
   // kStoreUnavailable or kTimedOut.
   ErrorKind error = ErrorKind::kNone;
-  // Revision of the whole store at the time of the reply.
-  std::uint64_t revision = 0;
+  // Revision of the whole store at the time of the reply. Failed replies have
+  // no number, and no era either if the store did not answer.
+  StoreRevision revision;
   // Whether more items follow after the name of the last one.
   bool has_more = false;
   std::vector<CollectionItem<Record>> items;
@@ -66,7 +68,7 @@
   // Receives the complete collection; objects that are not in `items` do not
   // exist.
   virtual void OnSnapshot(const std::vector<CollectionItem<Record>>& items,
-                          std::uint64_t revision) = 0;
+                          StoreRevision revision) = 0;
   virtual void OnChanges(const std::vector<CollectionItem<Record>>& items) = 0;
   // A successful reply confirmed that the collection is up to date.
   virtual void OnSynced() {}
@@ -79,6 +81,10 @@
   virtual void OnCacheOutdated() {}
   // A poll failed; see CollectionReader::Poll.
   virtual void OnPollFailed(ErrorKind /*error*/) {}
+  // A reply is from another era than the view: the store was restored from a
+  // backup.
+  virtual void OnEraChanged(StoreRevision /*held*/, StoreRevision /*offered*/) {
+  }
   // The store rejected a call because all instances together exceed its rate
   // limit.
   virtual void OnRateLimited() {}
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -103,9 +103,10 @@
   // repetition.
   void Poll(CollectionClient<Record>& client) {
     if (!has_list_ || retry_) return;
-    client.Watch(revision_, Duration::zero(), Freshness::kCached,
+    client.Watch(revision_.number, Duration::zero(), Freshness::kCached,
                  options_.call_deadline,
                  InEpoch([](CollectionReader& self, Reply reply) {
+                   self.ReportEra(reply);
                    if (reply.error == ErrorKind::kHistoryLost) {
                      self.ReadCurrentList();
                      return;
@@ -156,6 +157,7 @@
 
   void OnPage(Reply reply) {
     call_in_flight_ = false;
+    ReportEra(reply);
     // Pages read so far are kept: if many instances read a long list at the
     // same time, starting over would multiply the calls.
     if (reply.error != ErrorKind::kNone) {
@@ -173,7 +175,7 @@
     // returns changes made while the pages were read and changes missing from
     // cached pages.
     list_revision_ =
-        std::min(list_revision_.value_or(reply.revision), reply.revision);
+        Lower(list_revision_.value_or(reply.revision), reply.revision);
     if (has_more) {
       ReadPage();
       return;
@@ -189,7 +191,7 @@
   // cached list alone may name targets that have left since.
   void ConfirmList() {
     call_in_flight_ = true;
-    client_.Watch(*list_revision_, Duration::zero(), Freshness::kCurrent,
+    client_.Watch(list_revision_->number, Duration::zero(), Freshness::kCurrent,
                   call_deadline_,
                   InEpoch([](CollectionReader& self, Reply reply) {
                     self.OnListConfirmed(std::move(reply));
@@ -198,6 +200,7 @@
 
   void OnListConfirmed(Reply reply) {
     call_in_flight_ = false;
+    ReportEra(reply);
     if (reply.error == ErrorKind::kHistoryLost) {
       OnSuccess();
       observer_.OnCacheOutdated();
@@ -211,7 +214,7 @@
     OnSuccess();
     for (auto& change : reply.items) ApplyToList(std::move(change));
     list_freshness_ = Freshness::kCurrent;
-    CompleteList(std::max(*list_revision_, reply.revision));
+    CompleteList(Higher(*list_revision_, reply.revision));
   }
 
   void ApplyToList(CollectionItem<Record> change) {
@@ -226,7 +229,7 @@
     std::erase_if(listed_items_, [](const auto& item) { return item.deleted; });
   }
 
-  void CompleteList(std::uint64_t revision) {
+  void CompleteList(StoreRevision revision) {
     revision_ = revision;
     list_revision_.reset();
     has_list_ = true;
@@ -240,9 +243,10 @@
   // Checks whether the store is available again.
   void Probe() {
     call_in_flight_ = true;
-    client_.Watch(revision_, Duration::zero(), Freshness::kCached,
+    client_.Watch(revision_.number, Duration::zero(), Freshness::kCached,
                   call_deadline_,
                   InEpoch([](CollectionReader& self, Reply reply) {
+                    self.ReportEra(reply);
                     self.OnProbe(reply.error);
                   }));
   }
@@ -261,6 +265,22 @@
     }
   }
 
+  void ReportEra(const Reply& reply) {
+    const StoreEra offered = reply.revision.era;
+    if (offered == kUnknownEra || offered == era_) return;
+    if (era_ != kUnknownEra) {
+      observer_.OnEraChanged({era_, revision_.number}, reply.revision);
+    }
+    era_ = offered;
+  }
+
+  [[nodiscard]] static StoreRevision Lower(StoreRevision a, StoreRevision b) {
+    return b.number < a.number ? b : a;
+  }
+  [[nodiscard]] static StoreRevision Higher(StoreRevision a, StoreRevision b) {
+    return a.number < b.number ? b : a;
+  }
+
   // A cached list can be older than the history that the store has kept, so
   // that the watch after it would fail again.
   void ReadCurrentList() { ReadList(Freshness::kCurrent); }
@@ -272,7 +292,7 @@
     last_watch_ = clock_.Now();
     const bool bypass_cache = last_watch_ < bypass_cache_until_ ||
                               list_freshness_ == Freshness::kCached;
-    client_.Watch(revision_, options_.watch_timeout,
+    client_.Watch(revision_.number, options_.watch_timeout,
                   bypass_cache ? Freshness::kCurrent : options_.freshness,
                   options_.watch_timeout + call_deadline_,
                   InEpoch([](CollectionReader& self, Reply reply) {
@@ -282,6 +302,7 @@
 
   void OnWatch(Reply reply) {
     call_in_flight_ = false;
+    ReportEra(reply);
     if (reply.error == ErrorKind::kHistoryLost) {
       OnSuccess();
       ReadCurrentList();
@@ -302,10 +323,10 @@
     list_freshness_ = Freshness::kCurrent;
     if (!reply.items.empty()) observer_.OnChanges(reply.items);
     observer_.OnSynced();
-    if (reply.revision < revision_) {
+    if (reply.revision.number < revision_.number) {
       bypass_cache_until_ = clock_.Now() + options_.cache_bypass_period;
     }
-    revision_ = std::max(revision_, reply.revision);
+    revision_ = Higher(revision_, reply.revision);
     if (clock_.Now() - last_relist_ >= options_.relist_period) {
       ReadList(options_.freshness);
       return;
@@ -368,10 +389,12 @@
   // Items of the pages read so far.
   std::vector<CollectionItem<Record>> listed_items_;
   // Lowest revision of the pages read so far.
-  std::optional<std::uint64_t> list_revision_;
+  std::optional<StoreRevision> list_revision_;
   // If the last list was cached, the next watch uses kCurrent.
   Freshness list_freshness_ = Freshness::kCurrent;
-  std::uint64_t revision_ = 0;
+  StoreRevision revision_;
+  // Era of the last reply that named one.
+  StoreEra era_ = kUnknownEra;
   bool has_list_ = false;
   bool call_in_flight_ = false;
   // Start of the last watch.
--- a/src/sapphirestream/store/http_channel.cc
+++ b/src/sapphirestream/store/http_channel.cc
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <charconv>
+#include <string_view>
 #include <utility>
 
 #include "sapphirestream/store/object_store.h"
@@ -26,6 +28,15 @@
   socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(probes), ignored);
 }
 
+StoreEra ParseEra(std::string_view text) noexcept {
+  std::uint64_t era = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), era);
+  const bool is_valid =
+      error == std::errc{} && end == text.data() + text.size();
+  return is_valid ? StoreEra{era} : kUnknownEra;
+}
+
 }  // namespace
 
 namespace asio = boost::asio;
@@ -33,8 +44,12 @@
 using boost::system::error_code;
 
 HttpChannel::HttpChannel(asio::io_context& context,
-                         asio::ip::tcp::endpoint server)
-    : context_(context), server_(std::move(server)), socket_(context) {}
+                         asio::ip::tcp::endpoint server,
+                         std::string_view era_field)
+    : context_(context),
+      server_(std::move(server)),
+      era_field_(era_field),
+      socket_(context) {}
 
 void HttpChannel::Call(Request request, Duration deadline, Done done) {
   if (closed_) return;
@@ -127,6 +142,7 @@
         reply.outcome = HttpOutcome::kAnswered;
         reply.status = message.result_int();
         reply.etag = std::string(message[http::field::etag]);
+        reply.era = ParseEra(message[self->era_field_]);
         reply.body = std::move(message.body());
         if (!message.keep_alive()) self->CloseSocket();
         self->Finish(std::move(reply));
--- a/src/sapphirestream/store/http_channel.h
+++ b/src/sapphirestream/store/http_channel.h
@@ -14,8 +14,10 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/store_revision.h"
 
 namespace sapphirestream::internal {
 
@@ -30,6 +32,8 @@
   HttpOutcome outcome = HttpOutcome::kNotSent;
   unsigned status = 0;
   std::string etag;
+  // From the header field that names the era; kUnknownEra without one.
+  StoreEra era = kUnknownEra;
   std::string body;
 };
 
@@ -38,8 +42,11 @@
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
   using Done = std::function<void(HttpReply)>;
 
+  // `era_field`: header field of replies that contains the era of the store;
+  // empty if the server has none.
   HttpChannel(boost::asio::io_context& context,
-              boost::asio::ip::tcp::endpoint server);
+              boost::asio::ip::tcp::endpoint server,
+              std::string_view era_field = {});
 
   // Queues a request. The deadline starts now and includes the time in the
   // queue.
@@ -72,6 +79,7 @@
 
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::endpoint server_;
+  std::string era_field_;
   boost::asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
   std::optional<
--- a/src/sapphirestream/store/http_object_store.cc
+++ b/src/sapphirestream/store/http_object_store.cc
@@ -22,6 +22,8 @@
 using internal::HttpOutcome;
 using internal::HttpReply;
 
+// Header field with the era of the store.
+constexpr std::string_view kEraField = "Store-Era";
 // Maximum accepted length of the instance list.
 constexpr std::size_t kMaxInstances = 100'000;
 
@@ -144,7 +146,7 @@
                                  const Endpoint& server)
     : host_(ToString(server)), context_(context) {
   const auto make = [&] {
-    return std::make_shared<HttpChannel>(context, ToAsio(server));
+    return std::make_shared<HttpChannel>(context, ToAsio(server), kEraField);
   };
   gets_ = make();
   watches_ = make();
--- a/test/edge/edge_placement_load_test.cc
+++ b/test/edge/edge_placement_load_test.cc
@@ -91,7 +91,8 @@
         : targets(routes, domain) {
       routes.Apply(sample::Routes(1));
       for (const TargetRecord& record : records) {
-        targets.Upsert(record, 1, /*propagated=*/true, TimePoint{});
+        targets.Upsert(record, {StoreEra{1}, 1}, /*propagated=*/true,
+                       TimePoint{});
       }
     }
     RouteTable routes;
--- a/test/edge/edge_placement_test.cc
+++ b/test/edge/edge_placement_test.cc
@@ -19,7 +19,7 @@
     for (std::uint64_t key : {3, 4}) Add(sample::Target(key, "b"));
   }
   void Add(const TargetRecord& record) {
-    targets.Upsert(record, ++revision, /*propagated=*/true, now);
+    targets.Upsert(record, {StoreEra{1}, ++revision}, /*propagated=*/true, now);
   }
   EdgeTarget& At(std::uint64_t key) { return *targets.Find(TargetKey{key}); }
   EdgePlacement Place(std::uint64_t hash,
@@ -79,25 +79,26 @@
   TargetRecord draining = sample::Target(1, "a");
   draining.draining = true;
   Add(draining);
-  targets.Erase(TargetKey{2}, ++revision, false, now);
+  targets.Erase(TargetKey{2}, {StoreEra{1}, ++revision}, false, now);
   EdgeTarget& unreachable = At(3);
   (void)unreachable.health.OnUnanswered(now, true, now + 1s);
   unreachable.health.OnProbe(ProbeOutcome::kRefused, now, now + 1s);
   for (std::uint64_t hash = 0; hash < 20; ++hash) {
     BOOST_TEST((Place(hash).target->record.key == TargetKey{4}));
   }
-  targets.Erase(TargetKey{4}, ++revision, false, now);
+  targets.Erase(TargetKey{4}, {StoreEra{1}, ++revision}, false, now);
   BOOST_TEST(Place(1).target == nullptr);
 }
 
 // Other instances may not have read a new entry yet.
 BOOST_AUTO_TEST_CASE(a_new_target_is_used_only_if_there_is_no_other) {
-  targets.Upsert(sample::Target(5, "a"), ++revision, /*propagated=*/false, now);
+  targets.Upsert(sample::Target(5, "a"), {StoreEra{1}, ++revision},
+                 /*propagated=*/false, now);
   for (std::uint64_t hash = 0; hash < 50; ++hash) {
     BOOST_TEST((Place(hash).target->record.key != TargetKey{5}));
   }
   for (std::uint64_t key : {1, 2, 3, 4}) {
-    targets.Erase(TargetKey{key}, ++revision, false, now);
+    targets.Erase(TargetKey{key}, {StoreEra{1}, ++revision}, false, now);
   }
   BOOST_TEST((Place(1).target->record.key == TargetKey{5}));
 }
--- a/test/edge/edge_steering_test.cc
+++ b/test/edge/edge_steering_test.cc
@@ -46,7 +46,8 @@
   }
 
   void Add(const TargetRecord& record) {
-    targets.Upsert(record, ++revision, /*propagated=*/true, clock.Now());
+    targets.Upsert(record, {StoreEra{1}, ++revision}, /*propagated=*/true,
+                   clock.Now());
   }
   void Handle(const EdgePacket& packet) {
     steering.OnPacket(packet, clock.Now());
@@ -171,7 +172,8 @@
 
 BOOST_AUTO_TEST_CASE(a_flow_is_refused_immediately_without_targets) {
   for (std::uint64_t key : {1, 2, 3}) {
-    targets.Erase(TargetKey{key}, ++revision, false, clock.Now());
+    targets.Erase(TargetKey{key}, {StoreEra{1}, ++revision}, false,
+                  clock.Now());
   }
   Handle(Syn(1, sample::kFeed));
   BOOST_TEST(sent.empty());
@@ -182,7 +184,8 @@
 // the 2 s that targets with expired entries need to register again.
 BOOST_AUTO_TEST_CASE(a_flow_is_not_refused_while_targets_register_again) {
   for (std::uint64_t key : {1, 2, 3}) {
-    targets.Erase(TargetKey{key}, ++revision, false, clock.Now());
+    targets.Erase(TargetKey{key}, {StoreEra{1}, ++revision}, false,
+                  clock.Now());
   }
   steering.OnPacket(Syn(1, sample::kFeed), clock.Now(),
                     /*targets_recovering=*/true);
--- a/test/edge/target_directory_test.cc
+++ b/test/edge/target_directory_test.cc
@@ -11,9 +11,11 @@
 
 using namespace std::chrono_literals;
 
+StoreRevision At(std::uint64_t number) { return {StoreEra{1}, number}; }
+
 struct Fixture {
   EdgeTarget& Add(const TargetRecord& record, std::uint64_t revision = 1) {
-    targets.Upsert(record, revision, /*propagated=*/true, now);
+    targets.Upsert(record, At(revision), /*propagated=*/true, now);
     return *targets.Find(record.key);
   }
   TargetPresence PresenceOf(std::uint64_t key) {
@@ -48,15 +50,17 @@
   TargetRecord draining = sample::Target(1, "a");
   draining.draining = true;
   Add(draining, 9);
-  BOOST_TEST(!targets.Upsert(sample::Target(1, "a"), 8, true, now));
+  BOOST_TEST((targets.Upsert(sample::Target(1, "a"), At(8), true, now) ==
+              EntryOutcome::kOutdated));
   BOOST_TEST(targets.Find(TargetKey{1})->record.draining);
-  BOOST_TEST(!targets.Erase(TargetKey{1}, 8, false, now));
+  BOOST_TEST((targets.Erase(TargetKey{1}, At(8), false, now) ==
+              EntryOutcome::kOutdated));
 }
 
 // Targets write expired entries again about 2 s after the store has recovered.
 BOOST_AUTO_TEST_CASE(a_target_that_expired_in_a_store_outage_may_return) {
   Add(sample::Target(1, "a"));
-  targets.Erase(TargetKey{1}, 2, /*store_was_unavailable=*/true, now);
+  targets.Erase(TargetKey{1}, At(2), /*store_was_unavailable=*/true, now);
   BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
   targets.Expire(now + 2s);
   BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
@@ -66,7 +70,7 @@
 
 BOOST_AUTO_TEST_CASE(a_target_removed_from_an_available_store_is_gone) {
   Add(sample::Target(1, "a"));
-  targets.Erase(TargetKey{1}, 2, /*store_was_unavailable=*/false, now);
+  targets.Erase(TargetKey{1}, At(2), /*store_was_unavailable=*/false, now);
   BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
   // Its flows are still forwarded.
   BOOST_TEST(targets.FindByToken(targets.TokenOf(TargetKey{1}), feed) !=
@@ -79,7 +83,7 @@
   TargetRecord record = sample::Target(1, "a");
   record.draining = true;
   Add(record);
-  targets.Erase(TargetKey{1}, 2, /*store_was_unavailable=*/true, now);
+  targets.Erase(TargetKey{1}, At(2), /*store_was_unavailable=*/true, now);
   BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
 }
 
@@ -101,7 +105,8 @@
   target.health.OnProbe(ProbeOutcome::kRefused, now, now + 1s);
   TargetRecord again = sample::Target(1, "a");
   again.incarnation = Incarnation{5000};
-  BOOST_TEST(targets.Upsert(again, 2, /*propagated=*/false, now));
+  BOOST_TEST((targets.Upsert(again, At(2), /*propagated=*/false, now) ==
+              EntryOutcome::kApplied));
   BOOST_TEST((target.health.state() == Reachability::kReachable));
   BOOST_TEST((target.usable_from == now + TargetDirectory::kPropagationDelay));
 }
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -15,8 +15,10 @@
   return TargetKey{static_cast<std::uint64_t>(name.front() - '0')};
 }
 
+StoreRevision At(std::uint64_t number) { return {StoreEra{1}, number}; }
+
 CollectionItem<TargetRecord> Item(std::uint64_t key, std::uint64_t revision) {
-  return {std::to_string(key), revision, false, sample::Target(key, "a")};
+  return {std::to_string(key), At(revision), false, sample::Target(key, "a")};
 }
 
 struct Fixture : LogSink {
@@ -28,7 +30,7 @@
   }
   void ReadRoutes(std::uint64_t version) {
     view.route_observer().OnSnapshot(
-        {{"main", version, false, sample::Routes(version)}}, version);
+        {{"main", At(version), false, sample::Routes(version)}}, At(version));
   }
   TargetPresence PresenceOf(std::uint64_t key) {
     return targets.Find(TargetKey{key})->presence;
@@ -58,7 +60,7 @@
 
 BOOST_AUTO_TEST_CASE(both_collections_are_needed) {
   BOOST_TEST(!view.is_complete());
-  observer().OnSnapshot({Item(1, 1)}, 1);
+  observer().OnSnapshot({Item(1, 1)}, At(1));
   BOOST_TEST(!view.is_complete());
   ReadRoutes(1);
   BOOST_TEST(view.is_complete());
@@ -80,7 +82,7 @@
   EventLog info(sink, clock, 1000);
   EdgeView fresh(
       routes, targets, flow_log, info, clock, counters, KeyOf, [] {}, [] {});
-  fresh.target_observer().OnSnapshot({Item(1, 1), Item(2, 1)}, 7);
+  fresh.target_observer().OnSnapshot({Item(1, 1), Item(2, 1)}, At(7));
   BOOST_REQUIRE(sink.lines.size() == 1U);
   BOOST_TEST(sink.lines[0].find("event=targets_loaded targets=2 revision=7") !=
              std::string::npos);
@@ -91,7 +93,7 @@
 // After a pause, new flows went to targets that had left and used routes that
 // had been withdrawn until the next call to the store.
 BOOST_AUTO_TEST_CASE(after_a_pause_both_collections_must_be_read_again) {
-  observer().OnSnapshot({Item(1, 1)}, 1);
+  observer().OnSnapshot({Item(1, 1)}, At(1));
   ReadRoutes(1);
   BOOST_TEST(!view.is_outdated());
   view.Invalidate();
@@ -119,7 +121,7 @@
 BOOST_AUTO_TEST_CASE(the_view_is_recovering_after_an_outage) {
   observer().OnStoreUnavailable(ErrorKind::kTimedOut);
   observer().OnStoreRecovered(3s);
-  observer().OnSnapshot({}, 1);
+  observer().OnSnapshot({}, At(1));
   ReadRoutes(1);
   BOOST_TEST(view.is_recovering());
   clock.Advance(TargetDirectory::kReregistrationGrace);
@@ -127,54 +129,57 @@
 }
 
 BOOST_AUTO_TEST_CASE(a_target_missing_after_an_outage_is_kept_for_a_while) {
-  observer().OnSnapshot({Item(1, 1), Item(2, 1)}, 1);
+  observer().OnSnapshot({Item(1, 1), Item(2, 1)}, At(1));
   observer().OnStoreUnavailable(ErrorKind::kTimedOut);
   observer().OnStoreRecovered(3s);
-  observer().OnSnapshot({Item(2, 1)}, 5);
+  observer().OnSnapshot({Item(2, 1)}, At(5));
   BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
   observer().OnChanges({Item(1, 6)});
   BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
 }
 
 BOOST_AUTO_TEST_CASE(a_target_missing_from_an_available_store_is_gone) {
-  observer().OnSnapshot({Item(1, 1), Item(2, 1)}, 1);
-  observer().OnSnapshot({Item(2, 1)}, 5);
+  observer().OnSnapshot({Item(1, 1), Item(2, 1)}, At(1));
+  observer().OnSnapshot({Item(2, 1)}, At(5));
   BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
 }
 
 // Regression: a watch that was pending throughout an outage did not fail, and
 // then reported the expired entries as removed; all flows were refused.
 BOOST_AUTO_TEST_CASE(targets_removed_together_have_expired) {
-  observer().OnSnapshot({Item(1, 1), Item(2, 1), Item(3, 1), Item(4, 1)}, 1);
-  observer().OnChanges({{"1", 5, true, std::nullopt},
-                        {"2", 5, true, std::nullopt},
-                        {"3", 5, true, std::nullopt}});
+  observer().OnSnapshot({Item(1, 1), Item(2, 1), Item(3, 1), Item(4, 1)},
+                        At(1));
+  observer().OnChanges({{"1", At(5), true, std::nullopt},
+                        {"2", At(5), true, std::nullopt},
+                        {"3", At(5), true, std::nullopt}});
   BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
   BOOST_TEST((PresenceOf(3) == TargetPresence::kMissing));
 }
 
 BOOST_AUTO_TEST_CASE(a_few_removed_targets_are_gone) {
-  observer().OnSnapshot({Item(1, 1), Item(2, 1), Item(3, 1), Item(4, 1)}, 1);
-  observer().OnChanges({{"1", 5, true, std::nullopt}});
-  observer().OnSnapshot({Item(3, 1), Item(4, 1)}, 6);
+  observer().OnSnapshot({Item(1, 1), Item(2, 1), Item(3, 1), Item(4, 1)},
+                        At(1));
+  observer().OnChanges({{"1", At(5), true, std::nullopt}});
+  observer().OnSnapshot({Item(3, 1), Item(4, 1)}, At(6));
   BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
   BOOST_TEST((PresenceOf(2) == TargetPresence::kGone));
 }
 
 // An entry damaged by another writer does not describe a usable target.
 BOOST_AUTO_TEST_CASE(an_unreadable_entry_removes_its_target) {
-  observer().OnSnapshot({Item(1, 1)}, 1);
-  observer().OnChanges({{"1", 2, false, std::nullopt}});
+  observer().OnSnapshot({Item(1, 1)}, At(1));
+  observer().OnChanges({{"1", At(2), false, std::nullopt}});
   BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
 }
 
 // On-call engineers rely on these log lines.
 BOOST_AUTO_TEST_CASE(changes_of_the_view_are_logged) {
   ReadRoutes(2);
-  BOOST_TEST(lines.back() ==
-             "event=config_applied version=2 before=0 routes=3 revision=2");
-  observer().OnSnapshot({Item(1, 1)}, 1);
-  BOOST_TEST(lines.back() == "event=targets_loaded targets=1 revision=1");
+  BOOST_TEST(
+      lines.back() ==
+      "event=config_applied version=2 before=0 routes=3 revision=2 era=1");
+  observer().OnSnapshot({Item(1, 1)}, At(1));
+  BOOST_TEST(lines.back() == "event=targets_loaded targets=1 revision=1 era=1");
   observer().OnChanges({Item(2, 2)});
   BOOST_TEST(lines.back().find(
                  "event=target_listed target=0000000002 service=desk") == 0U);
@@ -187,6 +192,35 @@
              "event=store_regained collection=targets away_ms=2000");
 }
 
+BOOST_AUTO_TEST_CASE(an_ignored_entry_is_logged_with_both_revisions) {
+  CollectionItem<TargetRecord> draining = Item(1, 4);
+  draining.record->draining = true;
+  observer().OnSnapshot({Item(1, 9)}, At(9));
+  observer().OnChanges({draining});
+  BOOST_TEST(lines.back() ==
+             "event=target_entry_outdated target=0000000001 presence=listed "
+             "draining=0 revision=9 era=1 offered=draining offered_revision=4 "
+             "offered_era=1");
+  lines.clear();
+  observer().OnChanges({Item(1, 4)});
+  BOOST_TEST(lines.empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_ignored_configuration_is_logged_with_both_versions) {
+  ReadRoutes(7);
+  lines.clear();
+  ReadRoutes(5);
+  BOOST_TEST(lines.back() ==
+             "event=config_outdated version=7 offered=5 revision=5 era=1");
+}
+
+BOOST_AUTO_TEST_CASE(a_change_of_the_era_is_logged_with_both_revisions) {
+  observer().OnEraChanged(At(107), {StoreEra{2}, 46});
+  BOOST_TEST(lines.back() ==
+             "event=store_era_changed collection=targets held_era=1 "
+             "held_revision=107 era=2 revision=46");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/platform/object_codec_test.cc
+++ b/test/platform/object_codec_test.cc
@@ -32,10 +32,10 @@
 BOOST_AUTO_TEST_CASE(a_list_of_targets_is_decoded) {
   const auto reply = DecodeTargets(List(Entry("i-7f3a91c2", kSpec)));
   BOOST_REQUIRE(reply.has_value());
-  BOOST_TEST(reply->revision == 530U);
+  BOOST_TEST(reply->revision.number == 530U);
   BOOST_TEST(reply->has_more);
   BOOST_REQUIRE(reply->items.size() == 1U);
-  BOOST_TEST(reply->items[0].revision == 12U);
+  BOOST_TEST(reply->items[0].revision.number == 12U);
   BOOST_REQUIRE(reply->items[0].record.has_value());
   const TargetRecord& record = *reply->items[0].record;
   BOOST_TEST(Value(record.key) == 0x7f3a91c2U);
--- a/test/store/collection_reader_test.cc
+++ b/test/store/collection_reader_test.cc
@@ -52,14 +52,16 @@
   std::vector<Duration> deadlines;
 };
 
+StoreRevision At(std::uint64_t number) { return {StoreEra{1}, number}; }
+
 CollectionReply<int> Reply(std::uint64_t revision,
                            std::vector<std::string> names,
                            bool has_more = false) {
   CollectionReply<int> reply;
-  reply.revision = revision;
+  reply.revision = At(revision);
   reply.has_more = has_more;
   for (std::string& name : names) {
-    reply.items.push_back({std::move(name), revision, false, 1});
+    reply.items.push_back({std::move(name), At(revision), false, 1});
   }
   return reply;
 }
@@ -72,8 +74,8 @@
 
 struct Fixture : CollectionObserver<int> {
   void OnSnapshot(const std::vector<CollectionItem<int>>& items,
-                  std::uint64_t revision) override {
-    std::string text = "snapshot@" + std::to_string(revision);
+                  StoreRevision revision) override {
+    std::string text = "snapshot@" + std::to_string(revision.number);
     for (const auto& item : items) text += " " + item.name;
     events.push_back(text);
   }
@@ -182,7 +184,7 @@
 // target whose address another service uses now.
 BOOST_AUTO_TEST_CASE(a_first_list_from_the_cache_is_unused_until_confirmed) {
   CollectionReply<int> changes = Reply(12, {"c"});
-  changes.items.push_back({"a", 11, true, std::nullopt});
+  changes.items.push_back({"a", At(11), true, std::nullopt});
   client.replies = {Failure(ErrorKind::kRateLimited), Reply(7, {"a"}, true),
                     Reply(7, {"b"})};
   Start(CachedOptions());
--- a/testing/flow_ends/edge_field.cc
+++ b/testing/flow_ends/edge_field.cc
@@ -124,16 +124,16 @@
 void EdgeField::List(const TargetRecord& record) {
   ++revision_;
   for (const auto& instance : instances_) {
-    instance->targets().Upsert(record, revision_, /*propagated=*/true,
-                               time_.Now());
+    instance->targets().Upsert(record, {StoreEra{1}, revision_},
+                               /*propagated=*/true, time_.Now());
   }
 }
 
 void EdgeField::Unlist(TargetKey key, bool store_was_unavailable) {
   ++revision_;
   for (const auto& instance : instances_) {
-    instance->targets().Erase(key, revision_, store_was_unavailable,
-                              time_.Now());
+    instance->targets().Erase(key, {StoreEra{1}, revision_},
+                              store_was_unavailable, time_.Now());
   }
 }
 
