--- a/test/edge/target_directory_test.cc
+++ b/test/edge/target_directory_test.cc
@@ -13,6 +13,16 @@
 
 StoreRevision At(std::uint64_t number) { return {StoreEra{1}, number}; }
 
+StoreRevision AfterRestoration(std::uint64_t number) {
+  return {StoreEra{2}, number};
+}
+
+TargetRecord Draining(std::uint64_t key) {
+  TargetRecord record = sample::Target(key, "a");
+  record.draining = true;
+  return record;
+}
+
 struct Fixture {
   EdgeTarget& Add(const TargetRecord& record, std::uint64_t revision = 1) {
     targets.Upsert(record, At(revision), /*propagated=*/true, now);
@@ -111,6 +121,38 @@
   BOOST_TEST((target.usable_from == now + TargetDirectory::kPropagationDelay));
 }
 
+// A restored store assigns revisions again. Targets that drained got new flows
+// until the revisions had passed the lost ones.
+BOOST_AUTO_TEST_CASE(a_drain_after_a_restoration_is_not_ignored,
+                     *boost::unit_test::disabled()) {
+  Add(sample::Target(1, "a"), 90);
+  targets.Upsert(Draining(1), AfterRestoration(65), false, now);
+  BOOST_TEST(targets.Find(TargetKey{1})->record.draining);
+}
+
+BOOST_AUTO_TEST_CASE(a_removal_after_a_restoration_is_not_ignored,
+                     *boost::unit_test::disabled()) {
+  Add(sample::Target(1, "a"), 90);
+  targets.Erase(TargetKey{1}, AfterRestoration(56), false, now);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+}
+
+BOOST_AUTO_TEST_CASE(a_late_entry_from_before_a_restoration_is_ignored,
+                     *boost::unit_test::disabled()) {
+  Add(sample::Target(1, "a"), 20);
+  targets.Upsert(Draining(1), AfterRestoration(21), false, now);
+  targets.Upsert(sample::Target(1, "a"), At(40), false, now);
+  BOOST_TEST(targets.Find(TargetKey{1})->record.draining);
+}
+
+// The copy that the store was restored from can be older than the drain.
+BOOST_AUTO_TEST_CASE(a_restored_copy_does_not_undo_a_drain,
+                     *boost::unit_test::disabled()) {
+  Add(Draining(1), 20);
+  targets.Upsert(sample::Target(1, "a"), AfterRestoration(21), false, now);
+  BOOST_TEST(targets.Find(TargetKey{1})->record.draining);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -192,6 +192,18 @@
              "event=store_regained collection=targets away_ms=2000");
 }
 
+// A target that registered in the lost part of the history writes its entry
+// again within about 2 s.
+BOOST_AUTO_TEST_CASE(a_target_missing_from_a_restored_store_is_kept_for_a_while,
+                     *boost::unit_test::disabled()) {
+  observer().OnSnapshot({Item(1, 1), Item(2, 9)}, At(9));
+  CollectionItem<TargetRecord> kept = Item(1, 1);
+  kept.revision.era = StoreEra{2};
+  observer().OnEraChanged(At(9), {StoreEra{2}, 4});
+  observer().OnSnapshot({kept}, {StoreEra{2}, 4});
+  BOOST_TEST((PresenceOf(2) == TargetPresence::kMissing));
+}
+
 BOOST_AUTO_TEST_CASE(an_ignored_entry_is_logged_with_both_revisions) {
   CollectionItem<TargetRecord> draining = Item(1, 4);
   draining.record->draining = true;
--- a/test/store/collection_reader_test.cc
+++ b/test/store/collection_reader_test.cc
@@ -66,6 +66,13 @@
   return reply;
 }
 
+// The same reply from a store that has been restored.
+CollectionReply<int> InEra(std::uint64_t era, CollectionReply<int> reply) {
+  reply.revision.era = StoreEra{era};
+  for (auto& item : reply.items) item.revision.era = StoreEra{era};
+  return reply;
+}
+
 CollectionReply<int> Failure(ErrorKind error) {
   CollectionReply<int> reply;
   reply.error = error;
@@ -532,6 +539,55 @@
              boost::test_tools::per_element());
 }
 
+// The revisions had passed the lost ones, so that the watch did not fail with
+// lost history, and changes made since the restoration were never reported.
+BOOST_AUTO_TEST_CASE(a_watch_across_a_restoration_misses_no_change,
+                     *boost::unit_test::disabled()) {
+  client.replies = {Reply(7, {"a"}), InEra(2, Reply(9, {"c"})),
+                    InEra(2, Reply(9, {"b", "c"}))};
+  Start(CachedOptions());
+  time.RunFor(1100ms);
+  BOOST_TEST(client.calls == (Strings{"list ", "cached 7", "list ", "watch 9"}),
+             boost::test_tools::per_element());
+  BOOST_TEST(events.back() == "snapshot@9 b c");
+}
+
+BOOST_AUTO_TEST_CASE(a_reply_from_before_a_restoration_is_not_applied,
+                     *boost::unit_test::disabled()) {
+  client.replies = {InEra(2, Reply(7, {"a"})), Reply(30, {"old"}),
+                    InEra(2, Reply(8, {"b"}))};
+  Start(CachedOptions());
+  time.RunFor(2500ms);
+  for (const std::string& event : events) {
+    BOOST_TEST(event.find("old") == std::string::npos);
+  }
+  BOOST_TEST(events.back() == "snapshot@8 b");
+}
+
+BOOST_AUTO_TEST_CASE(pages_of_two_eras_do_not_become_one_list,
+                     *boost::unit_test::disabled()) {
+  client.replies = {Reply(7, {"a"}, true), InEra(2, Reply(5, {"b"})),
+                    InEra(2, Reply(5, {"c"}))};
+  Start();
+  time.RunFor(900ms);
+  BOOST_TEST(events.back() == "snapshot@5 c");
+  BOOST_TEST(client.calls == (Strings{"list ", "list a", "list ", "watch 5"}),
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_poll_of_a_restored_store_is_followed_by_a_list,
+                     *boost::unit_test::disabled()) {
+  client.replies = {Reply(7, {"a"})};
+  Start();
+  time.RunFor(1500ms);
+  FakeClient other(time);
+  other.replies = {InEra(2, Reply(9, {"c"}))};
+  client.replies = {InEra(2, Reply(9, {"b", "c"}))};
+  reader->Poll(other);
+  time.RunFor(100ms);
+  BOOST_TEST(events.back() == "snapshot@9 b c");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
