--- a/src/sapphirestream/store/collection.h
+++ b/src/sapphirestream/store/collection.h
@@ -37,6 +37,12 @@
   std::vector<CollectionItem<Record>> items;
 };
 
+template <typename Record>
+void SetEra(CollectionReply<Record>& reply, StoreEra era) noexcept {
+  reply.revision.era = era;
+  for (auto& item : reply.items) item.revision.era = era;
+}
+
 // Required consistency of a read.
 enum class Freshness : std::uint8_t {
   kCurrent,
@@ -81,10 +87,13 @@
   virtual void OnCacheOutdated() {}
   // A poll failed; see CollectionReader::Poll.
   virtual void OnPollFailed(ErrorKind /*error*/) {}
-  // A reply is from another era than the view: the store was restored from a
-  // backup.
+  // A reply is from a later era than the view: the store was restored from a
+  // backup. The list is read again.
   virtual void OnEraChanged(StoreRevision /*held*/, StoreRevision /*offered*/) {
   }
+  // A reply is from an earlier era than the view and was ignored.
+  virtual void OnOutdatedReply(StoreRevision /*held*/,
+                               StoreRevision /*offered*/) {}
   // The store rejected a call because all instances together exceed its rate
   // limit.
   virtual void OnRateLimited() {}
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -1,58 +1,31 @@
 // Keeps a local view of a collection of objects in a store: lists it page by
 // page, then watches for changes. While the store is unavailable, it is probed
-// with inexpensive cached reads. Independent of the type of the objects and of
-// the store protocol.
+// with inexpensive cached reads. After the store was restored from a backup,
+// the view is replaced by a current list. Independent of the type of the
+// objects and of the store protocol.
 #ifndef SAPPHIRESTREAM_STORE_COLLECTION_READER_H_
 #define SAPPHIRESTREAM_STORE_COLLECTION_READER_H_
 
 #include <algorithm>
 #include <cstdint>
 #include <functional>
-#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
 #include <utility>
-#include <vector>
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/store/backoff.h"
 #include "sapphirestream/store/collection.h"
+#include "sapphirestream/store/collection_reader_options.h"
+#include "sapphirestream/store/era_tracker.h"
+#include "sapphirestream/store/paged_list.h"
 #include "sapphirestream/store/probe_lock.h"
 #include "sapphirestream/store/timer.h"
 
 namespace sapphirestream {
 
-struct CollectionReaderOptions {
-  Duration call_deadline = std::chrono::seconds(1);
-  // The deadline doubles after each call that exceeds it, up to this one:
-  // repeating large replies that are slow to arrive would keep the link of the
-  // store full.
-  Duration max_call_deadline = std::chrono::seconds(4);
-  // Time that the store holds a watch open waiting for a change.
-  Duration watch_timeout = std::chrono::seconds(10);
-  // Minimum time between the starts of two watches, which batches changes in
-  // quick succession.
-  Duration min_watch_interval = std::chrono::milliseconds(500);
-  // Consistency of watches and of all lists but the first, which is current.
-  // Pages are read from the cache after a failed or rate-limited page.
-  Freshness freshness = Freshness::kCurrent;
-  // Time for which watches use kCurrent after a cached reply was found to be
-  // stale.
-  Duration cache_bypass_period = std::chrono::seconds(30);
-  // Interval at which the whole list is read again, in case a change was
-  // missed.
-  Duration relist_period = std::chrono::seconds(30);
-  // Backoff until the first list has been read.
-  BackoffOptions initial_backoff{std::chrono::milliseconds(100),
-                                 std::chrono::seconds(1)};
-  // Backoff afterwards. It is longer because the local view stays usable, and a
-  // failed call is charged as a current read.
-  BackoffOptions backoff{std::chrono::milliseconds(200),
-                         std::chrono::seconds(2), /*min_fraction=*/0.5};
-};
-
 // Not thread-safe: all calls and callbacks happen on the control thread.
 template <typename Record>
 class CollectionReader {
@@ -82,9 +55,7 @@
 
   // Starts following the collection, or restarts with a full list. The first
   // list is current, since a cached one takes another call to confirm.
-  void Start() {
-    ReadList(has_list_ ? options_.freshness : Freshness::kCurrent);
-  }
+  void Start() { ReadList(has_list_ ? WatchFreshness() : Freshness::kCurrent); }
   // Repeats a failed call immediately instead of after its backoff. For use
   // when another call has shown that the store is available.
   void RetryNow() {
@@ -92,21 +63,37 @@
     timer_.Cancel(next_timer_);
     std::exchange(retry_, nullptr)();
   }
+  // Another call has shown that the store is in this era. A view of an earlier
+  // era is replaced by a list.
+  void ObserveEra(StoreEra era) {
+    if (era_.Observe(era) != EraCheck::kRestored) return;
+    BypassCache();
+    if (has_list_ || !list_.is_empty()) ReadCurrentList();
+  }
   // Starts a watch immediately unless a call is in flight.
   void Refresh() {
     if (call_in_flight_ || !has_list_) return;
     Watch();
   }
   // Polls for changes through another client, in case the reply to the pending
-  // watch was lost. Inexpensive: uses a cached read, which returns items only
-  // if the watch is behind. Does nothing while a failed call waits for its
-  // repetition.
+  // watch was lost. Inexpensive: uses a cached read unless the cache is
+  // bypassed, which returns items only if the watch is behind. Does nothing
+  // while a failed call waits for its repetition.
   void Poll(CollectionClient<Record>& client) {
     if (!has_list_ || retry_) return;
-    client.Watch(revision_.number, Duration::zero(), Freshness::kCached,
+    client.Watch(revision_.number, Duration::zero(),
+                 BypassesCache() ? Freshness::kCurrent : Freshness::kCached,
                  options_.call_deadline,
                  InEpoch([](CollectionReader& self, Reply reply) {
-                   self.ReportEra(reply);
+                   switch (self.CheckEra(reply)) {
+                     case EraCheck::kCurrent:
+                       break;
+                     case EraCheck::kOutdated:
+                       return;
+                     case EraCheck::kRestored:
+                       self.ReadCurrentList();
+                       return;
+                   }
                    if (reply.error == ErrorKind::kHistoryLost) {
                      self.ReadCurrentList();
                      return;
@@ -138,8 +125,7 @@
     ++epoch_;
     timer_.Cancel(next_timer_);
     retry_ = nullptr;
-    listed_items_.clear();
-    list_revision_.reset();
+    list_.Clear();
     list_freshness_ = freshness;
     last_relist_ = clock_.Now();
     ReadPage();
@@ -147,35 +133,33 @@
 
   void ReadPage() {
     call_in_flight_ = true;
-    client_.List(
-        listed_items_.empty() ? std::string{} : listed_items_.back().name,
-        list_freshness_, call_deadline_,
-        InEpoch([](CollectionReader& self, Reply reply) {
-          self.OnPage(std::move(reply));
-        }));
+    client_.List(list_.last_name(), list_freshness_, call_deadline_,
+                 InEpoch([](CollectionReader& self, Reply reply) {
+                   self.OnPage(std::move(reply));
+                 }));
   }
 
   void OnPage(Reply reply) {
     call_in_flight_ = false;
-    ReportEra(reply);
+    const EraCheck check = CheckEra(reply);
+    // The first page of a current list is already one of the new era.
+    const bool is_usable =
+        check == EraCheck::kCurrent ||
+        (check == EraCheck::kRestored && reply.error == ErrorKind::kNone &&
+         list_.is_empty() && list_freshness_ == Freshness::kCurrent);
+    if (!is_usable) return RelistAfter(check, reply.error);
     // Pages read so far are kept: if many instances read a long list at the
     // same time, starting over would multiply the calls.
     if (reply.error != ErrorKind::kNone) {
       // The remaining pages come from the cache: failed calls are charged, and
       // a long list has too many pages to retry each one after a rejection.
-      list_freshness_ = Freshness::kCached;
+      if (!BypassesCache()) list_freshness_ = Freshness::kCached;
       Retry(reply.error, [](CollectionReader& self) { self.ReadPage(); });
       return;
     }
     OnSuccess();
     const bool has_more = reply.has_more && !reply.items.empty();
-    std::move(reply.items.begin(), reply.items.end(),
-              std::back_inserter(listed_items_));
-    // The first watch starts from the lowest revision of the pages, so that it
-    // returns changes made while the pages were read and changes missing from
-    // cached pages.
-    list_revision_ =
-        Lower(list_revision_.value_or(reply.revision), reply.revision);
+    list_.Append(std::move(reply));
     if (has_more) {
       ReadPage();
       return;
@@ -184,15 +168,15 @@
       ConfirmList();
       return;
     }
-    CompleteList(*list_revision_);
+    CompleteList(list_.revision());
   }
 
   // Reads the changes since a cached list was made. Without a previous view, a
   // cached list alone may name targets that have left since.
   void ConfirmList() {
     call_in_flight_ = true;
-    client_.Watch(list_revision_->number, Duration::zero(), Freshness::kCurrent,
-                  call_deadline_,
+    client_.Watch(list_.revision().number, Duration::zero(),
+                  Freshness::kCurrent, call_deadline_,
                   InEpoch([](CollectionReader& self, Reply reply) {
                     self.OnListConfirmed(std::move(reply));
                   }));
@@ -200,7 +184,9 @@
 
   void OnListConfirmed(Reply reply) {
     call_in_flight_ = false;
-    ReportEra(reply);
+    if (const EraCheck check = CheckEra(reply); check != EraCheck::kCurrent) {
+      return RelistAfter(check, reply.error);
+    }
     if (reply.error == ErrorKind::kHistoryLost) {
       OnSuccess();
       observer_.OnCacheOutdated();
@@ -212,29 +198,16 @@
       return;
     }
     OnSuccess();
-    for (auto& change : reply.items) ApplyToList(std::move(change));
+    for (auto& change : reply.items) list_.Apply(std::move(change));
     list_freshness_ = Freshness::kCurrent;
-    CompleteList(Higher(*list_revision_, reply.revision));
-  }
-
-  void ApplyToList(CollectionItem<Record> change) {
-    const auto listed = std::find_if(
-        listed_items_.begin(), listed_items_.end(),
-        [&](const auto& item) { return item.name == change.name; });
-    if (listed == listed_items_.end()) {
-      listed_items_.push_back(std::move(change));
-    } else {
-      *listed = std::move(change);
-    }
-    std::erase_if(listed_items_, [](const auto& item) { return item.deleted; });
+    CompleteList(std::max(list_.revision(), reply.revision));
   }
 
   void CompleteList(StoreRevision revision) {
     revision_ = revision;
-    list_revision_.reset();
     has_list_ = true;
     backoff_ = Backoff{options_.backoff};
-    const auto items = std::exchange(listed_items_, {});
+    const auto items = list_.Take();
     observer_.OnSnapshot(items, revision_);
     observer_.OnSynced();
     ScheduleWatch();
@@ -246,39 +219,73 @@
     client_.Watch(revision_.number, Duration::zero(), Freshness::kCached,
                   call_deadline_,
                   InEpoch([](CollectionReader& self, Reply reply) {
-                    self.ReportEra(reply);
-                    self.OnProbe(reply.error);
+                    self.OnProbe(std::move(reply));
                   }));
   }
 
-  void OnProbe(ErrorKind error) {
+  void OnProbe(Reply reply) {
     call_in_flight_ = false;
-    if (error != ErrorKind::kNone && error != ErrorKind::kHistoryLost) {
-      Retry(error, [](CollectionReader& self) { self.Probe(); });
+    if (const EraCheck check = CheckEra(reply); check != EraCheck::kCurrent) {
+      return RelistAfter(check, reply.error);
+    }
+    if (reply.error != ErrorKind::kNone &&
+        reply.error != ErrorKind::kHistoryLost) {
+      Retry(reply.error, [](CollectionReader& self) { self.Probe(); });
       return;
     }
     OnSuccess();
-    if (error == ErrorKind::kHistoryLost) {
+    if (reply.error == ErrorKind::kHistoryLost) {
       ReadCurrentList();
     } else {
       Start();
     }
   }
 
-  void ReportEra(const Reply& reply) {
-    const StoreEra offered = reply.revision.era;
-    if (offered == kUnknownEra || offered == era_) return;
-    if (era_ != kUnknownEra) {
-      observer_.OnEraChanged({era_, revision_.number}, reply.revision);
+  // Compares the era of a reply with that of the view. A reply of the current
+  // era is completed by the era if it names none.
+  EraCheck CheckEra(Reply& reply) {
+    const StoreRevision held{era_.era(), revision_.number};
+    const StoreRevision offered = reply.revision;
+    const EraCheck check = era_.Observe(offered.era);
+    switch (check) {
+      case EraCheck::kCurrent:
+        SetEra(reply, era_.era());
+        break;
+      case EraCheck::kOutdated:
+        observer_.OnOutdatedReply(held, offered);
+        break;
+      case EraCheck::kRestored:
+        BypassCache();
+        observer_.OnEraChanged(held, offered);
+        break;
     }
-    era_ = offered;
+    return check;
   }
 
-  [[nodiscard]] static StoreRevision Lower(StoreRevision a, StoreRevision b) {
-    return b.number < a.number ? b : a;
+  // Reads a current list because a reply was not from the era of the view.
+  void RelistAfter(EraCheck check, ErrorKind error) {
+    constexpr auto relist = [](CollectionReader& self) {
+      self.ReadCurrentList();
+    };
+    if (check == EraCheck::kOutdated) {
+      After(backoff_.Next(random_), relist);
+    } else if (error == ErrorKind::kNone || error == ErrorKind::kHistoryLost) {
+      OnSuccess();
+      ReadCurrentList();
+    } else {
+      Retry(error, relist);
+    }
+  }
+
+  void BypassCache() {
+    bypass_cache_until_ = clock_.Now() + options_.cache_bypass_period;
   }
-  [[nodiscard]] static StoreRevision Higher(StoreRevision a, StoreRevision b) {
-    return a.number < b.number ? b : a;
+  [[nodiscard]] bool BypassesCache() const {
+    return clock_.Now() < bypass_cache_until_;
+  }
+  // Consistency of watches, and of lists that replace an earlier one.
+  [[nodiscard]] Freshness WatchFreshness() const {
+    return BypassesCache() ? Freshness::kCurrent : options_.freshness;
   }
 
   // A cached list can be older than the history that the store has kept, so
@@ -290,10 +297,9 @@
     retry_ = nullptr;
     call_in_flight_ = true;
     last_watch_ = clock_.Now();
-    const bool bypass_cache = last_watch_ < bypass_cache_until_ ||
-                              list_freshness_ == Freshness::kCached;
     client_.Watch(revision_.number, options_.watch_timeout,
-                  bypass_cache ? Freshness::kCurrent : options_.freshness,
+                  list_freshness_ == Freshness::kCached ? Freshness::kCurrent
+                                                        : WatchFreshness(),
                   options_.watch_timeout + call_deadline_,
                   InEpoch([](CollectionReader& self, Reply reply) {
                     self.OnWatch(std::move(reply));
@@ -302,7 +308,9 @@
 
   void OnWatch(Reply reply) {
     call_in_flight_ = false;
-    ReportEra(reply);
+    if (const EraCheck check = CheckEra(reply); check != EraCheck::kCurrent) {
+      return RelistAfter(check, reply.error);
+    }
     if (reply.error == ErrorKind::kHistoryLost) {
       OnSuccess();
       ReadCurrentList();
@@ -323,12 +331,10 @@
     list_freshness_ = Freshness::kCurrent;
     if (!reply.items.empty()) observer_.OnChanges(reply.items);
     observer_.OnSynced();
-    if (reply.revision.number < revision_.number) {
-      bypass_cache_until_ = clock_.Now() + options_.cache_bypass_period;
-    }
-    revision_ = Higher(revision_, reply.revision);
+    if (reply.revision < revision_) BypassCache();
+    revision_ = std::max(revision_, reply.revision);
     if (clock_.Now() - last_relist_ >= options_.relist_period) {
-      ReadList(options_.freshness);
+      ReadList(WatchFreshness());
       return;
     }
     ScheduleWatch();
@@ -386,21 +392,18 @@
   Backoff backoff_;
   Duration call_deadline_;
 
-  // Items of the pages read so far.
-  std::vector<CollectionItem<Record>> listed_items_;
-  // Lowest revision of the pages read so far.
-  std::optional<StoreRevision> list_revision_;
+  // Pages read so far. All are from era_.
+  PagedList<Record> list_;
   // If the last list was cached, the next watch uses kCurrent.
   Freshness list_freshness_ = Freshness::kCurrent;
   StoreRevision revision_;
-  // Era of the last reply that named one.
-  StoreEra era_ = kUnknownEra;
+  EraTracker era_;
   bool has_list_ = false;
   bool call_in_flight_ = false;
   // Start of the last watch.
   TimePoint last_watch_{};
   TimePoint last_relist_{};
-  // The cache was found to be stale; watches bypass it until then.
+  // The cache may be stale; reads bypass it until then.
   TimePoint bypass_cache_until_{};
   std::optional<TimePoint> unavailable_since_;
   // Incremented by each list; replies to calls of earlier epochs are ignored.
--- /dev/null
+++ b/src/sapphirestream/store/paged_list.h
@@ -0,0 +1,67 @@
+// Collects the pages of a list into one consistent list.
+#ifndef SAPPHIRESTREAM_STORE_PAGED_LIST_H_
+#define SAPPHIRESTREAM_STORE_PAGED_LIST_H_
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sapphirestream/store/collection.h"
+
+namespace sapphirestream {
+
+template <typename Record>
+class PagedList {
+ public:
+  using Item = CollectionItem<Record>;
+
+  void Clear() noexcept {
+    items_.clear();
+    revision_.reset();
+  }
+  // Adds the next page. Precondition: it is from the era of the pages before.
+  void Append(CollectionReply<Record> page) {
+    std::move(page.items.begin(), page.items.end(), std::back_inserter(items_));
+    revision_ = std::min(revision_.value_or(page.revision), page.revision);
+  }
+  // Applies a change that was made after the list.
+  void Apply(Item change) {
+    const auto listed = std::find_if(
+        items_.begin(), items_.end(),
+        [&](const Item& item) { return item.name == change.name; });
+    if (listed == items_.end()) {
+      items_.push_back(std::move(change));
+    } else {
+      *listed = std::move(change);
+    }
+    std::erase_if(items_, [](const Item& item) { return item.deleted; });
+  }
+  // Returns the items and clears the list.
+  [[nodiscard]] std::vector<Item> Take() {
+    revision_.reset();
+    return std::exchange(items_, {});
+  }
+
+  // Name after which the next page starts; empty for the first page.
+  [[nodiscard]] std::string last_name() const {
+    return items_.empty() ? std::string{} : items_.back().name;
+  }
+  // Lowest revision of the pages. The first watch starts from it, so that it
+  // returns changes made while the pages were read and changes missing from
+  // cached pages. Precondition: there is a page.
+  [[nodiscard]] StoreRevision revision() const noexcept { return *revision_; }
+  // Whether no page has been added yet.
+  [[nodiscard]] bool is_empty() const noexcept { return !revision_; }
+
+ private:
+  std::vector<Item> items_;
+  // Empty before the first page.
+  std::optional<StoreRevision> revision_;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_STORE_PAGED_LIST_H_
