--- a/src/sapphirestream/store/collection.h
+++ b/src/sapphirestream/store/collection.h
@@ -65,6 +65,9 @@
   // for the first one.
   virtual void Watch(std::uint64_t since, Duration wait, Freshness freshness,
                      Duration deadline, Done done) = 0;
+  // Abandons pending calls without invoking their callbacks, so that a later
+  // call does not wait behind a watch that the store holds.
+  virtual void Cancel() = 0;
 };
 
 template <typename Record>
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -125,6 +125,7 @@
     ++epoch_;
     timer_.Cancel(next_timer_);
     retry_ = nullptr;
+    if (call_in_flight_) client_.Cancel();
     list_.Clear();
     list_freshness_ = freshness;
     last_relist_ = clock_.Now();
--- a/src/sapphirestream/store/http_channel.cc
+++ b/src/sapphirestream/store/http_channel.cc
@@ -67,10 +67,23 @@
   asio::post(context_, [self = shared_from_this()] { self->StartNext(); });
 }
 
-void HttpChannel::Close() {
-  closed_ = true;
+void HttpChannel::Cancel() {
+  CancelQueued();
+  if (!current_) return;
+  // The pending operation fails, and its handler starts the next call.
+  current_->done = [](const HttpReply&) {};
+  current_->timed_out = true;
+  CloseSocket();
+}
+
+void HttpChannel::CancelQueued() {
   for (const PendingPtr& pending : queue_) pending->timer.cancel();
   queue_.clear();
+}
+
+void HttpChannel::Close() {
+  closed_ = true;
+  CancelQueued();
   if (current_) current_->timer.cancel();
   CloseSocket();
 }
--- a/src/sapphirestream/store/http_channel.h
+++ b/src/sapphirestream/store/http_channel.h
@@ -51,6 +51,9 @@
   // Queues a request. The deadline starts now and includes the time in the
   // queue.
   void Call(Request request, Duration deadline, Done done);
+  // Drops all pending calls without invoking their callbacks. Later calls do
+  // not wait for a response to a dropped one.
+  void Cancel();
   // Drops all pending and later calls without invoking their callbacks.
   void Close();
 
@@ -65,6 +68,7 @@
   };
   using PendingPtr = std::shared_ptr<Pending>;
 
+  void CancelQueued();
   void StartNext();
   void Connect();
   void Write();
--- a/test/store/collection_reader_test.cc
+++ b/test/store/collection_reader_test.cc
@@ -33,6 +33,7 @@
                     std::to_string(since));
     Answer(std::move(done));
   }
+  void Cancel() override { ++cancelled; }
   void Answer(Done done) {
     if (replies.empty()) {
       unanswered.push_back(std::move(done));
@@ -48,6 +49,7 @@
   std::deque<CollectionReply<int>> replies;
   std::vector<Done> unanswered;
   std::vector<std::string> calls;
+  int cancelled = 0;
   // Deadlines of the lists.
   std::vector<Duration> deadlines;
 };
@@ -590,6 +592,19 @@
 }
 
 // A watch that is held since before the restoration reports nothing.
+BOOST_AUTO_TEST_CASE(a_list_does_not_wait_behind_a_held_watch) {
+  client.replies = {Reply(7, {"a"})};
+  Start();
+  time.RunFor(1500ms);
+  BOOST_TEST(client.cancelled == 0);
+  FakeClient other(time);
+  other.replies = {Failure(ErrorKind::kHistoryLost)};
+  reader->Poll(other);
+  time.RunFor(10ms);
+  BOOST_TEST(client.cancelled == 1);
+  BOOST_TEST(client.calls.back() == "list ");
+}
+
 BOOST_AUTO_TEST_CASE(an_era_seen_by_another_reader_replaces_the_view) {
   client.replies = {Reply(7, {"a"})};
   Start(CachedOptions());
--- /dev/null
+++ b/test/store/http_channel_test.cc
@@ -0,0 +1,86 @@
+// Guards against calls that wait behind an abandoned one on its connection.
+#include "sapphirestream/store/http_channel.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "test/store/http_server.h"
+
+namespace sapphirestream {
+namespace {
+
+using internal::HttpChannel;
+using internal::HttpOutcome;
+using internal::HttpReply;
+
+constexpr Duration kLong = std::chrono::minutes(1);
+
+struct Fixture {
+  void Call(const std::string& path) {
+    channel->Call({http::verb::get, path, 11}, kLong,
+                  [this, path](const HttpReply& reply) {
+                    answered.push_back(path);
+                    outcome = reply.outcome;
+                    era = reply.era;
+                  });
+  }
+  void RunUntilAnswered(std::size_t calls) {
+    while (answered.size() < calls) context.run_one();
+  }
+
+  boost::asio::io_context context;
+  // Leaves requests for /held unanswered.
+  HttpServer server{context, [](const HttpServer::Request& request) {
+                      HttpServer::HandlerResult result;
+                      if (request.target() == "/held") return result;
+                      result.response.emplace(http::status::ok, 11);
+                      result.response->set("Era", "12");
+                      return result;
+                    }};
+  std::shared_ptr<HttpChannel> channel = std::make_shared<HttpChannel>(
+      context,
+      boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(),
+                                     server.endpoint().port),
+      "Era");
+  std::vector<std::string> answered;
+  HttpOutcome outcome = HttpOutcome::kNotSent;
+  StoreEra era = kUnknownEra;
+};
+
+BOOST_FIXTURE_TEST_SUITE(http_channel, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_call_after_a_cancelled_one_does_not_wait_for_it) {
+  Call("/held");
+  Call("/queued");
+  context.run_for(std::chrono::milliseconds(20));
+  channel->Cancel();
+  Call("/next");
+  RunUntilAnswered(1);
+  BOOST_TEST(answered == std::vector<std::string>{"/next"},
+             boost::test_tools::per_element());
+  BOOST_TEST((outcome == HttpOutcome::kAnswered));
+}
+
+BOOST_AUTO_TEST_CASE(calls_can_be_cancelled_before_they_are_sent) {
+  Call("/held");
+  channel->Cancel();
+  channel->Cancel();
+  Call("/next");
+  RunUntilAnswered(1);
+  BOOST_TEST(answered == std::vector<std::string>{"/next"},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(the_era_of_a_reply_is_read_from_its_header) {
+  Call("/any");
+  RunUntilAnswered(1);
+  BOOST_TEST((era == StoreEra{12}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
