--- a/src/sapphirestream/admin/http_message.h
+++ b/src/sapphirestream/admin/http_message.h
@@ -3,6 +3,8 @@
 #define SAPPHIRESTREAM_ADMIN_HTTP_MESSAGE_H_
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/base/id.h"
@@ -20,6 +22,8 @@
   int status = 200;
   std::string content_type = "application/json";
   std::string body;
+  // Further header fields: names and values.
+  std::vector<std::pair<std::string, std::string>> fields{};
 };
 
 // Returns the response for an error: its HTTP status and a JSON object with its
--- a/src/sapphirestream/admin/http_server.cc
+++ b/src/sapphirestream/admin/http_server.cc
@@ -74,6 +74,9 @@
     response_.version(11);
     response_.result(static_cast<unsigned>(response.status));
     response_.set(http::field::content_type, response.content_type);
+    for (const auto& [name, value] : response.fields) {
+      response_.set(name, value);
+    }
     response_.body() = std::move(response.body);
     response_.keep_alive(keep_alive_);
     response_.prepare_payload();
--- a/testing/soak/soak_faults.cc
+++ b/testing/soak/soak_faults.cc
@@ -1,5 +1,8 @@
 // Faults and changes that the soak test injects.
+#include <algorithm>
+#include <chrono>
 #include <csignal>
+#include <string>
 #include <utility>
 
 #include "testing/soak/soak_world.h"
@@ -80,6 +83,27 @@
   }
 }
 
+void SoakWorld::RestoreStore(Duration age) {
+  Log("store is restored from a copy, " +
+      std::to_string(
+          std::chrono::duration_cast<std::chrono::milliseconds>(age).count()) +
+      " ms old");
+  ++open_faults_;
+  store_->Restore(age);
+  SetStoreFault(StoreFault::kNone);
+  PutRoutes();
+}
+
+void SoakWorld::ExpireReplacedEntries() {
+  for (const std::string& name : store_->Names("servers")) {
+    const bool is_in_use = std::any_of(
+        targets_.begin(), targets_.end(), [&name](const Target& target) {
+          return EntryName(target.process->record().key) == name;
+        });
+    if (!is_in_use) store_->Delete("servers", name);
+  }
+}
+
 void SoakWorld::CrashTarget(std::size_t index) {
   Log("crash target " + std::to_string(index + 1));
   ++open_faults_;
--- a/testing/soak/soak_schedule.cc
+++ b/testing/soak/soak_schedule.cc
@@ -17,16 +17,30 @@
 // Delay between the recovery of the store and the registration of expired
 // entries.
 constexpr Duration kRegistrationDelay = 1900ms;
+// Time until the restored entry of a target that has stopped expires.
+constexpr Duration kExpiryDelay = 3600ms;
+// Restorations of the store: time between them, length of the outage, and age
+// of the copy.
+constexpr Duration kMinRestorationGap = 2s;
+constexpr Duration kMaxRestorationGap = 7s;
+constexpr Duration kMinOutage = 50ms;
+constexpr Duration kMaxOutage = 1500ms;
+constexpr Duration kMinCopyAge = 500ms;
+constexpr Duration kMaxCopyAge = 11s;
 // Minimum time for which a draining target continues to serve.
 constexpr Duration kDrainTime = 5s;
 
 }  // namespace
 
-SoakSchedule::SoakSchedule(SoakWorld& world) : world_(world) {}
+SoakSchedule::SoakSchedule(SoakWorld& world)
+    : world_(world), restoration_random_(~world.seed()) {}
 
 SoakSchedule::~SoakSchedule() { EndAllFaults(); }
 
-void SoakSchedule::Start() { ScheduleNext(); }
+void SoakSchedule::Start() {
+  ScheduleNext();
+  ScheduleRestoration();
+}
 
 void SoakSchedule::ScheduleNext() {
   next_ = world_.timer().After(
@@ -39,6 +53,7 @@
 
 void SoakSchedule::EndAllFaults() {
   world_.timer().Cancel(next_);
+  world_.timer().Cancel(next_restoration_);
   for (ActiveFault& fault : std::exchange(active_faults_, {})) {
     world_.timer().Cancel(fault.timer);
     fault.end();
@@ -46,8 +61,13 @@
 }
 
 void SoakSchedule::ScheduleEnd(std::function<void()> end) {
-  const Duration time = std::chrono::milliseconds(
-      kMinFaultMs + world_.random().Below(kMaxFaultMs - kMinFaultMs));
+  ScheduleEnd(
+      std::chrono::milliseconds(
+          kMinFaultMs + world_.random().Below(kMaxFaultMs - kMinFaultMs)),
+      std::move(end));
+}
+
+void SoakSchedule::ScheduleEnd(Duration time, std::function<void()> end) {
   const auto it = active_faults_.insert(active_faults_.end(),
                                         ActiveFault{kNoTimer, std::move(end)});
   it->timer = world_.timer().After(time, [this, it] {
@@ -136,6 +156,36 @@
   });
 }
 
+Duration SoakSchedule::RestorationTime(Duration min, Duration max) {
+  const auto range = static_cast<std::uint64_t>((max - min).count());
+  return min +
+         Duration(static_cast<Duration::rep>(restoration_random_.Below(range)));
+}
+
+void SoakSchedule::ScheduleRestoration() {
+  next_restoration_ = world_.timer().After(
+      RestorationTime(kMinRestorationGap, kMaxRestorationGap), [this] {
+        InjectRestoration();
+        ScheduleRestoration();
+      });
+}
+
+void SoakSchedule::InjectRestoration() {
+  const Duration age = RestorationTime(kMinCopyAge, kMaxCopyAge);
+  const Duration outage = RestorationTime(kMinOutage, kMaxOutage);
+  if (store_fault_active_) return;
+  store_fault_active_ = true;
+  world_.SetStoreFault(StoreFault::kUnavailable);
+  ScheduleEnd(outage, [this, age] {
+    world_.RestoreStore(age);
+    world_.timer().After(kRegistrationDelay,
+                         [this] { world_.RestoreEntries(); });
+    world_.timer().After(kExpiryDelay,
+                         [this] { world_.ExpireReplacedEntries(); });
+    store_fault_active_ = false;
+  });
+}
+
 void SoakSchedule::InjectTargetFault() {
   const std::size_t index = RandomTarget();
   if (!world_.IsUsableTarget(index) || world_.UsablePeersOf(index) == 0) return;
--- a/testing/soak/soak_schedule.h
+++ b/testing/soak/soak_schedule.h
@@ -33,17 +33,25 @@
   void InjectRandomFault();
   // Ends a fault after a random time, or in EndAllFaults().
   void ScheduleEnd(std::function<void()> end);
+  void ScheduleEnd(Duration time, std::function<void()> end);
 
   void InjectInstanceFault();
   void InjectLinkFault();
   void InjectStoreFault();
+  // Restorations have a random source of their own, so that the other faults of
+  // a seed do not depend on them.
+  void ScheduleRestoration();
+  void InjectRestoration();
+  [[nodiscard]] Duration RestorationTime(Duration min, Duration max);
   void InjectTargetFault();
   void DrainAndReplaceTarget();
   [[nodiscard]] std::size_t RandomInstance();
   [[nodiscard]] std::size_t RandomTarget();
 
   SoakWorld& world_;
+  SeededRandom restoration_random_;
   TimerId next_ = kNoTimer;
+  TimerId next_restoration_ = kNoTimer;
   std::list<ActiveFault> active_faults_;
   bool store_fault_active_ = false;
   bool packet_loss_active_ = false;
--- a/testing/soak/soak_world.cc
+++ b/testing/soak/soak_world.cc
@@ -141,6 +141,10 @@
 
 void SoakWorld::WriteRoutes() {
   version_ += 1 + random_.Below(3);
+  PutRoutes();
+}
+
+void SoakWorld::PutRoutes() {
   std::string routes = RouteJson(kFeed, "safe", "desk") + "," +
                        RouteJson(kOrders, "unsafe", "desk") + "," +
                        RouteJson(kPhotos, "upload", "intake");
--- a/testing/soak/soak_world.h
+++ b/testing/soak/soak_world.h
@@ -91,6 +91,11 @@
   // those of running targets again.
   void ExpireEntries();
   void RestoreEntries();
+  // Ends an outage with a copy of the store that is about `age` old. What the
+  // operator and the targets wrote since is written again.
+  void RestoreStore(Duration age);
+  // Removes the entries of targets that have been replaced.
+  void ExpireReplacedEntries();
   void CrashTarget(std::size_t index);
   void RestartTarget(std::size_t index);
   void FreezeTarget(std::size_t index);
@@ -115,6 +120,7 @@
     return violations_;
   }
   [[nodiscard]] const SoakCounts& counts() const { return counts_; }
+  [[nodiscard]] std::uint64_t seed() const { return options_.seed; }
   [[nodiscard]] Random& random() { return random_; }
   [[nodiscard]] Timer& timer() { return timer_; }
 
@@ -159,7 +165,9 @@
   void AddTarget(std::size_t index);
   [[nodiscard]] static std::string EntryName(TargetKey key);
   void WriteEntry(const SoakTarget& target);
+  // Writes the routes as a new version.
   void WriteRoutes();
+  void PutRoutes();
   void StartInstance(std::size_t index);
   void MonitorProcesses();
   void CheckExit(std::size_t index);
--- a/testing/soak/store_standin.cc
+++ b/testing/soak/store_standin.cc
@@ -15,6 +15,10 @@
 // Share of calls that a busy store rejects, in percent.
 constexpr std::uint64_t kRejectedPercent = 70;
 
+constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
+constexpr Duration kOtherWriteInterval = std::chrono::milliseconds(50);
+constexpr std::size_t kMaxCopies = 24;
+
 constexpr int kUnavailable = 503;
 constexpr int kTooManyCalls = 429;
 constexpr int kGone = 410;
@@ -55,12 +59,46 @@
                           HttpServer::Open(context, local,
                                            [this](const HttpRequest& request,
                                                   const HttpServer::Reply& r) {
-                                             Handle(request, r);
+                                             Handle(request, WithEra(r));
                                            }));
         return {};
       },
       [](const Error& error) { throw std::runtime_error(error.detail); },
       [] { throw std::runtime_error("cannot open the address of the store"); });
+  TakeCopy();
+  WriteOther();
+}
+
+void StoreStandin::WriteOther() {
+  Put("other", "counter", std::to_string(revision_));
+  timer_.After(kOtherWriteInterval, [this] { WriteOther(); });
+}
+
+void StoreStandin::TakeCopy() {
+  copies_.push_back({revision_, objects_});
+  if (copies_.size() > kMaxCopies) copies_.pop_front();
+  timer_.After(kCopyInterval, [this] { TakeCopy(); });
+}
+
+void StoreStandin::Restore(Duration age) {
+  const auto back = std::min(static_cast<std::size_t>(age / kCopyInterval),
+                             copies_.size() - 1);
+  const Copy& copy = copies_[copies_.size() - 1 - back];
+  objects_ = copy.objects;
+  revision_ = copy.revision;
+  ++era_;
+  changes_.clear();
+  history_from_ = revision_;
+  copies_.assign(1, {revision_, objects_});
+  EndWatches();
+}
+
+std::vector<std::string> StoreStandin::Names(const std::string& kind) const {
+  std::vector<std::string> names;
+  if (const auto it = objects_.find(kind); it != objects_.end()) {
+    for (const auto& [name, object] : it->second) names.push_back(name);
+  }
+  return names;
 }
 
 void StoreStandin::Put(const std::string& kind, const std::string& name,
@@ -101,6 +139,13 @@
   }
 }
 
+HttpServer::Reply StoreStandin::WithEra(HttpServer::Reply reply) const {
+  return [this, reply = std::move(reply)](HttpResponse response) {
+    response.fields.emplace_back("Store-Era", std::to_string(era_));
+    reply(std::move(response));
+  };
+}
+
 void StoreStandin::Handle(const HttpRequest& request,
                           const HttpServer::Reply& reply) {
   const std::string_view target = request.target;
@@ -170,7 +215,7 @@
 }
 
 void StoreStandin::StartWatch(Watch watch, Duration wait) {
-  if (watch.since < history_from_) {
+  if (watch.since < history_from_ || watch.since > revision_) {
     return watch.reply({.status = kGone, .body = "{}"});
   }
   if (HasChanges(watch)) return watch.reply(Changes(watch));
--- a/testing/soak/store_standin.h
+++ b/testing/soak/store_standin.h
@@ -1,5 +1,6 @@
 // In-memory replacement of the platform's store with paged lists, watches, a
-// limited history, and injected rejections and outages.
+// limited history, injected rejections and outages, and restorations from a
+// copy.
 #ifndef SAPPHIRESTREAM_TESTING_SOAK_STORE_STANDIN_H_
 #define SAPPHIRESTREAM_TESTING_SOAK_STORE_STANDIN_H_
 
@@ -11,6 +12,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "sapphirestream/admin/http_server.h"
 #include "sapphirestream/base/random.h"
@@ -40,6 +42,11 @@
   void SetFault(StoreFault fault);
   // Discards the history of changes and ends all watches.
   void ForgetHistory();
+  // Restores a copy of the objects that is about `age` old, or the oldest one.
+  // Revisions of the lost part are given out again, in the next era.
+  void Restore(Duration age);
+  // Returns the names of the objects of a kind.
+  [[nodiscard]] std::vector<std::string> Names(const std::string& kind) const;
 
  private:
   struct Object {
@@ -59,7 +66,19 @@
     HttpServer::Reply reply;
     TimerId timer = kNoTimer;
   };
+  using Objects = std::map<std::string, std::map<std::string, Object>>;
+  struct Copy {
+    std::uint64_t revision = 0;
+    Objects objects;
+  };
 
+  // Keeps a copy of the objects every kCopyInterval.
+  void TakeCopy();
+  // Writes an object of no interest to instances every kOtherWriteInterval, as
+  // other users of the store do; it makes the revisions rise.
+  void WriteOther();
+  // Adds the era to each response.
+  [[nodiscard]] HttpServer::Reply WithEra(HttpServer::Reply reply) const;
   void Handle(const HttpRequest& request, const HttpServer::Reply& reply);
   [[nodiscard]] HttpResponse List(const std::string& kind,
                                   const std::string& after) const;
@@ -77,7 +96,11 @@
   std::uint64_t revision_ = 1;
   // The history contains the changes after this revision.
   std::uint64_t history_from_ = 1;
-  std::map<std::string, std::map<std::string, Object>> objects_;
+  // Rises with each restoration.
+  std::uint64_t era_ = 1;
+  Objects objects_;
+  // The last copies, newest last.
+  std::deque<Copy> copies_;
   std::deque<Change> changes_;
   std::list<Watch> watches_;
   // Unanswered calls; kept so that their connections stay open.
