--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -104,12 +104,12 @@
   return EntryOutcome::kApplied;
 }
 
-void TargetDirectory::Expire(TimePoint now) {
+void TargetDirectory::Expire(TimePoint now, TimePoint confirmed) {
   for (auto it = targets_.begin(); it != targets_.end();) {
     EdgeTarget& target = it->second;
     if (target.presence == TargetPresence::kMissing &&
-        now - target.unlisted_at >= kReregistrationGrace) {
-      target.presence = TargetPresence::kGone;
+        confirmed - target.unlisted_at >= kReregistrationGrace) {
+      Retire(target, now);
     }
     if (target.presence == TargetPresence::kGone &&
         now - target.unlisted_at >= kGoneRetention) {
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -88,8 +88,9 @@
   // Marks a target as gone, regardless of service discovery.
   static void Retire(EdgeTarget& target, TimePoint now) noexcept;
   // Applies the time limits: missing targets become gone, and gone targets are
-  // removed.
-  void Expire(TimePoint now);
+  // removed. `confirmed`: when the store last confirmed the listed targets. A
+  // missing target that may have registered again since is not given up.
+  void Expire(TimePoint now, TimePoint confirmed);
 
   [[nodiscard]] EdgeTarget* Find(TargetKey key) noexcept;
   // Returns the target that a token identifies among the services allowed by
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -183,7 +183,7 @@
   CheckForSuspend();
   const TimePoint now = clock_.Now();
   OnViewChanged();
-  targets_.Expire(now);
+  targets_.Expire(now, view_.targets_confirmed_at());
   if (now - last_settings_check_ >= kSettingsCheckPeriod) {
     last_settings_check_ = now;
     ReloadSettings("file");
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -104,7 +104,8 @@
 
 void EdgeView::ReportCurrent(const TargetObserver& /*observer*/) {
   targets_outdated_ = false;
-  flow_log_.OnTargetsRead(clock_.Now());
+  targets_confirmed_at_ = clock_.Now();
+  flow_log_.OnTargetsRead(targets_confirmed_at_);
   callbacks_.on_read();
 }
 
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -57,6 +57,10 @@
   [[nodiscard]] bool is_complete() const noexcept {
     return has_targets_ && routes_.version() != 0;
   }
+  // When the store last confirmed that the listed targets are up to date.
+  [[nodiscard]] TimePoint targets_confirmed_at() const noexcept {
+    return targets_confirmed_at_;
+  }
   // Marks the view as outdated until both collections have been read again,
   // because the process was paused: a target may have left or a route may have
   // been withdrawn meanwhile.
@@ -170,6 +174,7 @@
   bool targets_outdated_ = false;
   bool routes_outdated_ = false;
   TimePoint invalidated_at_{};
+  TimePoint targets_confirmed_at_{};
   // When the store last recovered from an outage, or the first list after a
   // restoration was read.
   TimePoint recovered_at_{};
--- a/test/edge/target_directory_test.cc
+++ b/test/edge/target_directory_test.cc
@@ -72,9 +72,23 @@
   Add(sample::Target(1, "a"));
   targets.Erase(TargetKey{1}, At(2), /*store_was_unavailable=*/true, now);
   BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
-  targets.Expire(now + 2s);
+  targets.Expire(now + 2s, now + 2s);
   BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
-  targets.Expire(now + TargetDirectory::kReregistrationGrace);
+  const TimePoint end = now + TargetDirectory::kReregistrationGrace;
+  targets.Expire(end, end);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+}
+
+// An instance that was cut off from the store after an outage refused all flows
+// although its targets had registered again.
+BOOST_AUTO_TEST_CASE(a_missing_target_is_kept_until_the_store_is_read_again) {
+  Add(sample::Target(1, "a"));
+  targets.Erase(TargetKey{1}, At(2), /*store_was_unavailable=*/true, now);
+  targets.Expire(now + 30s, now + 1s);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
+  targets.Expire(now + 90s, now + 90s);
+  // Its flows are still forwarded.
+  BOOST_REQUIRE(targets.size() == 1U);
   BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
 }
 
@@ -85,7 +99,7 @@
   // Its flows are still forwarded.
   BOOST_TEST(targets.FindByToken(targets.TokenOf(TargetKey{1}), feed) !=
              nullptr);
-  targets.Expire(now + TargetDirectory::kGoneRetention);
+  targets.Expire(now + TargetDirectory::kGoneRetention, now);
   BOOST_TEST(targets.size() == 0U);
 }
 
--- a/testing/flow_ends/edge_field.cc
+++ b/testing/flow_ends/edge_field.cc
@@ -112,7 +112,7 @@
 
 void EdgeField::ExpireTargets() {
   for (const auto& instance : instances_) {
-    instance->targets().Expire(time_.Now());
+    instance->targets().Expire(time_.Now(), time_.Now());
   }
   time_.After(kExpiryPeriod, [this] { ExpireTargets(); });
 }
