--- a/src/sapphirestream/store/http_object_store.cc
+++ b/src/sapphirestream/store/http_object_store.cc
@@ -36,17 +36,17 @@
 }
 
 std::string Quote(ObjectVersion version) {
-  return '"' + std::to_string(Value(version)) + '"';
+  return '"' + std::to_string(version.number) + '"';
 }
 
-std::optional<ObjectVersion> ParseEtag(std::string_view etag) {
+std::optional<ObjectVersion> ParseEtag(std::string_view etag, StoreEra era) {
   if (etag.size() < 3 || etag.front() != '"' || etag.back() != '"') return {};
   etag = etag.substr(1, etag.size() - 2);
   std::uint64_t version = 0;
   const auto [end, error] =
       std::from_chars(etag.data(), etag.data() + etag.size(), version);
   if (error != std::errc{} || end != etag.data() + etag.size()) return {};
-  return ObjectVersion{version};
+  return ObjectVersion{era, version};
 }
 
 HttpChannel::Request MakeRequest(http::verb verb, const std::string& target,
@@ -65,14 +65,14 @@
   }
   switch (reply.status) {
     case 200:
-      if (const auto version = ParseEtag(reply.etag)) {
+      if (const auto version = ParseEtag(reply.etag, reply.era)) {
         return {ErrorKind::kNone, {*version, std::move(reply.body)}};
       }
       return {ErrorKind::kStoreUnavailable, {}};
     case 304:
       return {ErrorKind::kTimedOut, {}};
     case 404:
-      return {ErrorKind::kNotFound, {}};
+      return {ErrorKind::kNotFound, {{reply.era, 0}, {}}};
     default:
       return {ErrorKind::kStoreUnavailable, {}};
   }
@@ -87,7 +87,7 @@
   }
   switch (reply.status) {
     case 200:
-      if (const auto version = ParseEtag(reply.etag)) {
+      if (const auto version = ParseEtag(reply.etag, reply.era)) {
         return {ErrorKind::kNone, *version};
       }
       return {ErrorKind::kOutcomeUnknown, {}};
@@ -172,9 +172,12 @@
                             Duration deadline, GetCallback done) {
   const auto ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(deadline).count();
-  const std::string target = "/objects/" + name +
-                             "?watch=" + std::to_string(Value(known)) +
-                             "&timeout_ms=" + std::to_string(ms);
+  std::string target = "/objects/" + name +
+                       "?watch=" + std::to_string(known.number) +
+                       "&timeout_ms=" + std::to_string(ms);
+  if (known.era != kUnknownEra) {
+    target += "&era=" + std::to_string(Value(known.era));
+  }
   watches_->Call(MakeRequest(http::verb::get, target, host_),
                  deadline + kWatchGracePeriod,
                  [done = std::move(done)](HttpReply reply) {
@@ -202,6 +205,9 @@
   } else {
     request.set(http::field::if_match, Quote(expected));
   }
+  if (expected.era != kUnknownEra) {
+    request.set(kEraField, std::to_string(Value(expected.era)));
+  }
   request.body() = std::move(value);
   request.prepare_payload();
   puts_->Call(std::move(request), deadline,
--- a/src/sapphirestream/store/object_store.h
+++ b/src/sapphirestream/store/object_store.h
@@ -12,13 +12,15 @@
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/base/id.h"
+#include "sapphirestream/base/store_revision.h"
 
 namespace sapphirestream {
 
 // Version that the store assigns to an object; increases with each write to it.
-enum class ObjectVersion : std::uint64_t {};
+// A restored store assigns the numbers of lost versions again, in a later era.
+using ObjectVersion = StoreRevision;
 // Condition of a write: the object must not exist yet.
-inline constexpr ObjectVersion kMustNotExist{0};
+inline constexpr ObjectVersion kMustNotExist{};
 
 // Maximum size of a stored value, in bytes.
 inline constexpr std::size_t kMaxValueBytes = std::size_t{1} << 20;
@@ -36,7 +38,8 @@
   bool leaving = false;
 };
 
-// Result of a call. With kOutcomeUnknown, a write may have taken effect.
+// Result of a call. With kOutcomeUnknown, a write may have taken effect. If an
+// object was not found, `value` contains the era.
 template <typename T>
 struct StoreResult {
   ErrorKind error = ErrorKind::kNone;
@@ -59,7 +62,8 @@
   // nothing changed.
   virtual void Watch(const std::string& name, ObjectVersion known,
                      Duration deadline, GetCallback done) = 0;
-  // Writes if the version of the object equals `expected`. Errors:
+  // Writes if the version of the object equals `expected`, which includes the
+  // era: a version of a lost history does not match. Errors:
   // kVersionConflict, kStoreUnavailable (not written), kOutcomeUnknown (may
   // have been written).
   virtual void Put(const std::string& name, ObjectVersion expected,
--- a/test/store/http_object_store_test.cc
+++ b/test/store/http_object_store_test.cc
@@ -44,9 +44,10 @@
       store.Get("config/head", deadline, std::move(done));
     });
   }
-  StoreResult<ObjectVersion> Put(Duration deadline = kLong,
-                                 ObjectVersion expected = ObjectVersion{3},
-                                 std::string value = "v") {
+  StoreResult<ObjectVersion> Put(
+      Duration deadline = kLong,
+      ObjectVersion expected = ObjectVersion{kUnknownEra, 3},
+      std::string value = "v") {
     return Wait<ObjectVersion>([&](auto done) {
       store.Put("config/head", expected, std::move(value), deadline,
                 std::move(done));
@@ -54,7 +55,8 @@
   }
   StoreResult<StoredObject> Watch(Duration deadline) {
     return Wait<StoredObject>([&](auto done) {
-      store.Watch("config/head", ObjectVersion{3}, deadline, std::move(done));
+      store.Watch("config/head", ObjectVersion{kUnknownEra, 3}, deadline,
+                  std::move(done));
     });
   }
 
@@ -77,9 +79,9 @@
   });
   const auto got = f.Get();
   BOOST_TEST((got.error == ErrorKind::kNone));
-  BOOST_TEST(Value(got.value.version) == 4U);
+  BOOST_TEST(got.value.version.number == 4U);
   BOOST_TEST(got.value.value == "value");
-  BOOST_TEST(Value(f.Put().value) == 4U);
+  BOOST_TEST(f.Put().value.number == 4U);
   BOOST_TEST((f.Put(kLong, kMustNotExist).error == ErrorKind::kNone));
   BOOST_TEST((f.Watch(std::chrono::seconds(2)).error == ErrorKind::kNone));
   BOOST_TEST((f.Get().error == ErrorKind::kNone));
@@ -92,6 +94,29 @@
   BOOST_TEST(f.server.connections() == 3U);
 }
 
+// A restored store assigns versions of its lost history again.
+BOOST_AUTO_TEST_CASE(versions_carry_the_era_of_the_store) {
+  std::vector<std::string> seen;
+  Fixture f([&](const Request& request) {
+    seen.push_back(std::string(request.target()) + " " +
+                   std::string(request["Store-Era"]));
+    HandlerResult result = Answer(200, "\"4\"", "value");
+    result.response->set("Store-Era", "2");
+    return result;
+  });
+  const ObjectVersion version = f.Get().value.version;
+  BOOST_TEST((version == ObjectVersion{StoreEra{2}, 4}));
+  BOOST_TEST((f.Put(kLong, version).value == version));
+  (void)f.Wait<StoredObject>([&](auto done) {
+    f.store.Watch("config/head", version, std::chrono::seconds(2),
+                  std::move(done));
+  });
+  BOOST_TEST(
+      (seen == std::vector<std::string>{
+                   "/objects/config/head ", "/objects/config/head 2",
+                   "/objects/config/head?watch=4&timeout_ms=2000&era=2 "}));
+}
+
 BOOST_AUTO_TEST_CASE(each_status_has_its_meaning) {
   struct Case {
     HandlerResult result;
--- a/testing/fake_store.cc
+++ b/testing/fake_store.cc
@@ -1,7 +1,10 @@
 // Schedules the effects and results of store calls in virtual time.
 #include "testing/fake_store.h"
 
+#include <algorithm>
 #include <memory>
+#include <set>
+#include <string>
 #include <utility>
 
 namespace sapphirestream::testing {
@@ -16,7 +19,7 @@
 StoreResult<StoredObject> FakeStore::Read(const std::string& name) const {
   if (outage_) return {ErrorKind::kStoreUnavailable, {}};
   const auto it = objects_.find(name);
-  if (it == objects_.end()) return {ErrorKind::kNotFound, {}};
+  if (it == objects_.end()) return {ErrorKind::kNotFound, {{era_, 0}, {}}};
   return {ErrorKind::kNone, it->second};
 }
 
@@ -33,10 +36,23 @@
 }
 
 void FakeStore::Overwrite(const std::string& name, std::string value) {
-  objects_[name] = {ObjectVersion{++last_version_}, std::move(value)};
+  objects_[name] = {ObjectVersion{era_, ++last_version_}, std::move(value)};
   NotifyWatchers(name);
 }
 
+void FakeStore::Restore(std::map<std::string, StoredObject> copy) {
+  era_ = StoreEra{Value(era_) + 1};
+  last_version_ = 0;
+  objects_ = std::move(copy);
+  for (auto& [name, object] : objects_) {
+    last_version_ = std::max(last_version_, object.version.number);
+    object.version.era = era_;
+  }
+  std::set<std::string> watched;
+  for (const Watcher& watcher : watchers_) watched.insert(watcher.name);
+  for (const std::string& name : watched) NotifyWatchers(name);
+}
+
 void FakeStore::Get(const std::string& name, Duration deadline,
                     GetCallback done) {
   ++calls_.gets;
--- a/testing/fake_store.h
+++ b/testing/fake_store.h
@@ -72,6 +72,13 @@
   // Writes unconditionally and without counting a call, as another client or a
   // restored backup does.
   void Overwrite(const std::string& name, std::string value);
+  // Returns a copy of all objects, for Restore().
+  [[nodiscard]] std::map<std::string, StoredObject> Copy() const {
+    return objects_;
+  }
+  // Restores a copy in the next era. Versions that were assigned since are
+  // assigned again.
+  void Restore(std::map<std::string, StoredObject> copy);
   void set_instances(std::vector<ListedInstance> instances) {
     instances_ = std::move(instances);
   }
@@ -109,6 +116,7 @@
   Duration latency_ = std::chrono::milliseconds(4);
   WatchMode watch_mode_ = WatchMode::kWorking;
   bool outage_ = false;
+  StoreEra era_{1};
   std::uint64_t last_version_ = 0;
 };
 
--- a/testing/loop_store.h
+++ b/testing/loop_store.h
@@ -55,7 +55,8 @@
     StoredObject& object = shared_.objects[name];
     StoreResult<ObjectVersion> result{.error = ErrorKind::kVersionConflict};
     if (object.version == expected) {
-      object = {ObjectVersion{Value(expected) + 1}, std::move(value)};
+      object = {ObjectVersion{expected.era, expected.number + 1},
+                std::move(value)};
       result = {.value = object.version};
     }
     Post(std::move(done), result);
--- a/testing/standins/object_api.cc
+++ b/testing/standins/object_api.cc
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <utility>
 
 #include "testing/standins/http_server.h"
@@ -25,6 +26,9 @@
 namespace json = boost::json;
 using std::chrono::milliseconds;
 
+// Header field with the era of the store.
+constexpr std::string_view kEraField = "Store-Era";
+
 // Maximum duration of a watch, so that every call ends.
 constexpr milliseconds kMaxWatchTime{60'000};
 
@@ -85,6 +89,7 @@
   explicit ObjectApi(asio::io_context& io) : io_(io) {}
 
   void Handle(const HttpRequest& request, HttpReply reply) {
+    reply = WithEra(std::move(reply));
     const std::string_view target = ToStringView(request.target());
     const std::string_view path = target.substr(0, target.find('?'));
     const std::string_view query =
@@ -95,6 +100,15 @@
     if (path == "/fault" && request.method() == http::verb::post) {
       return SetFault(request, reply);
     }
+    if (path == "/copy" && request.method() == http::verb::post) {
+      copy_ = store_.Copy();
+      return reply(MakeResponse(http::status::ok, "{}"));
+    }
+    if (path == "/restore" && request.method() == http::verb::post) {
+      ++era_;
+      store_.Restore(copy_);
+      return reply(MakeResponse(http::status::ok, "{}"));
+    }
     if (path == "/calls" && is_get) return ReportCalls(reply);
     if (path == "/instances" && is_put) {
       return SetInstances(request, query, reply);
@@ -119,10 +133,23 @@
     const auto watched = QueryValue(query, "watch");
     if (!watched) return Get(name, reply);
     const auto timeout = QueryValue(query, "timeout_ms");
+    if (QueryValue(query, "era").value_or(era_) != era_) {
+      ++calls_.watches;
+      return Get(name, reply);
+    }
     Watch(name, *watched, milliseconds(timeout.value_or(30'000)), reply);
   }
 
  private:
+  // Adds the era to each answer.
+  HttpReply WithEra(HttpReply reply) const {
+    return
+        [this, reply = std::move(reply)](std::optional<HttpResponse> response) {
+          if (response) response->set(kEraField, std::to_string(era_));
+          reply(std::move(response));
+        };
+  }
+
   HttpReply DelayReply(HttpReply reply) {
     auto timer = std::make_shared<asio::steady_timer>(io_);
     return [timer, delay = fault_.delay,
@@ -179,7 +206,10 @@
       return reply(MakeResponse(http::status::bad_request,
                                 R"({"error":"one condition is required"})"));
     }
-    const auto version = store_.Write(name, *expected, request.body());
+    const auto era = ParseNumber(ToStringView(request[kEraField]));
+    const auto version = era.value_or(era_) != era_
+                             ? std::nullopt
+                             : store_.Write(name, *expected, request.body());
     if (fault_.mode == FaultMode::kLoseAnswer) return reply(std::nullopt);
     if (!version) {
       ++calls_.conflicts;
@@ -239,6 +269,9 @@
 
   asio::io_context& io_;
   VersionedStore store_;
+  // Rises with each restoration.
+  std::uint64_t era_ = 1;
+  std::unordered_map<std::string, VersionedValue> copy_;
   std::string instances_ = "[]";
   Fault fault_;
   CallCounts calls_;
--- a/testing/standins/object_store.cc
+++ b/testing/standins/object_store.cc
@@ -19,6 +19,12 @@
   VersionedValue& object = objects_[name];
   object.version = expected + 1;
   object.value = std::move(value);
+  NotifyWatchers(name, object);
+  return expected + 1;
+}
+
+void VersionedStore::NotifyWatchers(const std::string& name,
+                                    const VersionedValue& object) {
   // Removes the list before calling the watchers, since they may register
   // again.
   if (const auto it = watchers_.find(name); it != watchers_.end()) {
@@ -26,7 +32,12 @@
     watchers_.erase(it);
     for (const auto& [number, watcher] : waiting) watcher(object);
   }
-  return expected + 1;
+}
+
+void VersionedStore::Restore(
+    std::unordered_map<std::string, VersionedValue> copy) {
+  objects_ = std::move(copy);
+  for (const auto& [name, object] : objects_) NotifyWatchers(name, object);
 }
 
 std::uint64_t VersionedStore::Watch(const std::string& name, Watcher watcher) {
--- a/testing/standins/object_store.h
+++ b/testing/standins/object_store.h
@@ -34,10 +34,18 @@
   // Calls `watcher` once, at the next write of the object. Returns a number to
   // pass to `CancelWatch`.
   std::uint64_t Watch(const std::string& name, Watcher watcher);
+  // Returns a copy of all objects, for Restore().
+  [[nodiscard]] std::unordered_map<std::string, VersionedValue> Copy() const {
+    return objects_;
+  }
+  // Restores a copy and calls all watchers of objects in it.
+  void Restore(std::unordered_map<std::string, VersionedValue> copy);
   // Returns whether the watcher was still registered.
   bool CancelWatch(const std::string& name, std::uint64_t number);
 
  private:
+  void NotifyWatchers(const std::string& name, const VersionedValue& object);
+
   std::unordered_map<std::string, VersionedValue> objects_;
   std::unordered_map<std::string, std::map<std::uint64_t, Watcher>> watchers_;
   std::uint64_t next_watch_ = 1;
