--- a/src/sapphirestream/instance/domain_status_store.cc
+++ b/src/sapphirestream/instance/domain_status_store.cc
@@ -50,7 +50,8 @@
 }  // namespace
 
 void DomainStatusStore::Write(const DomainStatus& status, TimePoint now) {
-  if (is_writing_ || now < next_write_ || status == last_written_) return;
+  if (is_writing_ || now < next_write_) return;
+  if (status == last_written_ && now < next_refresh_) return;
   is_writing_ = true;
   being_written_ = status;
   const std::string name = ObjectName(status.domain);
@@ -83,6 +84,7 @@
                if (must_read_version_) return;
                object_version_ = answer.value;
                last_written_ = being_written_;
+               next_refresh_ = now + kRefreshInterval;
              });
 }
 
--- a/src/sapphirestream/instance/domain_status_store.h
+++ b/src/sapphirestream/instance/domain_status_store.h
@@ -34,6 +34,9 @@
   // Minimum time between two writes; merges confirmations of several instances
   // into one.
   static constexpr Duration kWriteInterval = std::chrono::milliseconds(500);
+  // Time after which an unchanged status is written again: the store may have
+  // lost it in a restoration.
+  static constexpr Duration kRefreshInterval = std::chrono::seconds(30);
   // Delay after a failed write.
   static constexpr Duration kRetryInterval = std::chrono::seconds(5);
   static constexpr Duration kDeadline = std::chrono::seconds(1);
@@ -42,8 +45,9 @@
 
   explicit DomainStatusStore(ObjectStore& store) : store_(store) {}
 
-  // Writes the status of this instance's domain if it has changed and a write
-  // is due. Must be called by only one instance of each domain.
+  // Writes the status of this instance's domain if it has changed, or was
+  // written kRefreshInterval ago, and a write is due. Must be called by only
+  // one instance of each domain.
   void Write(const DomainStatus& status, TimePoint now);
   // Reads the status of domains and calls `done` exactly once. Omits domains
   // whose status cannot be read.
@@ -62,6 +66,8 @@
   bool must_read_version_ = true;
   bool is_writing_ = false;
   TimePoint next_write_;
+  // When an unchanged status is written again.
+  TimePoint next_refresh_;
 };
 
 }  // namespace sapphirestream
