--- a/src/sapphirestream/instance/config_service.cc
+++ b/src/sapphirestream/instance/config_service.cc
@@ -28,16 +28,20 @@
       on_change_(std::move(on_change)),
       dissemination_(options, format_, dependencies.sink, dependencies.random,
                      dependencies.clock.Now()),
-      reader_(dependencies.store, dependencies.timer, dependencies.clock,
-              dependencies.random, dependencies.counters, {},
-              [this](const std::shared_ptr<const Configuration>& c) {
-                OnStored(c);
-              }),
+      reader_(
+          dependencies.store, dependencies.timer, dependencies.clock,
+          dependencies.random, dependencies.counters, {},
+          [this](const std::shared_ptr<const Configuration>& c) {
+            OnStored(c);
+          },
+          [this](const std::shared_ptr<const Configuration>& c) { OnLost(c); }),
       writer_(dependencies.store, dependencies.timer, dependencies.clock,
               dependencies.random, {},
               [this](const Configuration& before, const Configuration& after) {
                 return Review(before, after);
-              }) {}
+              }),
+      restorer_(dependencies.store, dependencies.timer, dependencies.random,
+                dependencies.counters, {}) {}
 
 void ConfigService::OnView(const MemberView& view) {
   is_alone_ = std::all_of(
@@ -92,6 +96,13 @@
   UpdateConfigurations();
 }
 
+void ConfigService::OnLost(
+    const std::shared_ptr<const Configuration>& configuration) {
+  dependencies_.log.Write(LogLevel::kWarn, "config_lost",
+                          {{"version", Value(configuration->version)}});
+  restorer_.Restore(configuration);
+}
+
 leaf::result<ChangeEffect> ConfigService::Review(const Configuration& before,
                                                  const Configuration& after) {
   const auto loads = loads_.Loads(before, dependencies_.clock.Now());
--- a/src/sapphirestream/instance/config_service.h
+++ b/src/sapphirestream/instance/config_service.h
@@ -15,6 +15,7 @@
 #include "sapphirestream/instance/load_view.h"
 #include "sapphirestream/instance/text_delta.h"
 #include "sapphirestream/store/config_reader.h"
+#include "sapphirestream/store/config_restorer.h"
 #include "sapphirestream/store/config_writer.h"
 
 namespace sapphirestream {
@@ -65,6 +66,8 @@
  private:
   // Handles a configuration that was read from or written to the store.
   void OnStored(const std::shared_ptr<const Configuration>& configuration);
+  // Handles a configuration that the store has lost.
+  void OnLost(const std::shared_ptr<const Configuration>& configuration);
   // Checks a change against the announcements and the reported load, and
   // returns its effect.
   [[nodiscard]] leaf::result<ChangeEffect> Review(const Configuration& before,
@@ -83,6 +86,7 @@
   LoadView loads_;
   ConfigReader reader_;
   ConfigWriter writer_;
+  ConfigRestorer restorer_;
   bool is_reading_ = false;
   bool is_alone_ = true;
   std::uint64_t seen_revision_ = 0;
--- a/src/sapphirestream/store/config_head.cc
+++ b/src/sapphirestream/store/config_head.cc
@@ -79,6 +79,7 @@
   for (const ShardRef& ref : head.services) shards.emplace_back(ToJson(ref));
   out["service_shards"] = std::move(shards);
   out["preset_shard"] = ToJson(head.presets);
+  if (head.era != kUnknownEra) out["store_era"] = Value(head.era);
   return json::serialize(out);
 }
 
@@ -93,6 +94,7 @@
   if (const json::value* presets = reader.RawValue("preset_shard")) {
     out.presets = ReadRef(*presets, "preset_shard", status);
   }
+  reader.ReadOptional("store_era", {0, kMaxVersion}, out.era);
   reader.Finish();
   BOOST_LEAF_CHECK(status.ToResult());
   const bool sorted = std::is_sorted(
--- a/src/sapphirestream/store/config_head.h
+++ b/src/sapphirestream/store/config_head.h
@@ -12,6 +12,7 @@
 
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/base/id.h"
+#include "sapphirestream/base/store_revision.h"
 #include "sapphirestream/contract/configuration.h"
 
 namespace sapphirestream {
@@ -45,6 +46,9 @@
 };
 
 struct ConfigHead {
+  // Era of the store in which the head was written. In a later era, the store
+  // was restored and may lack changes that were accepted since.
+  StoreEra era = kUnknownEra;
   // Contains no services, announcements or presets.
   Configuration head;
   ShardRef presets;
--- a/src/sapphirestream/store/config_loader.cc
+++ b/src/sapphirestream/store/config_loader.cc
@@ -44,6 +44,7 @@
 
   void Start(const StoredObject& object) {
     result_.value.head_version = object.version;
+    result_.value.era = object.version.era;
     ConfigHead parsed;
     if (!RunInto(result_.error, parsed,
                  [&] { return ParseHead(object.value); })) {
@@ -134,6 +135,7 @@
        done = std::move(done)](StoreResult<StoredObject> result) {
         if (result.error == ErrorKind::kNotFound) {
           LoadResult initial{{ErrorKind::kNone, ""}, {}};
+          initial.value.era = result.value.version.era;
           initial.value.configuration =
               std::make_shared<const Configuration>(InitialConfiguration());
           done(std::move(initial));
--- a/src/sapphirestream/store/config_loader.h
+++ b/src/sapphirestream/store/config_loader.h
@@ -17,6 +17,8 @@
 struct LoadedConfig {
   // Version of the head object; kMustNotExist if there is none.
   ObjectVersion head_version = kMustNotExist;
+  // Era of the store when it was read.
+  StoreEra era = kUnknownEra;
   // Null if there is no head object.
   std::shared_ptr<const ConfigHead> head;
   // InitialConfiguration() if there is no head object.
--- a/src/sapphirestream/store/config_reader.cc
+++ b/src/sapphirestream/store/config_reader.cc
@@ -13,13 +13,14 @@
 ConfigReader::ConfigReader(ObjectStore& store, Timer& timer, const Clock& clock,
                            Random& random, CounterSet& counters,
                            const ConfigReaderOptions& options,
-                           Callback on_update)
+                           Callback on_update, LostCallback on_lost)
     : store_(store),
       timer_(timer),
       clock_(clock),
       random_(random),
       options_(options),
       on_update_(std::move(on_update)),
+      on_lost_(std::move(on_lost)),
       backoff_(options.backoff),
       silent_watches_(counters.Emplace("config_silent_watches_total")),
       reverted_heads_(counters.Emplace("config_reverted_heads_total")),
@@ -100,8 +101,9 @@
 void ConfigReader::OnHead(StoreResult<StoredObject> result) {
   if (result.error == ErrorKind::kNotFound) {
     if (known_ && Value(known_->version) != 0) {
-      reverted_heads_.Add();
+      OnReverted(result.value.version.era);
     } else {
+      known_era_ = result.value.version.era;
       Deliver(std::make_shared<const Configuration>(InitialConfiguration()));
     }
     // A missing object cannot be watched, so it is polled.
@@ -141,13 +143,20 @@
   }
   backoff_.Reset();
   if (known_ && result.value.head->head.version < known_->version) {
-    reverted_heads_.Add();
+    OnReverted(result.value.head_version.era);
   } else {
+    known_era_ = result.value.head_version.era;
     Deliver(result.value.configuration);
   }
   ScheduleWatch(Duration::zero());
 }
 
+void ConfigReader::OnReverted(StoreEra era) {
+  reverted_heads_.Add();
+  const bool was_restored = known_era_ != kUnknownEra && known_era_ < era;
+  if (was_restored && on_lost_) on_lost_(known_);
+}
+
 void ConfigReader::Deliver(std::shared_ptr<const Configuration> configuration) {
   if (known_ && configuration->version <= known_->version) return;
   known_ = std::move(configuration);
--- a/src/sapphirestream/store/config_reader.h
+++ b/src/sapphirestream/store/config_reader.h
@@ -39,13 +39,18 @@
 class ConfigReader {
  public:
   using Callback = std::function<void(std::shared_ptr<const Configuration>)>;
+  // Receives the newest known configuration if the store was restored from a
+  // copy that lacks it.
+  using LostCallback =
+      std::function<void(std::shared_ptr<const Configuration>)>;
 
   // The references must outlive the reader. `on_update` receives configurations
   // with strictly increasing versions. If the store has no head object, it
   // receives InitialConfiguration(), so that the first change can be made.
   ConfigReader(ObjectStore& store, Timer& timer, const Clock& clock,
                Random& random, CounterSet& counters,
-               const ConfigReaderOptions& options, Callback on_update);
+               const ConfigReaderOptions& options, Callback on_update,
+               LostCallback on_lost = {});
   ~ConfigReader();
   ConfigReader(const ConfigReader&) = delete;
   ConfigReader& operator=(const ConfigReader&) = delete;
@@ -79,6 +84,9 @@
   void LoadAfterJitter(StoredObject head);
   void Load(const StoredObject& head);
   void OnLoaded(const LoadResult& result);
+  // Handles a store that has an older configuration than the known one, or
+  // none. `era`: of the reply.
+  void OnReverted(StoreEra era);
   void Deliver(std::shared_ptr<const Configuration> configuration);
   void ScheduleRetry();
   void ScheduleWatch(Duration delay);
@@ -90,6 +98,7 @@
   Random& random_;
   ConfigReaderOptions options_;
   Callback on_update_;
+  LostCallback on_lost_;
   Backoff backoff_;
   Counter& silent_watches_;
   Counter& reverted_heads_;
@@ -97,6 +106,8 @@
 
   std::shared_ptr<const Configuration> known_;
   ObjectVersion head_version_ = kMustNotExist;
+  // Era in which the store had the known configuration or an earlier one.
+  StoreEra known_era_ = kUnknownEra;
   TimePoint last_load_{};
   // Incremented by each step; results of earlier steps are ignored.
   std::uint64_t epoch_ = 0;
--- a/src/sapphirestream/store/config_writer.cc
+++ b/src/sapphirestream/store/config_writer.cc
@@ -11,7 +11,6 @@
 
 #include "sapphirestream/contract/find.h"
 #include "sapphirestream/contract/touched.h"
-#include "sapphirestream/store/config_loader.h"
 #include "sapphirestream/store/shard_plan.h"
 
 namespace sapphirestream {
@@ -68,6 +67,7 @@
                         std::to_string(Value(before.version)));
       return;
     }
+    if (writer_->MayLackChanges(loaded_)) return ScheduleRetry();
     writer_->Observe(loaded_.configuration);
     if (ResolveByChangeId(before)) return;
     if (!base_) base_ = before.version;
@@ -157,6 +157,7 @@
     }
     ShardPlan plan =
         PlanShards(loaded_.head.get(), *loaded_.configuration, *after_);
+    plan.head.era = loaded_.era;
     head_value_ = SerializeHead(plan.head);
     pending_writes_ = plan.writes.size();
     shard_error_ = ErrorKind::kNone;
@@ -332,6 +333,18 @@
   }
 }
 
+bool ConfigWriter::MayLackChanges(const LoadedConfig& loaded) {
+  if (!loaded.head || loaded.head->era == kUnknownEra ||
+      loaded.era <= loaded.head->era) {
+    return false;
+  }
+  if (restored_era_ != loaded.era) {
+    restored_era_ = loaded.era;
+    restored_since_ = clock_.Now();
+  }
+  return clock_.Now() - restored_since_ < options_.restoration_time;
+}
+
 void ConfigWriter::StartNext() {
   if (current_ || queue_.empty()) return;
   current_ = std::move(queue_.front());
--- a/src/sapphirestream/store/config_writer.h
+++ b/src/sapphirestream/store/config_writer.h
@@ -15,6 +15,7 @@
 #include "sapphirestream/contract/configuration.h"
 #include "sapphirestream/contract/effect.h"
 #include "sapphirestream/store/backoff.h"
+#include "sapphirestream/store/config_loader.h"
 #include "sapphirestream/store/object_store.h"
 #include "sapphirestream/store/timer.h"
 
@@ -26,6 +27,9 @@
   Duration change_deadline = std::chrono::seconds(10);
   // Of n concurrent writers, the last one to succeed has at least n - 1
   // conflicts.
+  // If the store was restored, time for instances that know a later
+  // configuration to write it back before a change is based on the head.
+  Duration restoration_time = std::chrono::seconds(5);
   int max_conflicts = 32;
   int max_failures = 5;
   std::size_t max_queued = 64;
@@ -79,6 +83,9 @@
  private:
   class Submission;
   void StartNext();
+  // Whether the store was restored so recently that the head may yet be
+  // replaced by a later configuration.
+  [[nodiscard]] bool MayLackChanges(const LoadedConfig& loaded);
 
   ObjectStore& store_;
   Timer& timer_;
@@ -87,6 +94,9 @@
   ConfigWriterOptions options_;
   Review review_;
   std::shared_ptr<const Configuration> known_;
+  // Latest era in which a head of an earlier one was found, and since when.
+  StoreEra restored_era_ = kUnknownEra;
+  TimePoint restored_since_{};
   std::deque<std::shared_ptr<Submission>> queue_;
   std::shared_ptr<Submission> current_;
 };
--- a/test/store/config_reader_test.cc
+++ b/test/store/config_reader_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "sapphirestream/store/config_restorer.h"
 #include "test/store/session.h"
 
 namespace sapphirestream {
@@ -115,6 +116,50 @@
   BOOST_TEST((r.versions == std::vector<std::uint64_t>{1}));
 }
 
+// Accepted changes disappeared with the next restart of all instances, and no
+// further change was accepted until then.
+BOOST_AUTO_TEST_CASE(changes_lost_by_a_restored_store_are_written_again) {
+  ReaderFixture r;
+  ConfigRestorer restorer(r.store, r.time, r.random, r.counters, {});
+  ConfigReader reader(
+      r.store, r.time, r.time, r.random, r.counters, {},
+      [](const std::shared_ptr<const Configuration>&) {},
+      [&](const std::shared_ptr<const Configuration>& lost) {
+        restorer.Restore(lost);
+      });
+  r.SetUp();
+  reader.Start();
+  r.time.RunFor(seconds(5));
+  const auto copy = r.store.Copy();
+  r.Change("a", 3);
+  r.Change("b", 4);
+  const Configuration accepted = *reader.known();
+  BOOST_REQUIRE(Value(accepted.version) == 3U);
+  r.store.Restore(copy);
+  r.time.RunFor(seconds(5));
+  BOOST_TEST((*r.Load() == accepted));
+  r.Change("c", 5);
+  BOOST_TEST(Value(reader.known()->version) == 4U);
+  BOOST_TEST(Value(r.Load()->version) == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_first_configuration_is_written_again) {
+  ReaderFixture r;
+  ConfigRestorer restorer(r.store, r.time, r.random, r.counters, {});
+  ConfigReader reader(
+      r.store, r.time, r.time, r.random, r.counters, {},
+      [](const std::shared_ptr<const Configuration>&) {},
+      [&](const std::shared_ptr<const Configuration>& lost) {
+        restorer.Restore(lost);
+      });
+  r.SetUp();
+  reader.Start();
+  r.time.RunFor(seconds(5));
+  r.store.Restore({});
+  r.time.RunFor(seconds(10));
+  BOOST_TEST(Value(r.Load()->version) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_reverted_or_deleted_head_is_never_followed) {
   ReaderFixture r;
   r.SetUp();
--- a/test/store/config_writer_test.cc
+++ b/test/store/config_writer_test.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "sapphirestream/contract/find.h"
+#include "sapphirestream/store/config_restorer.h"
 #include "test/store/session.h"
 
 namespace sapphirestream {
@@ -220,6 +221,68 @@
   BOOST_TEST(session.store.objects().at(kHead).value == old);
 }
 
+// A restored store gives out the version that the write is conditional on a
+// second time, for the change of another operator.
+BOOST_AUTO_TEST_CASE(a_write_based_on_a_lost_version_changes_nothing) {
+  Session session;
+  session.SetUp();
+  const auto copy = session.store.Copy();
+  const auto other = session.MakeWriter();
+  session.Run(*other, MakeChange("a", {Add(3)}));
+  const ObjectVersion lost = session.store.objects().at(kHead).version;
+  session.store.Restore(copy);
+  const std::string head = session.store.objects().at(kHead).value;
+  ObjectVersion again;
+  while (again.number < lost.number) {
+    session.store.Overwrite(kHead, head);
+    again = session.store.objects().at(kHead).version;
+  }
+  BOOST_REQUIRE(again.number == lost.number);
+  ErrorKind error = ErrorKind::kNone;
+  session.store.Put(
+      kHead, lost, "overwritten", std::chrono::seconds(1),
+      [&](const StoreResult<ObjectVersion>& result) { error = result.error; });
+  session.time.RunFor(std::chrono::seconds(2));
+  BOOST_TEST((error == ErrorKind::kVersionConflict));
+  BOOST_TEST(session.store.objects().at(kHead).value == head);
+}
+
+// An instance that did not know the lost change accepted another one under the
+// same version.
+BOOST_AUTO_TEST_CASE(
+    a_restored_head_is_not_changed_before_lost_changes_return) {
+  Session session;
+  session.SetUp();
+  const auto copy = session.store.Copy();
+  const auto first = session.MakeWriter();
+  const auto accepted =
+      session.Run(*first, MakeChange("a", {Add(3)})).configuration;
+  session.store.Restore(copy);
+  ConfigRestorer restorer(session.store, session.time, session.random,
+                          session.counters, {});
+  const auto unaware = session.MakeWriter();
+  ChangeOutcome outcome;
+  unaware->Submit(MakeChange("b", {Add(4)}),
+                  [&](const ChangeOutcome& o) { outcome = o; });
+  session.time.RunFor(std::chrono::seconds(2));
+  restorer.Restore(accepted);
+  session.time.RunFor(std::chrono::seconds(10));
+  BOOST_TEST((outcome.error.kind == ErrorKind::kNone));
+  BOOST_TEST(Value(outcome.version) == 3U);
+  BOOST_TEST(session.Load()->services[0].targets.size() == 4U);
+}
+
+// Nothing was lost, or no instance knows what was.
+BOOST_AUTO_TEST_CASE(a_restored_head_is_changed_if_nothing_is_written_back) {
+  Session session;
+  session.SetUp();
+  session.store.Restore(session.store.Copy());
+  const auto writer = session.MakeWriter();
+  const auto outcome = session.Run(*writer, MakeChange("a", {Add(3)}));
+  BOOST_TEST((outcome.error.kind == ErrorKind::kNone));
+  BOOST_TEST(Value(outcome.version) == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(a_refused_review_reaches_the_operator_with_its_figures) {
   Session session;
   session.SetUp();
