--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -7,11 +7,8 @@
 #define SAPPHIRESTREAM_STORE_COLLECTION_READER_H_
 
 #include <algorithm>
-#include <cstdint>
 #include <functional>
-#include <memory>
 #include <optional>
-#include <string>
 #include <utility>
 
 #include "sapphirestream/base/clock.h"
@@ -19,6 +16,7 @@
 #include "sapphirestream/store/backoff.h"
 #include "sapphirestream/store/collection.h"
 #include "sapphirestream/store/collection_reader_options.h"
+#include "sapphirestream/store/epoch.h"
 #include "sapphirestream/store/era_tracker.h"
 #include "sapphirestream/store/paged_list.h"
 #include "sapphirestream/store/probe_lock.h"
@@ -84,45 +82,14 @@
     client.Watch(revision_.number, Duration::zero(),
                  BypassesCache() ? Freshness::kCurrent : Freshness::kCached,
                  options_.call_deadline,
-                 InEpoch([](CollectionReader& self, Reply reply) {
-                   switch (self.CheckEra(reply)) {
-                     case EraCheck::kCurrent:
-                       break;
-                     case EraCheck::kOutdated:
-                       return;
-                     case EraCheck::kRestored:
-                       self.ReadCurrentList();
-                       return;
-                   }
-                   if (reply.error == ErrorKind::kHistoryLost) {
-                     self.ReadCurrentList();
-                     return;
-                   }
-                   if (reply.error != ErrorKind::kNone) {
-                     self.observer_.OnPollFailed(reply.error);
-                     return;
-                   }
-                   if (!reply.items.empty()) {
-                     self.observer_.OnChanges(reply.items);
-                   }
+                 epoch_.Bind([](CollectionReader& self, Reply reply) {
+                   self.OnPoll(std::move(reply));
                  }));
   }
 
  private:
-  // Binds a step to the current epoch, so that late replies are ignored.
-  template <typename Step>
-  auto InEpoch(Step step) {
-    return [weak = std::weak_ptr<CollectionReader*>(self_), epoch = epoch_,
-            step](auto... argument) {
-      const auto self = weak.lock();
-      if (self && (*self)->epoch_ == epoch) {
-        step(**self, std::move(argument)...);
-      }
-    };
-  }
-
   void ReadList(Freshness freshness) {
-    ++epoch_;
+    epoch_.Begin();
     timer_.Cancel(next_timer_);
     retry_ = nullptr;
     if (call_in_flight_) client_.Cancel();
@@ -135,7 +102,7 @@
   void ReadPage() {
     call_in_flight_ = true;
     client_.List(list_.last_name(), list_freshness_, call_deadline_,
-                 InEpoch([](CollectionReader& self, Reply reply) {
+                 epoch_.Bind([](CollectionReader& self, Reply reply) {
                    self.OnPage(std::move(reply));
                  }));
   }
@@ -178,7 +145,7 @@
     call_in_flight_ = true;
     client_.Watch(list_.revision().number, Duration::zero(),
                   Freshness::kCurrent, call_deadline_,
-                  InEpoch([](CollectionReader& self, Reply reply) {
+                  epoch_.Bind([](CollectionReader& self, Reply reply) {
                     self.OnListConfirmed(std::move(reply));
                   }));
   }
@@ -214,12 +181,25 @@
     ScheduleWatch();
   }
 
+  void OnPoll(Reply reply) {
+    const EraCheck check = CheckEra(reply);
+    if (check == EraCheck::kOutdated) return;
+    if (check == EraCheck::kRestored ||
+        reply.error == ErrorKind::kHistoryLost) {
+      return ReadCurrentList();
+    }
+    if (reply.error != ErrorKind::kNone) {
+      return observer_.OnPollFailed(reply.error);
+    }
+    if (!reply.items.empty()) observer_.OnChanges(reply.items);
+  }
+
   // Checks whether the store is available again.
   void Probe() {
     call_in_flight_ = true;
     client_.Watch(revision_.number, Duration::zero(), Freshness::kCached,
                   call_deadline_,
-                  InEpoch([](CollectionReader& self, Reply reply) {
+                  epoch_.Bind([](CollectionReader& self, Reply reply) {
                     self.OnProbe(std::move(reply));
                   }));
   }
@@ -302,7 +282,7 @@
                   list_freshness_ == Freshness::kCached ? Freshness::kCurrent
                                                         : WatchFreshness(),
                   options_.watch_timeout + call_deadline_,
-                  InEpoch([](CollectionReader& self, Reply reply) {
+                  epoch_.Bind([](CollectionReader& self, Reply reply) {
                     self.OnWatch(std::move(reply));
                   }));
   }
@@ -380,7 +360,7 @@
 
   template <typename Step>
   void After(Duration delay, Step step) {
-    next_timer_ = timer_.After(delay, InEpoch(step));
+    next_timer_ = timer_.After(delay, epoch_.Bind(step));
   }
 
   CollectionClient<Record>& client_;
@@ -407,14 +387,11 @@
   // The cache may be stale; reads bypass it until then.
   TimePoint bypass_cache_until_{};
   std::optional<TimePoint> unavailable_since_;
-  // Incremented by each list; replies to calls of earlier epochs are ignored.
-  std::uint64_t epoch_ = 0;
+  // Begins with each list; replies to earlier calls are ignored.
+  Epoch<CollectionReader> epoch_{*this};
   TimerId next_timer_ = kNoTimer;
   // The call that will be repeated after its backoff; empty if there is none.
   std::function<void()> retry_;
-  // Expires with the reader, so that late callbacks can detect its destruction.
-  std::shared_ptr<CollectionReader*> self_ =
-      std::make_shared<CollectionReader*>(this);
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/store/config_reader.cc
+++ b/src/sapphirestream/store/config_reader.cc
@@ -24,8 +24,7 @@
       backoff_(options.backoff),
       silent_watches_(counters.Emplace("config_silent_watches_total")),
       reverted_heads_(counters.Emplace("config_reverted_heads_total")),
-      failures_(counters.Emplace("config_read_failures_total")),
-      self_(std::make_shared<ConfigReader*>(this)) {}
+      failures_(counters.Emplace("config_read_failures_total")) {}
 
 ConfigReader::~ConfigReader() { Stop(); }
 
@@ -35,7 +34,7 @@
 }
 
 void ConfigReader::Stop() {
-  ++epoch_;
+  epoch_.Begin();
   timer_.Cancel(step_timer_);
   step_timer_ = kNoTimer;
 }
@@ -46,28 +45,18 @@
   }
 }
 
-template <typename Step>
-auto ConfigReader::InEpoch(Step step) {
-  return [weak = std::weak_ptr(self_), epoch = epoch_,
-          step = std::move(step)](auto&&... args) {
-    const auto self = weak.lock();
-    if (!self || (*self)->epoch_ != epoch) return;
-    step(**self, std::forward<decltype(args)>(args)...);
-  };
-}
-
 template <typename Step>
 void ConfigReader::BeginStep(Duration delay, Step on_timer) {
-  ++epoch_;
+  epoch_.Begin();
   timer_.Cancel(step_timer_);
-  step_timer_ = timer_.After(delay, InEpoch(std::move(on_timer)));
+  step_timer_ = timer_.After(delay, epoch_.Bind(std::move(on_timer)));
 }
 
 void ConfigReader::ReadHead() {
   BeginStep(options_.call_deadline + options_.watch_grace,
             [](ConfigReader& r) { r.ScheduleRetry(); });
   store_.Get(std::string(kHeadName), options_.call_deadline,
-             InEpoch([](ConfigReader& r, StoreResult<StoredObject> result) {
+             epoch_.Bind([](ConfigReader& r, StoreResult<StoredObject> result) {
                r.OnHead(std::move(result));
              }));
 }
@@ -80,7 +69,7 @@
   const TimePoint started = clock_.Now();
   store_.Watch(
       std::string(kHeadName), head_version_, options_.watch_period,
-      InEpoch([started](ConfigReader& r, StoreResult<StoredObject> result) {
+      epoch_.Bind([started](ConfigReader& r, StoreResult<StoredObject> result) {
         r.OnWatch(std::move(result), started);
       }));
 }
@@ -131,7 +120,7 @@
   last_load_ = clock_.Now();
   head_version_ = head.version;
   LoadShards(store_, head, known_, options_.call_deadline,
-             InEpoch([](ConfigReader& r, const LoadResult& result) {
+             epoch_.Bind([](ConfigReader& r, const LoadResult& result) {
                r.OnLoaded(result);
              }));
 }
--- a/src/sapphirestream/store/config_reader.h
+++ b/src/sapphirestream/store/config_reader.h
@@ -13,6 +13,7 @@
 #include "sapphirestream/contract/configuration.h"
 #include "sapphirestream/store/backoff.h"
 #include "sapphirestream/store/config_loader.h"
+#include "sapphirestream/store/epoch.h"
 #include "sapphirestream/store/object_store.h"
 #include "sapphirestream/store/timer.h"
 
@@ -69,10 +70,6 @@
   }
 
  private:
-  // Wraps `step` so that it runs only if no newer step has started and the
-  // reader still exists.
-  template <typename Step>
-  auto InEpoch(Step step);
   // Ends the current step and starts a new one. `on_timer` runs after `delay`
   // unless another step starts first.
   template <typename Step>
@@ -109,12 +106,10 @@
   // Era in which the store had the known configuration or an earlier one.
   StoreEra known_era_ = kUnknownEra;
   TimePoint last_load_{};
-  // Incremented by each step; results of earlier steps are ignored.
-  std::uint64_t epoch_ = 0;
+  // Begins with each step; results of earlier ones are ignored.
+  Epoch<ConfigReader> epoch_{*this};
   // Timer of the current step.
   TimerId step_timer_ = kNoTimer;
-  // Expires with the reader, so that late callbacks can detect its destruction.
-  std::shared_ptr<ConfigReader*> self_;
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/store/config_restorer.cc
+++ b/src/sapphirestream/store/config_restorer.cc
@@ -32,26 +32,16 @@
   ScheduleAttempt();
 }
 
-template <typename Step>
-auto ConfigRestorer::InEpoch(Step step) {
-  return [weak = std::weak_ptr(self_), epoch = epoch_,
-          step = std::move(step)](auto&&... args) {
-    const auto self = weak.lock();
-    if (!self || (*self)->epoch_ != epoch) return;
-    step(**self, std::forward<decltype(args)>(args)...);
-  };
-}
-
 void ConfigRestorer::ScheduleAttempt() {
-  ++epoch_;
+  epoch_.Begin();
   timer_.Cancel(timer_id_);
   timer_id_ = timer_.After(backoff_.Next(random_),
-                           InEpoch([](ConfigRestorer& r) { r.Load(); }));
+                           epoch_.Bind([](ConfigRestorer& r) { r.Load(); }));
 }
 
 void ConfigRestorer::Load() {
   LoadConfig(store_, configuration_, options_.call_deadline,
-             InEpoch([](ConfigRestorer& r, const LoadResult& result) {
+             epoch_.Bind([](ConfigRestorer& r, const LoadResult& result) {
                r.OnLoaded(result);
              }));
 }
@@ -78,8 +68,8 @@
   for (ShardWrite& write : plan.writes) {
     store_.Put(write.name, kMustNotExist, std::move(write.value),
                options_.call_deadline,
-               InEpoch([](ConfigRestorer& r,
-                          const StoreResult<ObjectVersion>& result) {
+               epoch_.Bind([](ConfigRestorer& r,
+                              const StoreResult<ObjectVersion>& result) {
                  r.OnShardWritten(result.error);
                }));
   }
@@ -96,17 +86,17 @@
 }
 
 void ConfigRestorer::WriteHead() {
-  store_.Put(
-      std::string(kHeadName), head_version_, head_value_,
-      options_.call_deadline,
-      InEpoch([](ConfigRestorer& r, const StoreResult<ObjectVersion>& result) {
-        if (result.error != ErrorKind::kNone) {
-          // After a conflict or an unknown outcome the head tells.
-          return r.ScheduleAttempt();
-        }
-        r.restored_.Add();
-        r.configuration_.reset();
-      }));
+  store_.Put(std::string(kHeadName), head_version_, head_value_,
+             options_.call_deadline,
+             epoch_.Bind([](ConfigRestorer& r,
+                            const StoreResult<ObjectVersion>& result) {
+               if (result.error != ErrorKind::kNone) {
+                 // After a conflict or an unknown outcome the head tells.
+                 return r.ScheduleAttempt();
+               }
+               r.restored_.Add();
+               r.configuration_.reset();
+             }));
 }
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/store/config_restorer.h
+++ b/src/sapphirestream/store/config_restorer.h
@@ -14,6 +14,7 @@
 #include "sapphirestream/contract/configuration.h"
 #include "sapphirestream/store/backoff.h"
 #include "sapphirestream/store/config_loader.h"
+#include "sapphirestream/store/epoch.h"
 #include "sapphirestream/store/object_store.h"
 #include "sapphirestream/store/timer.h"
 
@@ -43,8 +44,6 @@
   void Restore(std::shared_ptr<const Configuration> configuration);
 
  private:
-  template <typename Step>
-  auto InEpoch(Step step);
   void ScheduleAttempt();
   void Load();
   void OnLoaded(const LoadResult& result);
@@ -66,13 +65,9 @@
   ObjectVersion head_version_ = kMustNotExist;
   std::size_t pending_writes_ = 0;
   ErrorKind shard_error_ = ErrorKind::kNone;
-  // Incremented by each attempt; results of earlier ones are ignored.
-  std::uint64_t epoch_ = 0;
+  // Begins with each attempt; results of earlier ones are ignored.
+  Epoch<ConfigRestorer> epoch_{*this};
   TimerId timer_id_ = kNoTimer;
-  // Expires with the restorer, so that late callbacks can detect its
-  // destruction.
-  std::shared_ptr<ConfigRestorer*> self_ =
-      std::make_shared<ConfigRestorer*>(this);
 };
 
 }  // namespace sapphirestream
--- a/test/store/config_reader_test.cc
+++ b/test/store/config_reader_test.cc
@@ -41,6 +41,28 @@
   }
 };
 
+// An instance that writes lost configurations back.
+struct RestorerFixture : ReaderFixture {
+  RestorerFixture() {
+    SetUp();
+    restoring_reader.Start();
+    time.RunFor(seconds(5));
+  }
+
+  ConfigRestorer restorer{store, time, random, counters, {}};
+  ConfigReader restoring_reader{
+      store,
+      time,
+      time,
+      random,
+      counters,
+      {},
+      [](const std::shared_ptr<const Configuration>&) {},
+      [this](const std::shared_ptr<const Configuration>& lost) {
+        restorer.Restore(lost);
+      }};
+};
+
 BOOST_AUTO_TEST_SUITE(config_reader)
 
 BOOST_AUTO_TEST_CASE(only_changed_shards_are_read) {
@@ -119,42 +141,22 @@
 // Accepted changes disappeared with the next restart of all instances, and no
 // further change was accepted until then.
 BOOST_AUTO_TEST_CASE(changes_lost_by_a_restored_store_are_written_again) {
-  ReaderFixture r;
-  ConfigRestorer restorer(r.store, r.time, r.random, r.counters, {});
-  ConfigReader reader(
-      r.store, r.time, r.time, r.random, r.counters, {},
-      [](const std::shared_ptr<const Configuration>&) {},
-      [&](const std::shared_ptr<const Configuration>& lost) {
-        restorer.Restore(lost);
-      });
-  r.SetUp();
-  reader.Start();
-  r.time.RunFor(seconds(5));
+  RestorerFixture r;
   const auto copy = r.store.Copy();
   r.Change("a", 3);
   r.Change("b", 4);
-  const Configuration accepted = *reader.known();
+  const Configuration accepted = *r.restoring_reader.known();
   BOOST_REQUIRE(Value(accepted.version) == 3U);
   r.store.Restore(copy);
   r.time.RunFor(seconds(5));
   BOOST_TEST((*r.Load() == accepted));
   r.Change("c", 5);
-  BOOST_TEST(Value(reader.known()->version) == 4U);
+  BOOST_TEST(Value(r.restoring_reader.known()->version) == 4U);
   BOOST_TEST(Value(r.Load()->version) == 4U);
 }
 
 BOOST_AUTO_TEST_CASE(a_lost_first_configuration_is_written_again) {
-  ReaderFixture r;
-  ConfigRestorer restorer(r.store, r.time, r.random, r.counters, {});
-  ConfigReader reader(
-      r.store, r.time, r.time, r.random, r.counters, {},
-      [](const std::shared_ptr<const Configuration>&) {},
-      [&](const std::shared_ptr<const Configuration>& lost) {
-        restorer.Restore(lost);
-      });
-  r.SetUp();
-  reader.Start();
-  r.time.RunFor(seconds(5));
+  RestorerFixture r;
   r.store.Restore({});
   r.time.RunFor(seconds(10));
   BOOST_TEST(Value(r.Load()->version) == 1U);
