--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -104,6 +104,10 @@
   return EntryOutcome::kApplied;
 }
 
+void TargetDirectory::ForgetRevisions() noexcept {
+  for (auto& [key, target] : targets_) target.revision = {};
+}
+
 void TargetDirectory::Expire(TimePoint now, TimePoint confirmed) {
   for (auto it = targets_.begin(); it != targets_.end();) {
     EdgeTarget& target = it->second;
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -87,6 +87,10 @@
                      bool store_was_unavailable, TimePoint now);
   // Marks a target as gone, regardless of service discovery.
   static void Retire(EdgeTarget& target, TimePoint now) noexcept;
+  // Makes the next entry or removal of each target count, whatever its
+  // revision. For use when another store is read, whose revisions are
+  // unrelated.
+  void ForgetRevisions() noexcept;
   // Applies the time limits: missing targets become gone, and gone targets are
   // removed. `confirmed`: when the store last confirmed the listed targets. A
   // missing target that may have registered again since is not given up.
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -257,6 +257,7 @@
       next->cached_wait != settings_.cached_wait ||
       next->target_pause != settings_.target_pause ||
       ConfigWatchInterval(*next) != ConfigWatchInterval(settings_);
+  if (next->store != settings_.store) targets_.ForgetRevisions();
   settings_ = *next;
   lines_.set_threshold(settings_.log_level);
   if (watches_changed) StartReaders();
--- a/test/edge/target_directory_test.cc
+++ b/test/edge/target_directory_test.cc
@@ -210,6 +210,16 @@
   BOOST_TEST(targets.Find(TargetKey{1})->record.draining);
 }
 
+// After a move to another store all drains were ignored.
+BOOST_AUTO_TEST_CASE(revisions_of_another_store_are_not_compared) {
+  Add(sample::Target(1, "a"), 90);
+  targets.ForgetRevisions();
+  targets.Upsert(Draining(1), At(3), false, now);
+  BOOST_TEST(targets.Find(TargetKey{1})->record.draining);
+  targets.Upsert(sample::Target(1, "a"), At(2), false, now);
+  BOOST_TEST(targets.Find(TargetKey{1})->record.draining);
+}
+
 // The copy that the store was restored from can be older than the drain.
 BOOST_AUTO_TEST_CASE(a_restored_copy_does_not_undo_a_drain) {
   Add(Draining(1), 20);
