--- a/testing/soak/soak_schedule.cc
+++ b/testing/soak/soak_schedule.cc
@@ -29,6 +29,12 @@
 constexpr Duration kMaxCopyAge = 11s;
 // Minimum time for which a draining target continues to serve.
 constexpr Duration kDrainTime = 5s;
+// Time between a restoration and the drain of a target, whose entry may have
+// been written in the lost part of the history. The target drains long enough
+// to see that all instances know.
+constexpr Duration kMinDrainDelay = 100ms;
+constexpr Duration kMaxDrainDelay = 2500ms;
+constexpr Duration kLongDrainTime = 12s;
 
 }  // namespace
 
@@ -82,7 +88,7 @@
   constexpr std::array<Action, 5> actions{
       &SoakSchedule::InjectInstanceFault, &SoakSchedule::InjectLinkFault,
       &SoakSchedule::InjectStoreFault, &SoakSchedule::InjectTargetFault,
-      &SoakSchedule::DrainAndReplaceTarget};
+      &SoakSchedule::DrainAndReplaceRandomTarget};
   const std::uint64_t choice = world_.random().Below(actions.size() + 1);
   if (choice == actions.size()) {
     world_.ChangeRoutes();
@@ -182,6 +188,11 @@
                          [this] { world_.RestoreEntries(); });
     world_.timer().After(kExpiryDelay,
                          [this] { world_.ExpireReplacedEntries(); });
+    world_.timer().After(
+        RestorationTime(kMinDrainDelay, kMaxDrainDelay), [this] {
+          DrainAndReplaceTarget(restoration_random_.Below(world_.targets()),
+                                kLongDrainTime);
+        });
     store_fault_active_ = false;
   });
 }
@@ -197,12 +208,14 @@
   ScheduleEnd([this, index] { world_.RestartTarget(index); });
 }
 
-void SoakSchedule::DrainAndReplaceTarget() {
-  const std::size_t index = RandomTarget();
+void SoakSchedule::DrainAndReplaceRandomTarget() {
+  DrainAndReplaceTarget(RandomTarget(), kDrainTime);
+}
+
+void SoakSchedule::DrainAndReplaceTarget(std::size_t index, Duration time) {
   if (!world_.IsUsableTarget(index) || world_.UsablePeersOf(index) == 0) return;
   world_.DrainTarget(index);
-  world_.timer().After(kDrainTime,
-                       [this, index] { world_.ReplaceTarget(index); });
+  world_.timer().After(time, [this, index] { world_.ReplaceTarget(index); });
 }
 
 }  // namespace sapphirestream::soak
--- a/testing/soak/soak_schedule.h
+++ b/testing/soak/soak_schedule.h
@@ -44,7 +44,9 @@
   void InjectRestoration();
   [[nodiscard]] Duration RestorationTime(Duration min, Duration max);
   void InjectTargetFault();
-  void DrainAndReplaceTarget();
+  void DrainAndReplaceRandomTarget();
+  // Does nothing if the service needs the target.
+  void DrainAndReplaceTarget(std::size_t index, Duration time);
   [[nodiscard]] std::size_t RandomInstance();
   [[nodiscard]] std::size_t RandomTarget();
 
