--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -10,6 +10,12 @@
   return names[static_cast<std::size_t>(presence)];
 }
 
+std::string_view Name(EntryOutcome outcome) noexcept {
+  constexpr std::array<std::string_view, 4> names{"applied", "unchanged",
+                                                  "outdated", "old_copy"};
+  return names[static_cast<std::size_t>(outcome)];
+}
+
 EntryOutcome TargetDirectory::Upsert(const TargetRecord& record,
                                      StoreRevision revision, bool propagated,
                                      TimePoint now) {
@@ -25,7 +31,7 @@
   const bool is_restored = !is_new && target.revision.era < revision.era;
   if (is_restored && IsSuperseded(record, target)) {
     target.revision = revision;
-    return EntryOutcome::kOutdated;
+    return EntryOutcome::kOldCopy;
   }
   const bool restarted =
       is_new || target.record.incarnation != record.incarnation;
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -32,8 +32,11 @@
   kApplied,    // a field that affects flows has changed
   kUnchanged,  // nothing that affects flows has changed
   kOutdated,   // ignored, since a later revision is known
+  kOldCopy,    // ignored, since the copy of a restored store is older
 };
 
+[[nodiscard]] std::string_view Name(EntryOutcome outcome) noexcept;
+
 struct EdgeTarget {
   TargetRecord record;
   ServiceNumber service{};
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -9,6 +9,15 @@
 #include "sapphirestream/base/id.h"
 
 namespace sapphirestream {
+namespace {
+
+// What an entry, or the removal of one, says about its target.
+std::string_view OfferedState(const CollectionItem<TargetRecord>& item) {
+  if (!item.record) return "removed";
+  return item.record->draining ? "draining" : "ready";
+}
+
+}  // namespace
 
 EdgeView::EdgeView(RouteTable& routes, TargetDirectory& targets,
                    EdgeLog& flow_log, EventLog& log, const Clock& clock,
@@ -28,7 +37,7 @@
       era_(counters.Emplace("store_era")),
       era_changes_(counters.Emplace("store_era_changes_total")),
       outdated_replies_(counters.Emplace("store_outdated_replies_total")),
-      outdated_entries_(counters.Emplace("target_entries_outdated_total")),
+      ignored_entries_(counters.Emplace("target_entries_ignored_total")),
       outdated_configs_(counters.Emplace("configs_outdated_total")) {}
 
 void EdgeView::ApplySnapshot(
@@ -50,7 +59,10 @@
     }
   });
   DetectMassExpiry(vanished.size());
-  for (const TargetKey key : vanished) EraseTarget(key, revision);
+  for (const TargetKey key : vanished) {
+    EraseTarget(
+        key, {.name = {}, .revision = revision, .deleted = true, .record = {}});
+  }
   listed_.Set(targets_.listed());
   if (!std::exchange(has_targets_, true)) {
     era_.Set(Value(revision.era));
@@ -210,18 +222,16 @@
   const auto key = key_of_(item.name);
   if (!item.record) {
     if (!item.deleted) malformed_.Add();
-    if (key) EraseTarget(*key, item.revision);
+    if (key) EraseTarget(*key, item);
     return;
   }
   const TargetRecord& record = *item.record;
-  switch (targets_.Upsert(record, item.revision, propagated, clock_.Now())) {
-    case EntryOutcome::kApplied:
-      break;
-    case EntryOutcome::kUnchanged:
-      return;
-    case EntryOutcome::kOutdated:
-      ReportOutdated(*targets_.Find(record.key), &record, item.revision);
-      return;
+  const StoreRevision held = HeldRevision(record.key);
+  const EntryOutcome outcome =
+      targets_.Upsert(record, item.revision, propagated, clock_.Now());
+  if (outcome != EntryOutcome::kApplied) {
+    ReportIgnored(outcome, record.key, held, item);
+    return;
   }
   // A line for each target of the first list would fill the log buffer.
   log_.Write(has_targets_ ? LogLevel::kInfo : LogLevel::kDebug, "target_listed",
@@ -234,46 +244,50 @@
               {"era", Value(item.revision.era)}});
 }
 
-void EdgeView::EraseTarget(TargetKey key, StoreRevision revision) {
+void EdgeView::EraseTarget(TargetKey key, const TargetItem& removal) {
   const bool was_unavailable = StoreRecentlyRecovered();
-  switch (targets_.Erase(key, revision, was_unavailable, clock_.Now())) {
-    case EntryOutcome::kApplied:
-      break;
-    case EntryOutcome::kUnchanged:
-      return;
-    case EntryOutcome::kOutdated:
-      ReportOutdated(*targets_.Find(key), nullptr, revision);
-      return;
+  const StoreRevision held = HeldRevision(key);
+  const EntryOutcome outcome =
+      targets_.Erase(key, removal.revision, was_unavailable, clock_.Now());
+  if (outcome != EntryOutcome::kApplied) {
+    ReportIgnored(outcome, key, held, removal);
+    return;
   }
   log_.Write(LogLevel::kInfo, "target_unlisted",
              {{"target", ToString(key)},
               {"presence", Name(targets_.Find(key)->presence)},
               {"store_was_away", was_unavailable ? 1 : 0},
-              {"revision", revision.number},
-              {"era", Value(revision.era)}});
+              {"revision", removal.revision.number},
+              {"era", Value(removal.revision.era)}});
 }
 
-void EdgeView::ReportOutdated(const EdgeTarget& held,
-                              const TargetRecord* offered,
-                              StoreRevision revision) {
-  const bool is_same = offered != nullptr &&
-                       offered->incarnation == held.record.incarnation &&
-                       offered->draining == held.record.draining &&
-                       held.presence == TargetPresence::kListed;
+StoreRevision EdgeView::HeldRevision(TargetKey key) {
+  const EdgeTarget* const target = targets_.Find(key);
+  return target == nullptr ? StoreRevision{} : target->revision;
+}
+
+void EdgeView::ReportIgnored(EntryOutcome outcome, TargetKey key,
+                             StoreRevision held, const TargetItem& offered) {
+  if (outcome == EntryOutcome::kUnchanged) return;
+  const EdgeTarget& target = *targets_.Find(key);
   // Lists repeat entries; only one that says something else is worth a line.
+  const bool is_same =
+      offered.record &&
+      offered.record->incarnation == target.record.incarnation &&
+      offered.record->draining == target.record.draining &&
+      target.presence == TargetPresence::kListed;
   if (is_same) return;
-  outdated_entries_.Add();
-  log_.Write(LogLevel::kWarn, "target_entry_outdated",
-             {{"target", ToString(held.record.key)},
-              {"presence", Name(held.presence)},
-              {"draining", held.record.draining ? 1 : 0},
-              {"revision", held.revision.number},
-              {"era", Value(held.revision.era)},
-              {"offered", offered == nullptr  ? "removed"
-                          : offered->draining ? "draining"
-                                              : "ready"},
-              {"offered_revision", revision.number},
-              {"offered_era", Value(revision.era)}});
+  ignored_entries_.Add();
+  log_.Write(LogLevel::kWarn, "target_entry_ignored",
+             {{"target", ToString(key)},
+              {"reason", Name(outcome)},
+              {"presence", Name(target.presence)},
+              {"draining", target.record.draining ? 1 : 0},
+              {"revision", held.number},
+              {"era", Value(held.era)},
+              {"offered", OfferedState(offered)},
+              {"offered_revision", offered.revision.number},
+              {"offered_era", Value(offered.revision.era)}});
 }
 
 bool EdgeView::StoreRecentlyRecovered() const noexcept {
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -109,6 +109,7 @@
     EdgeView& view_;
     std::string_view collection_;
   };
+  using TargetItem = CollectionItem<TargetRecord>;
   using TargetObserver = Observer<TargetRecord>;
   using RouteObserver = Observer<RouteConfig>;
 
@@ -143,11 +144,13 @@
   void DetectMassExpiry(std::size_t vanished);
   // Whether the item removes a target that could get new flows.
   [[nodiscard]] bool RemovesTarget(const CollectionItem<TargetRecord>& item);
-  void EraseTarget(TargetKey key, StoreRevision revision);
-  // Reports that an entry was ignored because a later revision is known.
-  // `offered` is null for a removal.
-  void ReportOutdated(const EdgeTarget& held, const TargetRecord* offered,
-                      StoreRevision revision);
+  void EraseTarget(TargetKey key, const TargetItem& removal);
+  // Returns the revision of a target's entry, or zero if it is unknown.
+  [[nodiscard]] StoreRevision HeldRevision(TargetKey key);
+  // Reports why an entry or a removal was ignored although it says something
+  // else than what is known. `held`: revision of the entry that was kept.
+  void ReportIgnored(EntryOutcome outcome, TargetKey key, StoreRevision held,
+                     const TargetItem& offered);
   [[nodiscard]] bool StoreRecentlyRecovered() const noexcept;
 
   RouteTable& routes_;
@@ -165,7 +168,7 @@
   Counter& era_;
   Counter& era_changes_;
   Counter& outdated_replies_;
-  Counter& outdated_entries_;
+  Counter& ignored_entries_;
   Counter& outdated_configs_;
   bool has_targets_ = false;
   // Era of the last list of targets.
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -214,14 +214,27 @@
   observer().OnSnapshot({Item(1, 9)}, At(9));
   observer().OnChanges({draining});
   BOOST_TEST(lines.back() ==
-             "event=target_entry_outdated target=0000000001 presence=listed "
-             "draining=0 revision=9 era=1 offered=draining offered_revision=4 "
-             "offered_era=1");
+             "event=target_entry_ignored target=0000000001 reason=outdated "
+             "presence=listed draining=0 revision=9 era=1 offered=draining "
+             "offered_revision=4 offered_era=1");
   lines.clear();
   observer().OnChanges({Item(1, 4)});
   BOOST_TEST(lines.empty());
 }
 
+BOOST_AUTO_TEST_CASE(an_ignored_copy_is_logged_with_both_revisions) {
+  CollectionItem<TargetRecord> draining = Item(1, 9);
+  draining.record->draining = true;
+  CollectionItem<TargetRecord> copy = Item(1, 4);
+  copy.revision.era = StoreEra{2};
+  observer().OnSnapshot({draining}, At(9));
+  observer().OnSnapshot({copy}, {StoreEra{2}, 4});
+  BOOST_TEST(lines.back() ==
+             "event=target_entry_ignored target=0000000001 reason=old_copy "
+             "presence=listed draining=1 revision=9 era=1 offered=ready "
+             "offered_revision=4 offered_era=2");
+}
+
 BOOST_AUTO_TEST_CASE(an_ignored_configuration_is_logged_with_both_versions) {
   ReadRoutes(7);
   lines.clear();
