--- a/src/sapphirestream/store/config_loader.cc
+++ b/src/sapphirestream/store/config_loader.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "sapphirestream/contract/change.h"
+#include "sapphirestream/contract/find.h"
 #include "sapphirestream/store/shard_plan.h"
 
 namespace sapphirestream {
@@ -33,6 +34,16 @@
       });
 }
 
+// Whether a head continues the history of a configuration, so that shards that
+// are not newer have the same content. After a restoration of the store, a head
+// with the same or a later version may contain other changes.
+bool Continues(const Configuration& head, const Configuration& known) {
+  if (known.recent_changes.empty()) return Value(known.version) == 0;
+  const ChangeRecord& last = known.recent_changes.back();
+  const ChangeRecord* const record = FindChange(head, last.id);
+  return record != nullptr && *record == last;
+}
+
 class ShardLoad : public std::enable_shared_from_this<ShardLoad> {
  public:
   ShardLoad(ObjectStore& store, std::shared_ptr<const Configuration> known,
@@ -53,6 +64,8 @@
     }
     const auto head = std::make_shared<const ConfigHead>(std::move(parsed));
     result_.value.head = head;
+    const bool is_older = known_ && head->head.version < known_->version;
+    if (known_ && !is_older && !Continues(head->head, *known_)) known_.reset();
     if (known_ && head->head.version <= known_->version) {
       result_.value.configuration = known_;
       Finish();
--- a/src/sapphirestream/store/config_loader.h
+++ b/src/sapphirestream/store/config_loader.h
@@ -40,7 +40,8 @@
 
 // Reads those shards of a head that `known` does not contain, several in
 // parallel. If the head is not newer than `known`, reads nothing and returns
-// `known`.
+// `known`. If the head has the version of `known` or a later one, but does not
+// contain its last change, reads all shards.
 void LoadShards(ObjectStore& store, const StoredObject& head,
                 std::shared_ptr<const Configuration> known, Duration deadline,
                 LoadCallback done);
--- a/src/sapphirestream/store/config_reader.cc
+++ b/src/sapphirestream/store/config_reader.cc
@@ -24,6 +24,7 @@
       backoff_(options.backoff),
       silent_watches_(counters.Emplace("config_silent_watches_total")),
       reverted_heads_(counters.Emplace("config_reverted_heads_total")),
+      forked_heads_(counters.Emplace("config_forked_heads_total")),
       failures_(counters.Emplace("config_read_failures_total")) {}
 
 ConfigReader::~ConfigReader() { Stop(); }
@@ -135,6 +136,10 @@
     OnReverted(result.value.head_version.era);
   } else {
     known_era_ = result.value.head_version.era;
+    const Configuration& stored = *result.value.configuration;
+    const bool is_forked =
+        known_ && stored.version == known_->version && stored != *known_;
+    if (is_forked) forked_heads_.Add();
     Deliver(result.value.configuration);
   }
   ScheduleWatch(Duration::zero());
--- a/src/sapphirestream/store/config_reader.h
+++ b/src/sapphirestream/store/config_reader.h
@@ -99,6 +99,7 @@
   Backoff backoff_;
   Counter& silent_watches_;
   Counter& reverted_heads_;
+  Counter& forked_heads_;
   Counter& failures_;
 
   std::shared_ptr<const Configuration> known_;
--- a/test/store/config_reader_test.cc
+++ b/test/store/config_reader_test.cc
@@ -155,6 +155,26 @@
   BOOST_TEST(Value(r.Load()->version) == 4U);
 }
 
+// After a restoration two changes can be accepted under the same version.
+BOOST_AUTO_TEST_CASE(parts_of_two_histories_do_not_become_one_configuration) {
+  ReaderFixture r;
+  r.SetUp();
+  r.reader.Start();
+  r.time.RunFor(seconds(5));
+  const auto copy = r.store.Copy();
+  r.Change("a", 3);
+  r.store.Restore(copy);
+  const auto unaware = r.MakeWriter();
+  Preset night;
+  night.name = "night";
+  r.Run(*unaware, MakeChange("b", {PutPreset{night}}));
+  BOOST_TEST(r.counters.Emplace("config_forked_heads_total").value() >= 1U);
+  BOOST_TEST(Value(r.reader.known()->version) == 2U);
+  r.Run(*unaware, MakeChange("c", {Add(5)}));
+  BOOST_TEST(Value(r.reader.known()->version) == 3U);
+  BOOST_TEST((*r.reader.known() == *r.Load()));
+}
+
 BOOST_AUTO_TEST_CASE(a_lost_first_configuration_is_written_again) {
   RestorerFixture r;
   r.store.Restore({});
--- a/test/store/config_writer_test.cc
+++ b/test/store/config_writer_test.cc
@@ -272,6 +272,22 @@
   BOOST_TEST(session.Load()->services[0].targets.size() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(a_change_is_based_on_the_history_that_the_store_has) {
+  Session session;
+  session.SetUp();
+  const auto copy = session.store.Copy();
+  const auto writer = session.MakeWriter();
+  session.Run(*writer, MakeChange("a", {Add(3)}));
+  session.store.Restore(copy);
+  Preset night;
+  night.name = "night";
+  session.Run(*session.MakeWriter(), MakeChange("b", {PutPreset{night}}));
+  const auto outcome = session.Run(*writer, MakeChange("c", {Add(5)}));
+  BOOST_TEST((outcome.error.kind == ErrorKind::kNone));
+  BOOST_TEST((*outcome.configuration == *session.Load()));
+  BOOST_TEST(session.Load()->services[0].targets.size() == 3U);
+}
+
 // Nothing was lost, or no instance knows what was.
 BOOST_AUTO_TEST_CASE(a_restored_head_is_changed_if_nothing_is_written_back) {
   Session session;
