--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -65,7 +65,7 @@
   // era is replaced by a list.
   void ObserveEra(StoreEra era) {
     if (era_.Observe(era) != EraCheck::kRestored) return;
-    BypassCache();
+    BypassCache(options_.restored_bypass_period);
     if (has_list_ || !list_.is_empty()) ReadCurrentList();
   }
   // Starts a watch immediately unless a call is in flight.
@@ -236,7 +236,7 @@
         observer_.OnOutdatedReply(held, offered);
         break;
       case EraCheck::kRestored:
-        BypassCache();
+        BypassCache(options_.restored_bypass_period);
         observer_.OnEraChanged(held, offered);
         break;
     }
@@ -258,8 +258,8 @@
     }
   }
 
-  void BypassCache() {
-    bypass_cache_until_ = clock_.Now() + options_.cache_bypass_period;
+  void BypassCache(Duration period) {
+    bypass_cache_until_ = std::max(bypass_cache_until_, clock_.Now() + period);
   }
   [[nodiscard]] bool BypassesCache() const {
     return clock_.Now() < bypass_cache_until_;
@@ -312,7 +312,7 @@
     list_freshness_ = Freshness::kCurrent;
     if (!reply.items.empty()) observer_.OnChanges(reply.items);
     observer_.OnSynced();
-    if (reply.revision < revision_) BypassCache();
+    if (reply.revision < revision_) BypassCache(options_.cache_bypass_period);
     revision_ = std::max(revision_, reply.revision);
     if (clock_.Now() - last_relist_ >= options_.relist_period) {
       ReadList(WatchFreshness());
--- a/src/sapphirestream/store/collection_reader_options.h
+++ b/src/sapphirestream/store/collection_reader_options.h
@@ -24,9 +24,12 @@
   // Consistency of watches and of all lists but the first, which is current.
   // Pages are read from the cache after a failed or rate-limited page.
   Freshness freshness = Freshness::kCurrent;
-  // Time for which all reads use kCurrent after a cached reply was found to be
-  // stale, or after the store was restored: its cache may lag behind.
+  // Time for which reads use kCurrent after a cached reply was found to be
+  // stale.
   Duration cache_bypass_period = std::chrono::seconds(30);
+  // The same after the store was restored. Longer than a cache lags behind: a
+  // reply of the lost part might not be recognised.
+  Duration restored_bypass_period = std::chrono::seconds(6);
   // Interval at which the whole list is read again, in case a change was
   // missed.
   Duration relist_period = std::chrono::seconds(30);
--- a/test/store/collection_reader_test.cc
+++ b/test/store/collection_reader_test.cc
@@ -556,7 +556,7 @@
 // The cache of a store that was just restored may still hold the lost part.
 BOOST_AUTO_TEST_CASE(the_cache_of_a_restored_store_is_bypassed_for_a_while) {
   CollectionReaderOptions options = CachedOptions();
-  options.cache_bypass_period = 2s;
+  options.restored_bypass_period = 2s;
   client.replies = {Reply(7, {"a"}),           InEra(2, Reply(5, {})),
                     InEra(2, Reply(5, {"a"})), InEra(2, Reply(5, {})),
                     InEra(2, Reply(5, {})),    InEra(2, Reply(5, {}))};
