--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -99,7 +99,11 @@
   EdgeTarget* target = Find(key);
   if (target == nullptr) return EntryOutcome::kUnchanged;
   if (revision < target->revision) return EntryOutcome::kOutdated;
+  const bool is_restored = target->revision.era < revision.era;
   target->revision = revision;
+  if (is_restored && target->presence == TargetPresence::kMissing) {
+    target->unlisted_at = now;
+  }
   if (target->presence != TargetPresence::kListed) {
     return EntryOutcome::kUnchanged;
   }
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -47,7 +47,8 @@
   // When the other instances have read the entry as well.
   TimePoint usable_from{};
   TimePoint cold_until{};
-  // When the entry was removed; unset while it is listed.
+  // When the entry was removed, or was missing from a restored store; unset
+  // while it is listed.
   TimePoint unlisted_at{};
   // Requests forwarded by this instance that are still in progress.
   std::uint32_t outstanding = 0;
@@ -84,7 +85,9 @@
   EntryOutcome Upsert(const TargetRecord& record, StoreRevision revision,
                       bool propagated, TimePoint now);
   // Marks a target's entry as removed. `store_was_unavailable`: the entry may
-  // have expired because of a store outage although the target is alive.
+  // have expired because of a store outage although the target is alive. A
+  // missing target has the time to register again anew if it is missing from a
+  // restored store.
   // kApplied if the target was listed.
   EntryOutcome Erase(TargetKey key, StoreRevision revision,
                      bool store_was_unavailable, TimePoint now);
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -44,7 +44,8 @@
     const std::vector<CollectionItem<TargetRecord>>& items,
     StoreRevision revision) {
   if (has_targets_) ReportList("targets", items.size(), revision);
-  if (IsFirstListOf(revision.era)) recovered_at_ = clock_.Now();
+  const bool is_first_of_era = IsFirstListOf(revision.era);
+  if (is_first_of_era) recovered_at_ = clock_.Now();
   targets_era_ = revision.era;
   std::unordered_set<TargetKey> seen;
   for (const auto& item : items) {
@@ -53,8 +54,10 @@
   }
   std::vector<TargetKey> vanished;
   targets_.ForEach([&](const EdgeTarget& target) {
-    if (target.presence == TargetPresence::kListed &&
-        !seen.contains(target.record.key)) {
+    const bool is_expected =
+        target.presence == TargetPresence::kListed ||
+        (is_first_of_era && target.presence == TargetPresence::kMissing);
+    if (is_expected && !seen.contains(target.record.key)) {
       vanished.push_back(target.record.key);
     }
   });
--- a/test/edge/target_directory_test.cc
+++ b/test/edge/target_directory_test.cc
@@ -79,6 +79,20 @@
   BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
 }
 
+// A target that was missing when the store was restored from a copy without its
+// entry was given up at once, and its flows were reset.
+BOOST_AUTO_TEST_CASE(a_missing_target_may_register_after_a_restoration) {
+  Add(sample::Target(1, "a"));
+  targets.Erase(TargetKey{1}, At(2), /*store_was_unavailable=*/true, now);
+  const TimePoint restored = now + 5s;
+  targets.Erase(TargetKey{1}, AfterRestoration(2), true, restored);
+  targets.Expire(restored, restored);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
+  const TimePoint end = restored + TargetDirectory::kReregistrationGrace;
+  targets.Expire(end, end);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+}
+
 // An instance that was cut off from the store after an outage refused all flows
 // although its targets had registered again.
 BOOST_AUTO_TEST_CASE(a_missing_target_is_kept_until_the_store_is_read_again) {
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -208,6 +208,18 @@
   BOOST_TEST((PresenceOf(2) == TargetPresence::kMissing));
 }
 
+BOOST_AUTO_TEST_CASE(a_missing_target_is_kept_when_the_store_is_restored) {
+  observer().OnSnapshot({Item(1, 1), Item(2, 1)}, At(1));
+  observer().OnStoreRecovered(3s);
+  observer().OnSnapshot({Item(1, 1)}, At(5));
+  clock.Advance(TargetDirectory::kReregistrationGrace);
+  CollectionItem<TargetRecord> kept = Item(1, 1);
+  kept.revision.era = StoreEra{2};
+  observer().OnSnapshot({kept}, {StoreEra{2}, 4});
+  targets.Expire(clock.Now(), clock.Now());
+  BOOST_TEST((PresenceOf(2) == TargetPresence::kMissing));
+}
+
 BOOST_AUTO_TEST_CASE(an_ignored_entry_is_logged_with_both_revisions) {
   CollectionItem<TargetRecord> draining = Item(1, 4);
   draining.record->draining = true;
