--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -46,7 +46,7 @@
     target.health = {};
     RetirePreviousOwner(record, now);
   } else if (is_restored && target.presence == TargetPresence::kGone) {
-    target.usable_from = now + entry_lifetime_;
+    target.usable_from = now + entry_lifetime_ + kPropagationDelay;
   }
   target.record = record;
   target.revision = revision;
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -233,6 +233,7 @@
         SetEra(reply, era_.era());
         break;
       case EraCheck::kOutdated:
+        BypassCache(options_.cache_bypass_period);
         observer_.OnOutdatedReply(held, offered);
         break;
       case EraCheck::kRestored:
--- a/test/edge/target_directory_test.cc
+++ b/test/edge/target_directory_test.cc
@@ -184,7 +184,8 @@
   targets.Upsert(sample::Target(1, "a"), AfterRestoration(21), false, now);
   BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
   BOOST_TEST((targets.Find(TargetKey{1})->usable_from ==
-              now + TargetDirectory::kDefaultEntryLifetime));
+              now + TargetDirectory::kDefaultEntryLifetime +
+                  TargetDirectory::kPropagationDelay));
 }
 
 BOOST_AUTO_TEST_CASE(a_restored_copy_does_not_return_an_address_to_its_owner) {
--- a/test/store/collection_reader_test.cc
+++ b/test/store/collection_reader_test.cc
@@ -648,6 +648,8 @@
     BOOST_TEST(event.find("old") == std::string::npos);
   }
   BOOST_TEST(events.back() == "snapshot@8 b");
+  // The cache is bypassed afterwards.
+  BOOST_TEST(client.calls.back() == "watch 8");
 }
 
 BOOST_AUTO_TEST_CASE(pages_of_two_eras_do_not_become_one_list) {
