--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -27,7 +27,7 @@
 
 [[nodiscard]] std::string_view Name(TargetPresence presence) noexcept;
 
-// What became of an entry that was offered to the directory.
+// Result of passing an entry, or the removal of one, to the directory.
 enum class EntryOutcome : std::uint8_t {
   kApplied,    // a field that affects flows has changed
   kUnchanged,  // nothing that affects flows has changed
