--- /dev/null
+++ b/test/store/collection_reader_fixture.h
@@ -0,0 +1,142 @@
+// Fixture of a collection reader whose client answers with scripted replies.
+#ifndef SAPPHIRESTREAM_TEST_STORE_COLLECTION_READER_FIXTURE_H_
+#define SAPPHIRESTREAM_TEST_STORE_COLLECTION_READER_FIXTURE_H_
+
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sapphirestream/store/collection_reader.h"
+#include "testing/virtual_time.h"
+
+namespace sapphirestream {
+// Answers each call with the next scripted reply; calls without a reply stay
+// pending.
+struct FakeClient : CollectionClient<int> {
+  explicit FakeClient(testing::VirtualTime& virtual_time)
+      : time(virtual_time) {}
+
+  void List(const std::string& after, Freshness freshness, Duration deadline,
+            Done done) override {
+    deadlines.push_back(deadline);
+    calls.push_back(
+        (freshness == Freshness::kCached ? "cached list " : "list ") + after);
+    Answer(std::move(done));
+  }
+  void Watch(std::uint64_t since, Duration /*wait*/, Freshness freshness,
+             Duration /*deadline*/, Done done) override {
+    calls.push_back((freshness == Freshness::kCached ? "cached " : "watch ") +
+                    std::to_string(since));
+    Answer(std::move(done));
+  }
+  void Cancel() override { ++cancelled; }
+  void Answer(Done done) {
+    if (replies.empty()) {
+      unanswered.push_back(std::move(done));
+      return;
+    }
+    time.After(
+        std::chrono::milliseconds(4),
+        [done = std::move(done), reply = replies.front()] { done(reply); });
+    replies.pop_front();
+  }
+
+  testing::VirtualTime& time;
+  std::deque<CollectionReply<int>> replies;
+  std::vector<Done> unanswered;
+  std::vector<std::string> calls;
+  int cancelled = 0;
+  // Deadlines of the lists.
+  std::vector<Duration> deadlines;
+};
+
+inline StoreRevision At(std::uint64_t number) { return {StoreEra{1}, number}; }
+
+inline CollectionReply<int> Reply(std::uint64_t revision,
+                                  std::vector<std::string> names,
+                                  bool has_more = false) {
+  CollectionReply<int> reply;
+  reply.revision = At(revision);
+  reply.has_more = has_more;
+  for (std::string& name : names) {
+    reply.items.push_back({std::move(name), At(revision), false, 1});
+  }
+  return reply;
+}
+
+inline CollectionReply<int> Failure(ErrorKind error) {
+  CollectionReply<int> reply;
+  reply.error = error;
+  return reply;
+}
+
+struct CollectionReaderFixture : CollectionObserver<int> {
+  void OnSnapshot(const std::vector<CollectionItem<int>>& items,
+                  StoreRevision revision) override {
+    std::string text = "snapshot@" + std::to_string(revision.number);
+    for (const auto& item : items) text += " " + item.name;
+    events.push_back(text);
+  }
+  void OnChanges(const std::vector<CollectionItem<int>>& items) override {
+    std::string text = "changes";
+    for (const auto& item : items) text += " " + item.name;
+    events.push_back(text);
+  }
+  void OnStoreUnavailable(ErrorKind error) override {
+    events.push_back("unavailable " + std::string(AnswerFor(error).name));
+  }
+  void OnStoreRecovered(Duration /*away*/) override {
+    events.emplace_back("recovered");
+  }
+  void OnCacheOutdated() override { events.emplace_back("cache outdated"); }
+  void OnPollFailed(ErrorKind error) override {
+    events.push_back("poll failed " + std::string(AnswerFor(error).name));
+  }
+  void OnRateLimited() override { events.emplace_back("refused"); }
+
+  static CollectionReaderOptions Options() {
+    CollectionReaderOptions options;
+    options.min_watch_interval = std::chrono::seconds(1);
+    options.relist_period = std::chrono::seconds(10);
+    return options;
+  }
+  static CollectionReaderOptions CachedOptions() {
+    CollectionReaderOptions options = Options();
+    options.freshness = Freshness::kCached;
+    return options;
+  }
+  // Price of all calls in current reads. A cached one costs a tenth.
+  [[nodiscard]] double Price() const {
+    double price = 0;
+    for (const std::string& call : client.calls) {
+      price += call.starts_with("cached ") ? 0.1 : 1;
+    }
+    return price;
+  }
+  void FailFor(int calls) {
+    for (int i = 0; i < calls; ++i) {
+      client.replies.push_back(Failure(ErrorKind::kStoreUnavailable));
+    }
+  }
+  void Start(CollectionReaderOptions options = Options()) {
+    reader = std::make_unique<CollectionReader<int>>(client, time, time, random,
+                                                     *this, lock, options);
+    reader->Start();
+  }
+
+  testing::VirtualTime time;
+  SeededRandom random{1};
+  FakeClient client{time};
+  std::vector<std::string> events;
+  ProbeLock lock;
+  std::unique_ptr<CollectionReader<int>> reader;
+};
+
+using Strings = std::vector<std::string>;
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_TEST_STORE_COLLECTION_READER_FIXTURE_H_
