--- /dev/null
+++ b/review/w_silent/case.py
@@ -0,0 +1,80 @@
+"""All open connections to the store go silent for good, without a reset, while
+new ones work. An endpoint drains just then: does it get new work later than
+the rule allows?"""
+import asyncio
+import os
+import sys
+import time
+
+HERE = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(HERE, "..", "standins"))
+from world import DRAIN_S, STABLE_S, NotRun, main  # noqa: E402
+
+ROUTE = ("198.18.0.1", 443)
+LEAVES_AFTER_S = DRAIN_S + 1.6
+WORK_S = 0.15
+
+
+async def scenario(world, trouble):
+    await world.open_store()
+    world.write_config(3, [("orders", ROUTE, "unsafe", "desk")], ["desk"])
+    for i, zone in enumerate(["zone-a", "zone-a", "zone-b"]):
+        world.add_node("n%d" % (i + 1), zone)
+    desks = [await world.add_endpoint("desk", z, work_s=WORK_S)
+             for z in ("zone-a",) * 3 + ("zone-b",) * 3]
+    for node in world.nodes:
+        await node.start()
+    if not await world.wait_ready():
+        raise NotRun("the instances are not ready")
+    await asyncio.sleep(3)
+    clients = [await world.add_client(z) for z in world.zones]
+    silenced_at = [0.0]
+
+    def on_open(endpoint, packet, node):
+        if endpoint.drain_ack is None:
+            return
+        now = time.monotonic()
+        late = now - endpoint.drain_ack - DRAIN_S
+        # All machines are in touch again StableWindowMs after the silence.
+        if late > 0 and now - silenced_at[0] > STABLE_S:
+            world.violation("DRAIN", "a flow opened at an endpoint later than "
+                            "DrainMs after the ack that it drains",
+                            endpoint=endpoint.name(), late_ms=int(late * 1000),
+                            since_silence_ms=int((now - silenced_at[0]) * 1000))
+    world.flow_hook = on_open
+
+    async def users(client, end):
+        while time.monotonic() < end:
+            client.open(ROUTE, kind="unsafe", body_bytes=900)
+            await asyncio.sleep(0.08)
+    load = [asyncio.create_task(users(c, time.monotonic() + 16))
+            for c in clients]
+    await asyncio.sleep(4)
+    # Two endpoints are added, then an old one drains.
+    await world.add_endpoint("desk", "zone-a", work_s=WORK_S)
+    await asyncio.sleep(0.3)
+    await world.add_endpoint("desk", "zone-b", work_s=WORK_S)
+    await asyncio.sleep(0.1)
+    if trouble:
+        count = world.store.silence_open([world.store_port])
+        silenced_at[0] = time.monotonic()
+        world.log("connections_silent", count=count)
+    await asyncio.sleep(0.2)
+    leaving = desks[0]
+    leaving.drain()
+    await asyncio.sleep(LEAVES_AFTER_S)
+    leaving.stop()
+    leaving.listed = False
+    world.store.delete("servers", leaving.id)
+    await asyncio.gather(*load)
+    await asyncio.sleep(3.5)
+    lost = [r for r, f in world.requests.items() if r not in world.answers]
+    begun = [r for r in lost if r in world.runs]
+    world.log("orders", sent=len(world.requests), answered=len(world.answers),
+              not_answered=len(lost), of_these_begun=len(begun))
+    print("orders: %d sent, %d without an answer (%d of them had begun to run)"
+          % (len(world.requests), len(lost), len(begun)))
+
+
+if __name__ == "__main__":
+    main(scenario, HERE)
