--- a/review/w_stale/case.py
+++ b/review/4/case.py
@@ -37,14 +37,15 @@
     await asyncio.sleep(3)
     clients = [await world.add_client(z) for z in world.zones]
 
-    def on_open(endpoint, packet, node):
+    def on_open(endpoint, node, syn_at):
         if endpoint.drain_ack is None:
             return
-        late = time.monotonic() - endpoint.drain_ack - DRAIN_S
+        late = syn_at - endpoint.drain_ack - DRAIN_S
         if late > 0:
-            world.violation("DRAIN", "a flow opened at an endpoint later than "
+            world.violation("DRAIN", "an endpoint took a flow later than "
                             "DrainMs after the ack that it drains",
-                            endpoint=endpoint.name(), late_ms=int(late * 1000))
+                            endpoint=endpoint.name(), through=node.name,
+                            late_ms=int(late * 1000))
     world.flow_hook = on_open
 
     async def users(client, end):
--- a/review/standins/endpoint.py
+++ b/review/standins/endpoint.py
@@ -21,6 +21,7 @@
         self.seq = random.getrandbits(32)
         self.expected = (packet.seq + 1) & 0xffffffff
         self.opened = False
+        self.syn_at = time.monotonic()
         self.input = b""
         self.ahead = {}
         self.unacked = 0
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import sys
@@ -21,7 +22,8 @@
           "ConfigApplyMs": 3000, "RecoveryS": 12, "FlowMs": 2000}
 DRAIN_S, STABLE_S = 3.0, 4.0
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Exit codes. An error of Python itself exits with 1.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
 
 
 class Node:
@@ -171,7 +173,8 @@
         self.log("flow_opened", flow=name, endpoint=endpoint.name(),
                  through=node.name if node else source)
         if self.flow_hook:
-            self.flow_hook(endpoint, packet, node)
+            self.flow_hook(endpoint, node, endpoint.flows[
+                (packet.src, packet.dst)].syn_at)
 
     def on_flow_end(self, flow, outcome):
         self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
@@ -252,39 +255,44 @@
             endpoint.stop()
 
 
-def main(scenario, folder):
-    """Runs `scenario(world, trouble)` and exits as run.sh has to."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
-    random.seed()
+class NotRun(Exception):
+    """The case couldn't be played as described."""
 
-    async def play():
-        world = World(os.path.join(folder, "record.txt"))
-        world.log("begins", trouble=trouble,
-                  command='"%s"' % " ".join(world.run_command))
-        ran = False
-        try:
-            await asyncio.wait_for(scenario(world, trouble), 110)
-            ran = True
-        except (NotRun, asyncio.TimeoutError, OSError) as error:
-            world.log("not_run", why=repr(error))
-            print("could not run:", repr(error))
-        finally:
-            await world.close()
-        world.log("outcomes", **world.outcomes)
-        print("outcomes:", json.dumps(world.outcomes))
+
+async def play(scenario, folder):
+    trouble = os.environ.get("TROUBLE", "1") != "0"
+    world = World(os.path.join(folder, "record.txt"))
+    world.log("begins", trouble=trouble,
+              command='"%s"' % " ".join(world.run_command))
+    task = asyncio.create_task(asyncio.wait_for(scenario(world, trouble), 105))
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    failure = None
+    try:
+        await task
+    except (Exception, asyncio.CancelledError) as error:
+        failure = repr(error)
+    finally:
+        await world.close()
+    world.log("outcomes", **world.outcomes)
+    print("outcomes of flows:", json.dumps(world.outcomes))
+    if os.environ.get("KEEP_LOGS"):
         print("instance logs are in", world.folder)
-        if not ran:
-            return NOT_RUN
-        for rule, text in sorted(set(world.violations)):
-            count = world.violations.count((rule, text))
-            print("BROKEN %s: %s (%d times)" % (rule, text, count))
-            world.log("result", rule=rule, text='"%s"' % text, times=count)
-        if not world.violations:
-            print("held")
-            world.log("result", held=True)
-        return BROKEN if world.violations else HELD
-    sys.exit(asyncio.run(play()))
+    else:
+        shutil.rmtree(world.folder)
+    if failure:
+        world.log("not_run", why=failure)
+        print("could not run:", failure)
+        return NOT_RUN
+    for rule, text in sorted(set(world.violations)):
+        count = world.violations.count((rule, text))
+        print("BROKEN %s: %s (%d times)" % (rule, text, count))
+        world.log("result", rule=rule, text='"%s"' % text, times=count)
+    if not world.violations:
+        print("held")
+        world.log("result", held=True)
+    return BROKEN if world.violations else HELD
 
 
-class NotRun(Exception):
-    """The case couldn't be played as described."""
+def main(scenario, folder):
+    """Runs `scenario(world, trouble)` and exits with one of the exit codes."""
+    sys.exit(asyncio.run(play(scenario, folder)))
