--- a/review/standins/platform_store.py
+++ b/review/standins/platform_store.py
@@ -110,7 +110,7 @@
                 return 200, '{"events":[%s],"CurrentRev":%d}' % (
                     ",".join('{"Tombstone":%s,"Object":%s}' %
                              ("true" if c[4] else "false", c[5])
-                             for c in events), max(seen, since))
+                             for c in events), seen)
             waits = min(left, 0.02) if stale and self.stale_lag > 0 else left
             try:
                 await asyncio.wait_for(self.changed.wait(), waits)
