--- a/review/standins/endpoint.py
+++ b/review/standins/endpoint.py
@@ -5,7 +5,7 @@
 import re
 import time
 
-from packets import ACK, FIN, RST, SYN, Packet, Sender, decode, ip_number
+from packets import ACK, FIN, RST, SYN, Packet, Sender, decode
 
 QUEUE = 8
 DELAYED_ACK_S = 0.04
