Log the age of the failed probe that a reset relies on

The line `reset` named the state and the number of failed probes but not when the last one was made, so that a probe from the cut and one from the moment of the reset looked the same.

Change: `probe_age_ms` in the line `reset`, the time since the last failed probe began.

--- a/src/sapphirestream/edge/edge_log.cc
+++ b/src/sapphirestream/edge/edge_log.cc
@@ -108,16 +108,18 @@
 
 void EdgeLog::Reset(const CachedFlow& flow, const EdgeTarget& target,
                     std::string_view request_id, TimePoint now) {
-  log_.Write(LogLevel::kWarn, "reset",
-             {{"request", request_id},
-              {"flow", FlowText(flow)},
-              {"target", ToString(target.record.key)},
-              {"presence", Name(target.presence)},
-              {"state", Name(target.health.state())},
-              {"failed_probes", target.health.failed_probes()},
-              {"copies", flow.repeats},
-              {"waiting_ms", Milliseconds(now - flow.waiting_since)},
-              {"view_age_ms", ViewAge(now)}});
+  log_.Write(
+      LogLevel::kWarn, "reset",
+      {{"request", request_id},
+       {"flow", FlowText(flow)},
+       {"target", ToString(target.record.key)},
+       {"presence", Name(target.presence)},
+       {"state", Name(target.health.state())},
+       {"failed_probes", target.health.failed_probes()},
+       {"probe_age_ms", Milliseconds(now - target.health.last_failure())},
+       {"copies", flow.repeats},
+       {"waiting_ms", Milliseconds(now - flow.waiting_since)},
+       {"view_age_ms", ViewAge(now)}});
 }
 
 void EdgeLog::Dropped(const EdgePacket& packet, std::string_view reason,
--- a/src/sapphirestream/edge/target_health.cc
+++ b/src/sapphirestream/edge/target_health.cc
@@ -56,6 +56,7 @@
   if (is_absent ||
       (outcome == ProbeOutcome::kSilent && last_progress_ <= begun)) {
     ++failed_probes_;
+    last_failure_ = begun;
     const bool is_new = state_ != Reachability::kUnreachable;
     state_ = Reachability::kUnreachable;
     return is_new;
--- a/src/sapphirestream/edge/target_health.h
+++ b/src/sapphirestream/edge/target_health.h
@@ -86,6 +86,10 @@
   [[nodiscard]] TimePoint last_progress() const noexcept {
     return last_progress_;
   }
+  // Start of the last probe that failed; unset before the first one.
+  [[nodiscard]] TimePoint last_failure() const noexcept {
+    return last_failure_;
+  }
 
  private:
   Reachability state_ = Reachability::kReachable;
@@ -99,6 +103,8 @@
   TimePoint last_progress_{};
   // End of the last probe.
   TimePoint last_probe_{};
+  // Start of the last failed probe.
+  TimePoint last_failure_{};
   TimePoint unresponsive_until_{};
 };
 
