--- /dev/null
+++ b/test/edge/edge_steering_fixture.h
@@ -0,0 +1,108 @@
+// Fixture of the steering tests: records what EdgeSteering sends, and finishes
+// probes.
+#ifndef SAPPHIRESTREAM_TEST_EDGE_EDGE_STEERING_FIXTURE_H_
+#define SAPPHIRESTREAM_TEST_EDGE_EDGE_STEERING_FIXTURE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "sapphirestream/edge/edge_steering.h"
+#include "test/edge/sample.h"
+#include "testing/manual_clock.h"
+
+namespace sapphirestream {
+
+struct EdgeSteeringFixture : EdgeSink, LogSink {
+  struct Sent {
+    TargetKey target{};
+    std::optional<FlowToken> token;
+  };
+
+  EdgeSteeringFixture() {
+    routes.Apply(sample::Routes(1));
+    for (std::uint64_t key : {1, 2, 3}) Add(sample::Target(key, "a"));
+    Add(sample::Target(9, "a", "intake"));
+  }
+
+  void Forward(TargetKey target, V4Endpoint /*address*/,
+               std::span<const std::byte> /*packet*/,
+               std::optional<FlowToken> token) override {
+    sent.push_back({target, token});
+  }
+  void Reset(const ClientReset& reset) override { resets.push_back(reset); }
+  void Probe(const ProbeRequest& probe) override {
+    probes.push_back(probe.target);
+    control = probe.control;
+    probe_begun = clock.Now();
+  }
+  void RefreshTargets() override { ++refreshes; }
+  void Write(LogLevel /*level*/, const std::string& line) override {
+    lines.push_back(line);
+  }
+
+  void Add(const TargetRecord& record) {
+    targets.Upsert(record, {StoreEra{1}, ++revision}, /*propagated=*/true,
+                   clock.Now());
+  }
+  void Handle(const EdgePacket& packet) {
+    steering.OnPacket(packet, clock.Now());
+  }
+  void Advance(Duration by) {
+    clock.Advance(by);
+    steering.Tick(clock.Now());
+  }
+  void FinishProbe(TargetKey target, ProbeOutcome outcome) {
+    steering.OnProbe(target, outcome, probe_begun, clock.Now());
+  }
+  // Opens a flow and completes its first request; returns its target.
+  TargetKey Open(std::uint32_t client, V4Endpoint service = sample::kFeed) {
+    Handle(sample::Syn(client, service));
+    const TargetKey target = sent.back().target;
+    clock.Advance(std::chrono::milliseconds(10));
+    Handle(sample::Data(client, service, targets.TokenOf(target), 101, 100, 1));
+    clock.Advance(std::chrono::milliseconds(30));
+    Handle(
+        sample::Data(client, service, targets.TokenOf(target), 201, 0, 2001));
+    return target;
+  }
+  // Sends the flow's second request; repeated calls are retransmissions.
+  void Request(std::uint32_t client, TargetKey target,
+               V4Endpoint service = sample::kFeed) {
+    Handle(
+        sample::Data(client, service, targets.TokenOf(target), 201, 100, 2001));
+  }
+  // Makes a probe report that the target is unreachable.
+  void MakeUnreachable(TargetKey target) {
+    EdgeTarget& unreachable = *targets.Find(target);
+    (void)unreachable.health.OnUnanswered(
+        clock.Now(), true, clock.Now() + std::chrono::milliseconds(1));
+    probe_begun = clock.Now() + std::chrono::milliseconds(1);
+    clock.Advance(std::chrono::milliseconds(60));
+    FinishProbe(target, ProbeOutcome::kSilent);
+  }
+
+  testing::ManualClock clock;
+  EventLog log{*this, clock, 10000};
+  RouteTable routes;
+  TargetDirectory targets{routes, "a"};
+  EdgeLog flow_log{log, routes};
+  CounterSet counters;
+  EdgeSteering steering{routes, targets, *this, flow_log, counters, 256};
+  std::uint64_t revision = 0;
+  std::vector<Sent> sent;
+  std::vector<ClientReset> resets;
+  std::vector<TargetKey> probes;
+  // Control target of the last probe.
+  std::optional<V4Endpoint> control;
+  TimePoint probe_begun;
+  int refreshes = 0;
+  std::vector<std::string> lines;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_TEST_EDGE_EDGE_STEERING_FIXTURE_H_
