Void the health of a target that registers again

Cause: health outlived what it was measured on. A target that was found unreachable during the cut lost its entry. The rechecks skip targets without an entry, and when no other was left their timer stopped. The entry was written again by the same process, so that the health was kept: unreachable, five failed probes, never probed again. Any first packet of a flow from another instance met these conditions of a reset.

Ruled out: probes that fail at the stop (none was made), a list that was out of date (view_age_ms 333 to 2,643, presence=listed).

Change: a target that registers again, other than in the copy of a restored store, has unknown health like a new one. Unreachable targets are kept in a list of their own, also while they have no entry, so that the rechecks go on when one returns in a copy.

Tests, both failed before: edge_steering/a_target_that_registers_again_keeps_ its_new_flows, .../an_unreachable_target_that_returns_in_a_copy_is_probed.

--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -259,17 +259,21 @@
   if (!was_unreachable || !IsUnreachable(*target)) {
     log_.Probed(*target, outcome, begun, now);
   }
-  if (target->health.state() == Reachability::kUnreachable &&
-      !has_unreachable_) {
-    has_unreachable_ = true;
-    next_recheck_ = now + TargetHealth::kRecheckInterval;
-  }
+  if (IsUnreachable(*target)) AddUnreachable(key, now);
   if (became_unreachable) FailOverFlows(*target, now);
   std::erase_if(openings_awaiting_probe_, [this](const Opening& opening) {
     return !IsAwaitingProbe(opening);
   });
 }
 
+void EdgeSteering::AddUnreachable(TargetKey target, TimePoint now) {
+  if (unreachable_.empty()) {
+    next_recheck_ = now + TargetHealth::kRecheckInterval;
+  }
+  const auto it = std::find(unreachable_.begin(), unreachable_.end(), target);
+  if (it == unreachable_.end()) unreachable_.push_back(target);
+}
+
 void EdgeSteering::FailOverFlows(EdgeTarget& target, TimePoint now) {
   for (const Opening& opening : openings_awaiting_probe_) {
     CachedFlow* const flow = flows_.Find(opening.client, opening.service);
@@ -292,22 +296,25 @@
 void EdgeSteering::Tick(TimePoint now) {
   ExpireRequests(now);
   CheckUnansweredOpenings(now);
-  if (!has_unreachable_ || now < next_recheck_) return;
-  has_unreachable_ = false;
-  targets_.ForEach([&](EdgeTarget& target) {
-    if (target.presence == TargetPresence::kGone) return;
-    if (target.health.StartRecheckIfDue(now)) {
+  if (unreachable_.empty() || now < next_recheck_) return;
+  std::erase_if(unreachable_, [this](TargetKey key) {
+    const EdgeTarget* const target = targets_.Find(key);
+    return target == nullptr || !IsUnreachable(*target);
+  });
+  for (const TargetKey key : unreachable_) {
+    EdgeTarget& target = *targets_.Find(key);
+    if (target.presence != TargetPresence::kGone &&
+        target.health.StartRecheckIfDue(now)) {
       StartProbe(target, ProbeKind::kIdentity, now);
     }
-    has_unreachable_ |= target.health.state() == Reachability::kUnreachable;
-  });
+  }
   next_recheck_ = now + TargetHealth::kRecheckInterval;
 }
 
 std::optional<TimePoint> EdgeSteering::NextDeadline() const noexcept {
   std::optional<TimePoint> next;
   if (!openings_.empty()) next = openings_.front().sent + kOpeningTimeout;
-  if (has_unreachable_ && (!next || next_recheck_ < *next)) {
+  if (!unreachable_.empty() && (!next || next_recheck_ < *next)) {
     next = next_recheck_;
   }
   return next;
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -142,6 +142,7 @@
   void ReportUnanswered(EdgeTarget& target, TimePoint unanswered_since,
                         bool opening, TimePoint now);
   void StartProbe(EdgeTarget& target, ProbeKind kind, TimePoint now);
+  void AddUnreachable(TargetKey target, TimePoint now);
   void OnTargetProgress(EdgeTarget& target, TimePoint now);
   // Returns a target other than `target` that is known to answer.
   [[nodiscard]] std::optional<V4Endpoint> ControlFor(const EdgeTarget& target,
@@ -173,8 +174,9 @@
   // Unanswered openings whose target is being probed.
   std::vector<Opening> openings_awaiting_probe_;
   std::deque<Request> requests_;
-  // Whether any target is unreachable and therefore probed periodically.
-  bool has_unreachable_ = false;
+  // Unreachable targets. They are probed periodically while they may get new
+  // flows, and kept here while they are gone, since they may register again.
+  std::vector<TargetKey> unreachable_;
   TimePoint next_recheck_{};
   // The two targets with the most recent progress, the latest one first.
   std::array<Progress, 2> progress_;
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -40,10 +40,14 @@
                        target.record.draining != record.draining ||
                        target.record.address != record.address ||
                        target.record.service != record.service;
+  // The target has written its entry since it was found unreachable; the copy
+  // of a restored store does not show that.
+  const bool registered_again =
+      target.presence != TargetPresence::kListed && !is_restored;
   if (!is_new) RemoveFromIndexes(target);
+  if (restarted || registered_again) target.health = {};
   if (restarted) {
     target.usable_from = propagated ? now : now + kPropagationDelay;
-    target.health = {};
     RetirePreviousOwner(record, now);
   } else if (is_restored && target.presence == TargetPresence::kGone) {
     target.usable_from = now + entry_lifetime_ + kPropagationDelay;
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -82,6 +82,8 @@
   // was restored may be a copy from before what is known: it does not bring
   // back a target that has drained, restarted or lost its address, and a target
   // that was gone gets new flows only if its entry has not expired until then.
+  // The health of a target that registers, or registers again, is unknown: what
+  // was observed before says nothing about it any more.
   EntryOutcome Upsert(const TargetRecord& record, StoreRevision revision,
                       bool propagated, TimePoint now);
   // Marks a target's entry as removed. `store_was_unavailable`: the entry may
--- a/test/edge/edge_steering_fixture.h
+++ b/test/edge/edge_steering_fixture.h
@@ -48,6 +48,11 @@
     targets.Upsert(record, {StoreEra{1}, ++revision}, /*propagated=*/true,
                    clock.Now());
   }
+  // Removes a target's entry; the store was available.
+  void Remove(TargetKey target) {
+    targets.Erase(target, {StoreEra{1}, ++revision},
+                  /*store_was_unavailable=*/false, clock.Now());
+  }
   void Handle(const EdgePacket& packet) {
     steering.OnPacket(packet, clock.Now());
   }
--- a/test/edge/edge_steering_flows_test.cc
+++ b/test/edge/edge_steering_flows_test.cc
@@ -129,6 +129,41 @@
   BOOST_TEST(resets.size() == 1U);
 }
 
+// A failure domain was cut off, and the entries of its targets expired. After
+// it they registered again, but were never probed again: instances of other
+// domains reset their flows for as long as nothing else started a probe.
+BOOST_AUTO_TEST_CASE(a_target_that_registers_again_keeps_its_new_flows) {
+  const TargetKey target = Open(1);
+  MakeUnreachable(target);
+  Advance(TargetHealth::kRecheckInterval);
+  FinishProbe(target, ProbeOutcome::kSilent);
+  Remove(target);
+  Advance(3s);
+  Add(targets.Find(target)->record);
+  // Opened through another instance.
+  Handle(Data(2, sample::kFeed, targets.TokenOf(target), 101, 100, 1));
+  BOOST_TEST(resets.empty());
+  BOOST_TEST((sent.back().target == target));
+}
+
+// The copy of a restored store does not show that the target lives, so that
+// its health is kept; the target must be probed again.
+BOOST_AUTO_TEST_CASE(an_unreachable_target_that_returns_in_a_copy_is_probed) {
+  const TargetKey target = Open(1);
+  MakeUnreachable(target);
+  Remove(target);
+  Advance(TargetHealth::kRecheckInterval);
+  Advance(TargetHealth::kRecheckInterval);
+  probes.clear();
+  targets.Upsert(targets.Find(target)->record, {StoreEra{2}, 1},
+                 /*propagated=*/true, clock.Now());
+  Advance(TargetHealth::kRecheckInterval);
+  BOOST_REQUIRE(probes.size() == 1U);
+  FinishProbe(target, ProbeOutcome::kAccepted);
+  BOOST_TEST(
+      (targets.Find(target)->health.state() == Reachability::kReachable));
+}
+
 // The target may still process the request and answer the client directly.
 BOOST_AUTO_TEST_CASE(a_non_idempotent_request_is_not_reset) {
   const TargetKey target = Open(1, sample::kOrders);
