Give failure detection and failover a source of their own

Opening packets and the probes of lost targets stood in one file, and the condition of a reset in another.

--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -143,6 +143,8 @@
                         bool opening, TimePoint now);
   void StartProbe(EdgeTarget& target, ProbeKind kind, TimePoint now);
   void AddUnreachable(TargetKey target, TimePoint now);
+  // Probes the unreachable targets that are due.
+  void RecheckUnreachable(TimePoint now);
   void OnTargetProgress(EdgeTarget& target, TimePoint now);
   // Returns a target other than `target` that is known to answer.
   [[nodiscard]] std::optional<V4Endpoint> ControlFor(const EdgeTarget& target,
--- /dev/null
+++ b/src/sapphirestream/edge/edge_steering_failover.cc
@@ -0,0 +1,141 @@
+// Detects lost targets by probes, and moves or resets their flows.
+#include <algorithm>
+
+#include "sapphirestream/edge/edge_steering.h"
+
+namespace sapphirestream {
+
+void EdgeSteering::ReportUnanswered(EdgeTarget& target,
+                                    TimePoint unanswered_since, bool opening,
+                                    TimePoint now) {
+  if (const auto kind =
+          target.health.OnUnanswered(unanswered_since, opening, now)) {
+    StartProbe(target, *kind, now);
+  }
+}
+
+void EdgeSteering::StartProbe(EdgeTarget& target, ProbeKind kind,
+                              TimePoint now) {
+  probes_.Add();
+  // Repeated probes of an unreachable target do not need a control, since they
+  // can only confirm the first outcome.
+  sink_.Probe({.kind = kind,
+               .target = target.record.key,
+               .address = target.record.address,
+               .health_path = routes_.HealthPathOf(target.service),
+               .control = IsUnreachable(target) ? std::nullopt
+                                                : ControlFor(target, now)});
+}
+
+void EdgeSteering::OnTargetProgress(EdgeTarget& target, TimePoint now) {
+  target.health.OnFlowProgress(now);
+  if (progress_[0].target != target.record.key) progress_[1] = progress_[0];
+  progress_[0] = {target.record.key, target.record.address, now};
+}
+
+std::optional<V4Endpoint> EdgeSteering::ControlFor(const EdgeTarget& target,
+                                                   TimePoint now) const {
+  const Progress& latest =
+      progress_[progress_[0].target == target.record.key ? 1 : 0];
+  if (latest.target == TargetKey{} || now - latest.at > kControlMaxAge) {
+    return std::nullopt;
+  }
+  return latest.address;
+}
+
+void EdgeSteering::OnProbe(TargetKey key, ProbeOutcome outcome, TimePoint begun,
+                           TimePoint now) {
+  EdgeTarget* const target = targets_.Find(key);
+  if (target == nullptr) return;
+  const bool was_unreachable = IsUnreachable(*target);
+  const bool became_unreachable = target->health.OnProbe(outcome, begun, now);
+  if (outcome == ProbeOutcome::kStranger) targets_.Retire(*target, now);
+  if (!was_unreachable || !IsUnreachable(*target)) {
+    log_.Probed(*target, outcome, begun, now);
+  }
+  if (IsUnreachable(*target)) AddUnreachable(key, now);
+  if (became_unreachable) FailOverFlows(*target, now);
+  std::erase_if(openings_awaiting_probe_, [this](const Opening& opening) {
+    return !IsAwaitingProbe(opening);
+  });
+}
+
+void EdgeSteering::AddUnreachable(TargetKey target, TimePoint now) {
+  if (unreachable_.empty()) {
+    next_recheck_ = now + TargetHealth::kRecheckInterval;
+  }
+  const auto it = std::find(unreachable_.begin(), unreachable_.end(), target);
+  if (it == unreachable_.end()) unreachable_.push_back(target);
+}
+
+void EdgeSteering::RecheckUnreachable(TimePoint now) {
+  if (unreachable_.empty() || now < next_recheck_) return;
+  std::erase_if(unreachable_, [this](TargetKey key) {
+    const EdgeTarget* const target = targets_.Find(key);
+    return target == nullptr || !IsUnreachable(*target);
+  });
+  for (const TargetKey key : unreachable_) {
+    EdgeTarget& target = *targets_.Find(key);
+    if (target.presence != TargetPresence::kGone &&
+        target.health.StartRecheckIfDue(now)) {
+      StartProbe(target, ProbeKind::kIdentity, now);
+    }
+  }
+  next_recheck_ = now + TargetHealth::kRecheckInterval;
+}
+
+void EdgeSteering::FailOverFlows(EdgeTarget& target, TimePoint now) {
+  for (const Opening& opening : openings_awaiting_probe_) {
+    CachedFlow* const flow = flows_.Find(opening.client, opening.service);
+    const Route* const route = routes_.Find(opening.service);
+    if (flow != nullptr && route != nullptr &&
+        flow->phase == FlowPhase::kOpening &&
+        flow->target == target.record.key) {
+      MoveOpening(*flow, *route, {opening.bytes.data(), opening.size}, now);
+    }
+  }
+  flows_.ForEach([&](CachedFlow& flow) {
+    if (flow.target != target.record.key || !flow.waiting) return;
+    const Route* const route = routes_.Find(flow.service);
+    if (route != nullptr && MayReset(flow, *route, target)) {
+      ResetFlow(flow, target, {}, now);
+    }
+  });
+}
+
+bool EdgeSteering::IsUnreachable(const EdgeTarget& target) noexcept {
+  return target.health.state() == Reachability::kUnreachable;
+}
+
+bool EdgeSteering::MayReset(const CachedFlow& flow, const Route& route,
+                            const EdgeTarget& target) noexcept {
+  // Consecutive failed probes that suffice to reset a flow without a
+  // retransmission.
+  constexpr std::uint32_t min_failed_probes = 2;
+  if (flow.phase != FlowPhase::kOpen || !IsUnreachable(target)) return false;
+  // A draining target may refuse connections while it completes its flows.
+  if (target.record.draining && target.presence == TargetPresence::kListed) {
+    return false;
+  }
+  // The target may be unreachable only from this instance, so it may still
+  // process a request that must not run twice and answer the client directly.
+  if (route.kind != RequestKind::kIdempotent) return false;
+  return flow.repeats > 0 ||
+         target.health.failed_probes() >= min_failed_probes ||
+         target.presence == TargetPresence::kGone;
+}
+
+void EdgeSteering::ResetFlow(CachedFlow& flow, const EdgeTarget& target,
+                             std::string_view request_id, TimePoint now) {
+  resets_.Add();
+  log_.Reset(flow, target, request_id, now);
+  EndRequest(flow);
+  if (flow.phase == FlowPhase::kOpen) {
+    sink_.Reset({flow.client, flow.service, flow.acknowledged});
+    return;
+  }
+  flow.phase = FlowPhase::kNone;
+  sink_.Reset({flow.client, flow.service, 0});
+}
+
+}  // namespace sapphirestream
--- a/src/sapphirestream/edge/edge_steering_flows.cc
+++ b/src/sapphirestream/edge/edge_steering_flows.cc
@@ -142,41 +142,6 @@
   }
 }
 
-bool EdgeSteering::IsUnreachable(const EdgeTarget& target) noexcept {
-  return target.health.state() == Reachability::kUnreachable;
-}
-
-bool EdgeSteering::MayReset(const CachedFlow& flow, const Route& route,
-                            const EdgeTarget& target) noexcept {
-  // Consecutive failed probes that suffice to reset a flow without a
-  // retransmission.
-  constexpr std::uint32_t min_failed_probes = 2;
-  if (flow.phase != FlowPhase::kOpen || !IsUnreachable(target)) return false;
-  // A draining target may refuse connections while it completes its flows.
-  if (target.record.draining && target.presence == TargetPresence::kListed) {
-    return false;
-  }
-  // The target may be unreachable only from this instance, so it may still
-  // process a request that must not run twice and answer the client directly.
-  if (route.kind != RequestKind::kIdempotent) return false;
-  return flow.repeats > 0 ||
-         target.health.failed_probes() >= min_failed_probes ||
-         target.presence == TargetPresence::kGone;
-}
-
-void EdgeSteering::ResetFlow(CachedFlow& flow, const EdgeTarget& target,
-                             std::string_view request_id, TimePoint now) {
-  resets_.Add();
-  log_.Reset(flow, target, request_id, now);
-  EndRequest(flow);
-  if (flow.phase == FlowPhase::kOpen) {
-    sink_.Reset({flow.client, flow.service, flow.acknowledged});
-    return;
-  }
-  flow.phase = FlowPhase::kNone;
-  sink_.Reset({flow.client, flow.service, 0});
-}
-
 void EdgeSteering::BeginRequest(CachedFlow& flow, EdgeTarget& target,
                                 TimePoint now) {
   flow.waiting = true;
