Reset a request only on a recent probe that began after it

Cause: any failed probe counted, however old, until the next outcome. Targets without an entry are not probed while they are unreachable, so that there the last outcome stood for up to 60 s. Probes of unreachable targets had no control target, since they only confirmed the state; flows were reset on them too.

Change: a request is reset only on a failed probe that began after the request and not more than 1 s ago. A packet that would need one starts it (100 ms apart at least), also for a target without an entry, and such a probe has a control. The outcome resets the requests that waited for it.

Tests, all failed before: edge_steering/a_request_is_not_reset_on_an_older_ probe, .../a_target_without_an_entry_is_probed_before_a_reset, .../a_probe_ that_may_reset_a_request_has_a_control, .../a_request_is_not_reset_on_a_probe_ from_before_a_pause.

--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -150,8 +150,18 @@
   [[nodiscard]] std::optional<V4Endpoint> ControlFor(const EdgeTarget& target,
                                                      TimePoint now) const;
   [[nodiscard]] static bool IsUnreachable(const EdgeTarget& target) noexcept;
-  [[nodiscard]] static bool MayReset(const CachedFlow& flow, const Route& route,
-                                     const EdgeTarget& target) noexcept;
+  // Whether the flow's pending request may be reset if its target is lost.
+  [[nodiscard]] static bool IsResettable(const CachedFlow& flow,
+                                         const Route& route,
+                                         const EdgeTarget& target) noexcept;
+  // Whether the target is known to be lost for the flow's pending request.
+  [[nodiscard]] static bool IsLost(const CachedFlow& flow,
+                                   const EdgeTarget& target,
+                                   TimePoint now) noexcept;
+  // Starts a probe if a packet needs one: its target is no longer listed, or is
+  // unreachable according to probes from before the request.
+  void ProbeForPacket(const CachedFlow& flow, const Route& route,
+                      EdgeTarget& target, TimePoint now);
   void ResetFlow(CachedFlow& flow, const EdgeTarget& target,
                  std::string_view request_id, TimePoint now);
   // Moves openings off an unreachable target and resets its waiting flows.
--- a/src/sapphirestream/edge/edge_steering_failover.cc
+++ b/src/sapphirestream/edge/edge_steering_failover.cc
@@ -17,14 +17,17 @@
 void EdgeSteering::StartProbe(EdgeTarget& target, ProbeKind kind,
                               TimePoint now) {
   probes_.Add();
-  // Repeated probes of an unreachable target do not need a control, since they
-  // can only confirm the first outcome.
-  sink_.Probe({.kind = kind,
-               .target = target.record.key,
-               .address = target.record.address,
-               .health_path = routes_.HealthPathOf(target.service),
-               .control = IsUnreachable(target) ? std::nullopt
-                                                : ControlFor(target, now)});
+  // Repeated probes of an unreachable target need a control only if a request
+  // may be reset because of them; otherwise they can only confirm the first
+  // outcome.
+  const bool needs_control =
+      !IsUnreachable(target) || target.has_waiting_request;
+  sink_.Probe(
+      {.kind = kind,
+       .target = target.record.key,
+       .address = target.record.address,
+       .health_path = routes_.HealthPathOf(target.service),
+       .control = needs_control ? ControlFor(target, now) : std::nullopt});
 }
 
 void EdgeSteering::OnTargetProgress(EdgeTarget& target, TimePoint now) {
@@ -54,7 +57,9 @@
     log_.Probed(*target, outcome, begun, now);
   }
   if (IsUnreachable(*target)) AddUnreachable(key, now);
-  if (became_unreachable) FailOverFlows(*target, now);
+  if (became_unreachable || target->has_waiting_request) {
+    FailOverFlows(*target, now);
+  }
   std::erase_if(openings_awaiting_probe_, [this](const Opening& opening) {
     return !IsAwaitingProbe(opening);
   });
@@ -94,11 +99,16 @@
       MoveOpening(*flow, *route, {opening.bytes.data(), opening.size}, now);
     }
   }
+  target.has_waiting_request = false;
+  if (!IsUnreachable(target)) return;
   flows_.ForEach([&](CachedFlow& flow) {
-    if (flow.target != target.record.key || !flow.waiting) return;
+    if (flow.target != target.record.key) return;
     const Route* const route = routes_.Find(flow.service);
-    if (route != nullptr && MayReset(flow, *route, target)) {
+    if (route == nullptr || !IsResettable(flow, *route, target)) return;
+    if (IsLost(flow, target, now)) {
       ResetFlow(flow, target, {}, now);
+    } else {
+      target.has_waiting_request = true;
     }
   });
 }
@@ -107,24 +117,43 @@
   return target.health.state() == Reachability::kUnreachable;
 }
 
-bool EdgeSteering::MayReset(const CachedFlow& flow, const Route& route,
-                            const EdgeTarget& target) noexcept {
-  // Consecutive failed probes that suffice to reset a flow without a
-  // retransmission.
-  constexpr std::uint32_t min_failed_probes = 2;
-  if (flow.phase != FlowPhase::kOpen || !IsUnreachable(target)) return false;
+bool EdgeSteering::IsResettable(const CachedFlow& flow, const Route& route,
+                                const EdgeTarget& target) noexcept {
   // A draining target may refuse connections while it completes its flows.
   if (target.record.draining && target.presence == TargetPresence::kListed) {
     return false;
   }
   // The target may be unreachable only from this instance, so it may still
   // process a request that must not run twice and answer the client directly.
-  if (route.kind != RequestKind::kIdempotent) return false;
+  return flow.phase == FlowPhase::kOpen && flow.waiting &&
+         route.kind == RequestKind::kIdempotent;
+}
+
+bool EdgeSteering::IsLost(const CachedFlow& flow, const EdgeTarget& target,
+                          TimePoint now) noexcept {
+  // Consecutive failed probes that suffice to reset a flow without a
+  // retransmission.
+  constexpr std::uint32_t min_failed_probes = 2;
+  if (!target.health.IsLostSince(flow.waiting_since, now)) return false;
   return flow.repeats > 0 ||
          target.health.failed_probes() >= min_failed_probes ||
          target.presence == TargetPresence::kGone;
 }
 
+void EdgeSteering::ProbeForPacket(const CachedFlow& flow, const Route& route,
+                                  EdgeTarget& target, TimePoint now) {
+  if (IsUnreachable(target)) {
+    if (!IsResettable(flow, route, target)) return;
+    target.has_waiting_request = true;
+    if (target.health.IsLostSince(flow.waiting_since, now)) return;
+  } else if (target.presence != TargetPresence::kGone) {
+    return;
+  }
+  if (target.health.StartIdentityProbeIfDue(now)) {
+    StartProbe(target, ProbeKind::kIdentity, now);
+  }
+}
+
 void EdgeSteering::ResetFlow(CachedFlow& flow, const EdgeTarget& target,
                              std::string_view request_id, TimePoint now) {
   resets_.Add();
--- a/src/sapphirestream/edge/edge_steering_flows.cc
+++ b/src/sapphirestream/edge/edge_steering_flows.cc
@@ -47,13 +47,12 @@
     // The client may use the port for another flow from now on.
     flow->moved = false;
   }
-  if (target->presence == TargetPresence::kGone && !packet.payload.empty() &&
-      target->health.StartIdentityProbeIfDue(now)) {
-    StartProbe(*target, ProbeKind::kIdentity, now);
-  }
-  if (!packet.payload.empty() && MayReset(*flow, route, *target)) {
-    ResetFlow(*flow, *target, packet.request_id, now);
-    return;
+  if (!packet.payload.empty()) {
+    if (IsResettable(*flow, route, *target) && IsLost(*flow, *target, now)) {
+      ResetFlow(*flow, *target, packet.request_id, now);
+      return;
+    }
+    ProbeForPacket(*flow, route, *target, now);
   }
   forwarded_.Add();
   sink_.Forward(target->record.key, target->record.address, packet.bytes,
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -52,6 +52,8 @@
   TimePoint unlisted_at{};
   // Requests forwarded by this instance that are still in progress.
   std::uint32_t outstanding = 0;
+  // Whether a request that may be reset waits for a probe of this target.
+  bool has_waiting_request = false;
   TargetHealth health;
 };
 
--- a/src/sapphirestream/edge/target_health.cc
+++ b/src/sapphirestream/edge/target_health.cc
@@ -86,8 +86,7 @@
 }
 
 bool TargetHealth::StartIdentityProbeIfDue(TimePoint now) noexcept {
-  const bool is_due = !probing_ && now - last_probe_ >= kMinProbeInterval &&
-                      state_ != Reachability::kUnreachable;
+  const bool is_due = !probing_ && now - last_probe_ >= kMinProbeInterval;
   if (is_due) {
     probing_ = true;
     last_kind_ = ProbeKind::kIdentity;
@@ -95,6 +94,11 @@
   return is_due;
 }
 
+bool TargetHealth::IsLostSince(TimePoint since, TimePoint now) const noexcept {
+  return state_ == Reachability::kUnreachable && last_failure_ >= since &&
+         now - last_failure_ <= kMaxProbeAge;
+}
+
 bool TargetHealth::AcceptsNewFlows(TimePoint now) const noexcept {
   switch (state_) {
     case Reachability::kReachable:
--- a/src/sapphirestream/edge/target_health.h
+++ b/src/sapphirestream/edge/target_health.h
@@ -57,9 +57,10 @@
   // Minimum time between two probes of a reachable target, so that flows that
   // move to other instances do not each trigger a probe.
   static constexpr Duration kMinProbeInterval = std::chrono::milliseconds(100);
-  // Time between two probes of an unreachable target. Flows are reset based on
-  // the last outcome, so it must be recent.
+  // Time between two probes of an unreachable target.
   static constexpr Duration kRecheckInterval = std::chrono::milliseconds(400);
+  // Flows are not reset on the outcome of a probe that began longer ago.
+  static constexpr Duration kMaxProbeAge = std::chrono::seconds(1);
 
   // A flow of this target made progress.
   void OnFlowProgress(TimePoint now) noexcept;
@@ -72,9 +73,12 @@
   // Returns true, and marks a probe as started, if an unreachable target is due
   // for another probe.
   [[nodiscard]] bool StartRecheckIfDue(TimePoint now) noexcept;
-  // Returns true, and marks a probe as started, if a packet arrived for a
-  // target that is no longer listed and that can be probed now.
+  // Returns true, and marks a probe as started, if the target can be probed now
+  // because of a packet for it: the target is no longer listed, or unreachable.
   [[nodiscard]] bool StartIdentityProbeIfDue(TimePoint now) noexcept;
+  // Whether the target is unreachable according to a recent probe that began
+  // after `since`. An older probe says nothing about a request of that time.
+  [[nodiscard]] bool IsLostSince(TimePoint since, TimePoint now) const noexcept;
 
   [[nodiscard]] Reachability state() const noexcept { return state_; }
   // Whether the target may get new flows.
--- a/test/edge/edge_steering_flows_test.cc
+++ b/test/edge/edge_steering_flows_test.cc
@@ -164,6 +164,62 @@
       (targets.Find(target)->health.state() == Reachability::kReachable));
 }
 
+// The cut had ended, but the target's entry was not written again yet.
+BOOST_AUTO_TEST_CASE(a_target_without_an_entry_is_probed_before_a_reset) {
+  const TargetKey target = Open(1);
+  MakeUnreachable(target);
+  Remove(target);
+  Advance(2s);
+  probes.clear();
+  Handle(Data(2, sample::kFeed, targets.TokenOf(target), 101, 100, 1));
+  BOOST_TEST(resets.empty());
+  BOOST_REQUIRE(probes.size() == 1U);
+  clock.Advance(6ms);
+  FinishProbe(target, ProbeOutcome::kAccepted);
+  Handle(Data(2, sample::kFeed, targets.TokenOf(target), 201, 100, 600));
+  BOOST_TEST(resets.empty());
+}
+
+// Soak seeds 117, 250 and 7008: an instance had found a crashed target
+// unreachable, and reset flows that another one opened after its restart.
+BOOST_AUTO_TEST_CASE(a_request_is_not_reset_on_an_older_probe) {
+  const TargetKey target = Open(1);
+  MakeUnreachable(target);
+  Advance(TargetHealth::kRecheckInterval);
+  FinishProbe(target, ProbeOutcome::kRefused);
+  clock.Advance(200ms);
+  probes.clear();
+  Handle(Data(2, sample::kFeed, targets.TokenOf(target), 101, 100, 1));
+  BOOST_TEST(resets.empty());
+  BOOST_REQUIRE(probes.size() == 1U);
+  clock.Advance(6ms);
+  FinishProbe(target, ProbeOutcome::kRefused);
+  BOOST_TEST(resets.size() == 1U);
+}
+
+// A control target tells silence of the target from a full link of this
+// instance, also if the target was unreachable before.
+BOOST_AUTO_TEST_CASE(a_probe_that_may_reset_a_request_has_a_control) {
+  const TargetKey target = Open(1);
+  MakeUnreachable(target);
+  clock.Advance(200ms);
+  std::uint32_t client = 2;
+  while (Open(client) == target) ++client;
+  Handle(Data(90, sample::kFeed, targets.TokenOf(target), 101, 100, 1));
+  BOOST_REQUIRE((probes.back() == target));
+  BOOST_TEST(control.has_value());
+}
+
+// After a pause, packets are handled before the timers that renew the probes.
+BOOST_AUTO_TEST_CASE(a_request_is_not_reset_on_a_probe_from_before_a_pause) {
+  const TargetKey target = Open(1);
+  Request(1, target);
+  MakeUnreachable(target);
+  clock.Advance(5s);
+  Request(1, target);
+  BOOST_TEST(resets.empty());
+}
+
 // The target may still process the request and answer the client directly.
 BOOST_AUTO_TEST_CASE(a_non_idempotent_request_is_not_reset) {
   const TargetKey target = Open(1, sample::kOrders);
