Ignore probes that began before a target registered

Callers could see a feed reset, and a target set aside, although its new process serves: a probe of the former process, or of its former address, ended after the new entry had been read, and its outcome was applied to the new entry. An outcome that named another target even retired it until its next entry.

Cause: probes in progress were kept by key, and the health that a new entry brings said nothing of when it begins.

Change: health has a time from which it is valid, set when a target registers, registers again or changes its address. Earlier probes are logged as `probe_ignored` and change nothing.

--- a/src/sapphirestream/edge/edge_log.cc
+++ b/src/sapphirestream/edge/edge_log.cc
@@ -145,4 +145,12 @@
        {"life_age_ms", Milliseconds(now - target.health.last_progress())}});
 }
 
+void EdgeLog::ProbeIgnored(const EdgeTarget& target, ProbeOutcome outcome,
+                           TimePoint begun, TimePoint now) {
+  log_.Write(LogLevel::kInfo, "probe_ignored",
+             {{"target", ToString(target.record.key)},
+              {"outcome", Name(outcome)},
+              {"took_ms", Milliseconds(now - begun)}});
+}
+
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge/edge_log.h
+++ b/src/sapphirestream/edge/edge_log.h
@@ -44,6 +44,10 @@
   void Probed(const EdgeTarget& target, ProbeOutcome outcome, TimePoint begun,
               TimePoint now);
 
+  // A probe ended that began before the target registered.
+  void ProbeIgnored(const EdgeTarget& target, ProbeOutcome outcome,
+                    TimePoint begun, TimePoint now);
+
   // Time from a flow's opening packet to the client's next packet.
   LatencyHistogram& opening_latency() noexcept { return opening_latency_; }
   // Time from a request's first packet to the client's acknowledgement of the
--- a/src/sapphirestream/edge/edge_steering_failover.cc
+++ b/src/sapphirestream/edge/edge_steering_failover.cc
@@ -50,6 +50,10 @@
                            TimePoint now) {
   EdgeTarget* const target = targets_.Find(key);
   if (target == nullptr) return;
+  if (!target->health.IsValid(begun)) {
+    log_.ProbeIgnored(*target, outcome, begun, now);
+    return;
+  }
   const bool was_unreachable = IsUnreachable(*target);
   const bool became_unreachable = target->health.OnProbe(outcome, begun, now);
   if (outcome == ProbeOutcome::kStranger) targets_.Retire(*target, now);
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -45,7 +45,8 @@
   const bool registered_again =
       target.presence != TargetPresence::kListed && !is_restored;
   if (!is_new) RemoveFromIndexes(target);
-  if (restarted || registered_again) target.health = {};
+  const bool moved = target.record.address != record.address;
+  if (restarted || registered_again || moved) target.health = TargetHealth(now);
   if (restarted) {
     target.usable_from = propagated ? now : now + kPropagationDelay;
     RetirePreviousOwner(record, now);
--- a/src/sapphirestream/edge/target_health.h
+++ b/src/sapphirestream/edge/target_health.h
@@ -62,13 +62,24 @@
   // Flows are not reset on the outcome of a probe that began longer ago.
   static constexpr Duration kMaxProbeAge = std::chrono::seconds(1);
 
+  TargetHealth() = default;
+  // Nothing is known about the target before `valid_from`, when it registered:
+  // earlier probes were answered by a former process, or at another address.
+  explicit TargetHealth(TimePoint valid_from) noexcept
+      : valid_from_(valid_from) {}
+
   // A flow of this target made progress.
   void OnFlowProgress(TimePoint now) noexcept;
   // An opening packet was not answered in time, or a client retransmitted a
   // packet. Returns the probe to start now, if any.
   [[nodiscard]] std::optional<ProbeKind> OnUnanswered(
       TimePoint unanswered_since, bool opening, TimePoint now) noexcept;
-  // Returns whether the outcome made the target unreachable.
+  // Whether a probe that began then says something about the target.
+  [[nodiscard]] bool IsValid(TimePoint begun) const noexcept {
+    return begun >= valid_from_;
+  }
+  // Returns whether the outcome made the target unreachable. Precondition: the
+  // probe is valid.
   bool OnProbe(ProbeOutcome outcome, TimePoint begun, TimePoint now) noexcept;
   // Returns true, and marks a probe as started, if an unreachable target is due
   // for another probe.
@@ -96,6 +107,7 @@
   }
 
  private:
+  TimePoint valid_from_{};
   Reachability state_ = Reachability::kReachable;
   bool probing_ = false;
   // Kind of the last probe, and whether its outcome was kAccepted.
--- a/test/edge/edge_steering_flows_test.cc
+++ b/test/edge/edge_steering_flows_test.cc
@@ -2,6 +2,7 @@
 // and against packets that reach the wrong service.
 #include <boost/test/unit_test.hpp>
 
+#include "sapphirestream/base/id.h"
 #include "sapphirestream/edge/edge_steering.h"
 #include "test/edge/edge_steering_fixture.h"
 
@@ -220,6 +221,27 @@
   BOOST_TEST(resets.empty());
 }
 
+// The probe of the former process ended after the new one had registered.
+BOOST_AUTO_TEST_CASE(a_probe_from_before_a_restart_is_ignored) {
+  const TargetKey target = Open(1);
+  Request(1, target);
+  clock.Advance(200ms);
+  Request(1, target);
+  BOOST_REQUIRE(probes.size() == 1U);
+  clock.Advance(10ms);
+  TargetRecord record = targets.Find(target)->record;
+  record.incarnation = Incarnation{Value(record.incarnation) + 1};
+  Add(record);
+  clock.Advance(50ms);
+  for (const auto outcome : {ProbeOutcome::kSilent, ProbeOutcome::kStranger}) {
+    FinishProbe(target, outcome);
+    BOOST_TEST(
+        (targets.Find(target)->health.state() == Reachability::kReachable));
+    BOOST_TEST((targets.Find(target)->presence == TargetPresence::kListed));
+  }
+  BOOST_TEST(resets.empty());
+}
+
 // The target may still process the request and answer the client directly.
 BOOST_AUTO_TEST_CASE(a_non_idempotent_request_is_not_reset) {
   const TargetKey target = Open(1, sample::kOrders);
