Probe an unavailable store in turns

Cause: the reader that failed first held the lock for the probes until it succeeded. The other one waited without a timer.

Change: the turn passes to the next reader that waits with each probe that fails. There are as few probes as before.

The tests of the lock became tests of the turns and check the same: one probe at a time, free after a success or the end of a reader.

--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -133,10 +133,10 @@
       platform_.MakeRouteClient(context_, settings_.store, counters_);
   target_reader_ = std::make_unique<CollectionReader<TargetRecord>>(
       *target_client_, timer_, clock_, random_, view_.target_observer(),
-      probe_lock_, TargetOptions(settings_));
+      probe_turns_, TargetOptions(settings_));
   route_reader_ = std::make_unique<CollectionReader<RouteConfig>>(
       *route_client_, timer_, clock_, random_, view_.route_observer(),
-      probe_lock_, RouteOptions(settings_));
+      probe_turns_, RouteOptions(settings_));
   target_reader_->Start();
   route_reader_->Start();
 }
--- a/src/sapphirestream/edge_io/edge_instance.h
+++ b/src/sapphirestream/edge_io/edge_instance.h
@@ -130,7 +130,7 @@
   std::unique_ptr<CollectionClient<TargetRecord>> target_client_;
   std::unique_ptr<CollectionClient<RouteConfig>> route_client_;
   std::unique_ptr<CollectionClient<RouteConfig>> route_check_client_;
-  ProbeLock probe_lock_;
+  ProbeTurns probe_turns_;
   std::unique_ptr<CollectionReader<TargetRecord>> target_reader_;
   std::unique_ptr<CollectionReader<RouteConfig>> route_reader_;
 
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -19,34 +19,35 @@
 #include "sapphirestream/store/epoch.h"
 #include "sapphirestream/store/era_tracker.h"
 #include "sapphirestream/store/paged_list.h"
-#include "sapphirestream/store/probe_lock.h"
+#include "sapphirestream/store/probe_turns.h"
 #include "sapphirestream/store/timer.h"
 
 namespace sapphirestream {
 
 // Not thread-safe: all calls and callbacks happen on the control thread.
 template <typename Record>
-class CollectionReader {
+class CollectionReader final : private ProbeTurns::Reader {
  public:
   using Reply = CollectionReply<Record>;
 
   // The references must outlive the reader.
   CollectionReader(CollectionClient<Record>& client, Timer& timer,
                    const Clock& clock, Random& random,
-                   CollectionObserver<Record>& observer, ProbeLock& probe_lock,
+                   CollectionObserver<Record>& observer,
+                   ProbeTurns& probe_turns,
                    const CollectionReaderOptions& options)
       : client_(client),
         timer_(timer),
         clock_(clock),
         random_(random),
         observer_(observer),
-        probe_lock_(probe_lock),
+        probe_turns_(probe_turns),
         options_(options),
         backoff_(options.initial_backoff),
         call_deadline_(options.call_deadline) {}
-  ~CollectionReader() {
+  ~CollectionReader() override {
     timer_.Cancel(next_timer_);
-    probe_lock_.Release(this);
+    probe_turns_.Leave(*this);
   }
   CollectionReader(const CollectionReader&) = delete;
   CollectionReader& operator=(const CollectionReader&) = delete;
@@ -341,10 +342,14 @@
       observer_.OnStoreUnavailable(error);
     }
     retry_ = [this, step] { step(*this); };
-    // Another reader probes the store; its success ends the wait.
-    const bool must_wait =
-        has_list_ && unavailable_since_ && !probe_lock_.TryAcquire(this);
-    if (must_wait) return;
+    // The success of another reader ends the wait, too.
+    const bool takes_turns = has_list_ && unavailable_since_;
+    if (takes_turns && !probe_turns_.Request(*this)) return;
+    OnTurn();
+  }
+
+  // ProbeTurns::Reader.
+  void OnTurn() override {
     After(backoff_.Next(random_),
           [](CollectionReader& self) { self.RetryNow(); });
   }
@@ -352,7 +357,7 @@
   void OnSuccess() {
     backoff_.Reset();
     call_deadline_ = options_.call_deadline;
-    probe_lock_.Release(this);
+    probe_turns_.Leave(*this);
     if (!unavailable_since_) return;
     const Duration outage =
         clock_.Now() - *std::exchange(unavailable_since_, {});
@@ -369,7 +374,7 @@
   const Clock& clock_;
   Random& random_;
   CollectionObserver<Record>& observer_;
-  ProbeLock& probe_lock_;
+  ProbeTurns& probe_turns_;
   CollectionReaderOptions options_;
   Backoff backoff_;
   Duration call_deadline_;
--- a/test/store/collection_reader_fixture.h
+++ b/test/store/collection_reader_fixture.h
@@ -123,7 +123,7 @@
   }
   void Start(CollectionReaderOptions options = Options()) {
     reader = std::make_unique<CollectionReader<int>>(client, time, time, random,
-                                                     *this, lock, options);
+                                                     *this, turns, options);
     reader->Start();
   }
 
@@ -131,7 +131,7 @@
   SeededRandom random{1};
   FakeClient client{time};
   std::vector<std::string> events;
-  ProbeLock lock;
+  ProbeTurns turns;
   std::unique_ptr<CollectionReader<int>> reader;
 };
 
--- a/test/store/collection_reader_test.cc
+++ b/test/store/collection_reader_test.cc
@@ -263,25 +263,47 @@
 
 // Two readers that each probed the store doubled the failed calls.
 BOOST_AUTO_TEST_CASE(only_one_reader_probes_an_unavailable_store) {
-  const int other_reader = 0;
+  struct : ProbeTurns::Reader {
+    void OnTurn() override {}
+  } other;
   client.replies = {Reply(7, {"a"}), Failure(ErrorKind::kStoreUnavailable),
                     Reply(7, {}), Reply(8, {"b"})};
-  BOOST_REQUIRE(lock.TryAcquire(&other_reader));
+  BOOST_REQUIRE(turns.Request(other));
   Start();
   time.RunFor(20s);
   BOOST_TEST(client.calls == (Strings{"list ", "watch 7"}),
              boost::test_tools::per_element());
-  lock.Release(&other_reader);
-  reader->RetryNow();
-  time.RunFor(100ms);
+  turns.Leave(other);
+  time.RunFor(300ms);
   BOOST_TEST(events.back() == "snapshot@8 b");
 }
 
+// The calls of one reader failed for a reason of their own, and the other
+// reader waited for its success for 20 s.
+BOOST_AUTO_TEST_CASE(a_reader_whose_probe_failed_gives_its_turn_to_another) {
+  struct : ProbeTurns::Reader {
+    void OnTurn() override { ++count; }
+    int count = 0;
+  } other;
+  client.replies = {Reply(7, {"a"}), Failure(ErrorKind::kStoreUnavailable),
+                    Failure(ErrorKind::kStoreUnavailable)};
+  Start();
+  while (events.empty() || events.back() == "snapshot@7 a") time.RunFor(1ms);
+  BOOST_TEST(!turns.Request(other));
+  time.RunFor(500ms);
+  BOOST_TEST(other.count == 1);
+  time.RunFor(20s);
+  BOOST_TEST(client.calls == (Strings{"list ", "watch 7", "cached 7"}),
+             boost::test_tools::per_element());
+}
+
 // Without a view an instance cannot serve, so its readers do not wait for each
 // other.
 BOOST_AUTO_TEST_CASE(a_first_list_is_retried_by_each_reader) {
-  const int other_reader = 0;
-  BOOST_REQUIRE(lock.TryAcquire(&other_reader));
+  struct : ProbeTurns::Reader {
+    void OnTurn() override {}
+  } other;
+  BOOST_REQUIRE(turns.Request(other));
   client.replies = {Failure(ErrorKind::kStoreUnavailable), Reply(7, {"a"}),
                     Reply(7, {})};
   Start();
@@ -290,21 +312,23 @@
 }
 
 BOOST_AUTO_TEST_CASE(
-    the_lock_is_free_after_a_success_or_the_end_of_its_reader) {
-  const int other_reader = 0;
+    the_turn_is_free_after_a_success_or_the_end_of_its_reader) {
+  struct : ProbeTurns::Reader {
+    void OnTurn() override { ++count; }
+    int count = 0;
+  } other;
   client.replies = {Reply(7, {"a"}), Failure(ErrorKind::kStoreUnavailable)};
-  FailFor(100);
   Start();
-  time.RunFor(5s);
-  BOOST_TEST(!lock.TryAcquire(&other_reader));
-  client.replies = {Reply(7, {}), Reply(8, {"b"})};
+  while (events.empty() || events.back() == "snapshot@7 a") time.RunFor(1ms);
+  BOOST_TEST(!turns.Request(other));
+  client.replies = {Reply(8, {"b"})};
   time.RunFor(2100ms);
-  BOOST_TEST(lock.TryAcquire(&other_reader));
-  lock.Release(&other_reader);
+  BOOST_TEST(other.count == 1);
+  turns.Leave(other);
   client.unanswered.back()(Failure(ErrorKind::kTimedOut));
-  BOOST_TEST(!lock.TryAcquire(&other_reader));
+  BOOST_TEST(!turns.Request(other));
   reader.reset();
-  BOOST_TEST(lock.TryAcquire(&other_reader));
+  BOOST_TEST(other.count == 2);
 }
 
 BOOST_AUTO_TEST_CASE(an_unavailable_store_is_not_polled) {
