Keep the view of targets and routes younger than its bound

Cause: nothing knew up to when the view was complete. Targets were followed by cached watches only, 1.5 s apart, whose lag adds up with that pause and is not bounded by anything; a reply counted as confirmation whatever its age. A lost answer hid changes until the deadline of the watch, and the poll that looks for them covered routes only and was cached itself.

Change: each current read notes when the store had reached which revision (RevisionClock). The counter is the store's own, so that any reply at that revision, also a cached one and of the other collection, is complete up to that time. CollectionChecker reads changes currently when the age of a view reaches an interval that follows from the bound (drain-bound-ms, config-bound-ms: 2.1 s of 3 s, 4.7 s of 6 s), on a connection of its own that a failed call replaces; one current read serves both collections, the other needs a cached one only. Watches of both are cached now. A store that is away is probed by a current read of the changes, which takes the place of a cached probe and a list. Age and bound are shown (view_age_ms, view_stale). An instance whose store is away serves on with its view.

Tests: collection_checker (a lagging cache, silent connections, both, an outage, calls), revision_clock, view_age. With the readers of the first three fail (3.02 s; 15 and 27 of 40 changes not seen in 3 s). Tests of the poll became tests of the check. Two tests changed their expectation: after a failed watch a current read that does not wait shows what the list showed (a change, or lost history), and the cost of an outage now counts failed calls in full, as the store does, with the same bound on their number.

--- a/src/sapphirestream/edge/edge_log.cc
+++ b/src/sapphirestream/edge/edge_log.cc
@@ -40,8 +40,8 @@
 }
 
 std::int64_t EdgeLog::ViewAge(TimePoint now) const noexcept {
-  if (targets_read_at_ == TimePoint{}) return -1;
-  return Milliseconds(now - targets_read_at_);
+  if (targets_complete_until_ == TimePoint{}) return -1;
+  return Milliseconds(now - targets_complete_until_);
 }
 
 void EdgeLog::Placed(const EdgePacket& packet, const EdgePlacement& placement,
--- a/src/sapphirestream/edge/edge_log.h
+++ b/src/sapphirestream/edge/edge_log.h
@@ -24,8 +24,10 @@
   EdgeLog(EventLog& log, const RouteTable& routes)
       : log_(log), routes_(routes) {}
 
-  // Records that the target list was completely up to date at `now`.
-  void OnTargetsRead(TimePoint now) noexcept { targets_read_at_ = now; }
+  // The target list contains every change that was acknowledged before `time`.
+  void SetTargetsCompleteUntil(TimePoint time) noexcept {
+    targets_complete_until_ = time;
+  }
 
   void Placed(const EdgePacket& packet, const EdgePlacement& placement,
               FlowToken token, TimePoint now);
@@ -60,7 +62,7 @@
 
   EventLog& log_;
   const RouteTable& routes_;
-  TimePoint targets_read_at_{};
+  TimePoint targets_complete_until_{};
   LatencyHistogram opening_latency_;
   LatencyHistogram request_latency_;
 };
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -26,18 +26,29 @@
 // The entry of a target that has stopped expires after this many heartbeats.
 constexpr int kMissedHeartbeats = 3;
 
-// Targets change frequently, and their changes tolerate the short delay of
-// cached reads.
-CollectionReaderOptions TargetOptions(const EdgeSettings& settings) {
+// Options of a reader whose view must be younger than `max_age` again soon
+// after an outage.
+CollectionReaderOptions ReaderOptions(Duration max_age) {
+  constexpr int probe_divisor = 2;
+  constexpr int backoff_divisor = 3;
   CollectionReaderOptions options;
+  // Changes tolerate the delay of cached reads; CollectionChecker bounds it.
+  options.freshness = Freshness::kCached;
+  options.max_probe_deadline = max_age / probe_divisor;
+  options.backoff.cap =
+      std::min(options.backoff.cap, max_age / backoff_divisor);
+  return options;
+}
+
+CollectionReaderOptions TargetOptions(const EdgeSettings& settings) {
+  CollectionReaderOptions options = ReaderOptions(settings.drain_bound);
   options.watch_timeout = settings.cached_wait;
   options.min_watch_interval = settings.target_pause;
-  options.freshness = Freshness::kCached;
   return options;
 }
 
 CollectionReaderOptions RouteOptions(const EdgeSettings& settings) {
-  CollectionReaderOptions options;
+  CollectionReaderOptions options = ReaderOptions(settings.config_bound);
   options.watch_timeout = settings.watch_wait;
   options.min_watch_interval = ConfigWatchInterval(settings);
   return options;
@@ -73,7 +84,7 @@
                 settings.flow_capacity),
       view_(routes_, targets_, flow_log_, log, clock, counters_,
             platform.key_of(),
-            {.on_read = [this] { OnViewChanged(); },
+            {.on_read = [this] { CheckAges(); },
              .on_store_recovered = [this] { RetryReaders(); },
              .on_store_restored = [this](StoreEra era) { RelistFor(era); }}),
       prober_(context_, platform.identity_field(), platform.key_of()),
@@ -123,20 +134,27 @@
 }
 
 void EdgeInstance::StartReaders() {
+  checker_.reset();
   target_reader_.reset();
   route_reader_.reset();
-  target_client_ =
-      platform_.MakeTargetClient(context_, settings_.store, counters_);
-  route_client_ =
-      platform_.MakeRouteClient(context_, settings_.store, counters_);
-  route_check_client_ =
-      platform_.MakeRouteClient(context_, settings_.store, counters_);
+  clients_ = platform_.MakeClients(context_, settings_.store, counters_);
+  check_clients_ =
+      platform_.MakeCheckClients(context_, settings_.store, counters_);
+  revision_clock_ = {};
+  const ReaderContext shared{timer_, clock_, random_, probe_turns_,
+                             revision_clock_};
   target_reader_ = std::make_unique<CollectionReader<TargetRecord>>(
-      *target_client_, timer_, clock_, random_, view_.target_observer(),
-      probe_turns_, TargetOptions(settings_));
+      *clients_.targets, *check_clients_.targets, shared,
+      view_.target_observer(), TargetOptions(settings_));
   route_reader_ = std::make_unique<CollectionReader<RouteConfig>>(
-      *route_client_, timer_, clock_, random_, view_.route_observer(),
-      probe_turns_, RouteOptions(settings_));
+      *clients_.routes, *check_clients_.routes, shared, view_.route_observer(),
+      RouteOptions(settings_));
+  checker_ =
+      std::make_unique<CollectionChecker>(timer_, clock_, revision_clock_);
+  checker_->Emplace(*target_reader_, settings_.drain_bound);
+  checker_->Emplace(*route_reader_, settings_.config_bound);
+  view_.targets_age().set_bound(settings_.drain_bound);
+  view_.routes_age().set_bound(settings_.config_bound);
   target_reader_->Start();
   route_reader_->Start();
 }
@@ -144,6 +162,7 @@
 void EdgeInstance::RetryReaders() {
   target_reader_->RetryNow();
   route_reader_->RetryNow();
+  checker_->Run();
 }
 
 void EdgeInstance::RelistFor(StoreEra era) {
@@ -183,15 +202,13 @@
   CheckForSuspend();
   const TimePoint now = clock_.Now();
   OnViewChanged();
-  targets_.Expire(now, view_.targets_confirmed_at());
+  targets_.Expire(now, view_.targets_age().complete_until());
   if (now - last_settings_check_ >= kSettingsCheckPeriod) {
     last_settings_check_ = now;
     ReloadSettings("file");
   }
-  if (now - last_route_check_ >= settings_.cached_wait) {
-    last_route_check_ = now;
-    route_reader_->Poll(*route_check_client_);
-  }
+  view_.targets_age().Report(now);
+  view_.routes_age().Report(now);
   StopWhenDrained(now);
   lines_.Flush();
   if (lifecycle_.state() == EdgeState::kStopped) {
@@ -216,6 +233,13 @@
   StartReaders();
 }
 
+void EdgeInstance::CheckAges() {
+  view_.SetCompleteUntil(target_reader_->CompleteUntil(),
+                         route_reader_->CompleteUntil());
+  checker_->Run();
+  OnViewChanged();
+}
+
 void EdgeInstance::OnViewChanged() {
   if (view_.is_complete()) port_->Start();
   if (lifecycle_.state() != EdgeState::kLoading || !view_.is_complete() ||
@@ -256,6 +280,8 @@
       next->watch_wait != settings_.watch_wait ||
       next->cached_wait != settings_.cached_wait ||
       next->target_pause != settings_.target_pause ||
+      next->drain_bound != settings_.drain_bound ||
+      next->config_bound != settings_.config_bound ||
       ConfigWatchInterval(*next) != ConfigWatchInterval(settings_);
   if (next->store != settings_.store) targets_.ForgetRevisions();
   settings_ = *next;
--- a/src/sapphirestream/edge_io/edge_instance.h
+++ b/src/sapphirestream/edge_io/edge_instance.h
@@ -27,21 +27,33 @@
 #include "sapphirestream/edge_io/packet_port.h"
 #include "sapphirestream/edge_io/target_prober.h"
 #include "sapphirestream/store/asio_timer.h"
+#include "sapphirestream/store/collection_checker.h"
 #include "sapphirestream/store/collection_reader.h"
+#include "sapphirestream/store/revision_clock.h"
 
 namespace sapphirestream {
 
+// Clients of the collections that an instance follows.
+struct StoreClients {
+  std::unique_ptr<CollectionClient<TargetRecord>> targets;
+  std::unique_ptr<CollectionClient<RouteConfig>> routes;
+};
+
 // Platform-specific parts of an instance; implemented by the platform adapter.
 class EdgePlatform {
  public:
   virtual ~EdgePlatform() = default;
   [[nodiscard]] virtual const PacketFormat& format() const noexcept = 0;
-  [[nodiscard]] virtual std::unique_ptr<CollectionClient<TargetRecord>>
-  MakeTargetClient(boost::asio::io_context& context, const Endpoint& store,
-                   CounterSet& counters) const = 0;
-  [[nodiscard]] virtual std::unique_ptr<CollectionClient<RouteConfig>>
-  MakeRouteClient(boost::asio::io_context& context, const Endpoint& store,
-                  CounterSet& counters) const = 0;
+  // Each client has a connection of its own, so that a pending watch does not
+  // block the calls of the other one.
+  [[nodiscard]] virtual StoreClients MakeClients(
+      boost::asio::io_context& context, const Endpoint& store,
+      CounterSet& counters) const = 0;
+  // The clients share a connection: if it is silent, one failed call replaces
+  // it for both.
+  [[nodiscard]] virtual StoreClients MakeCheckClients(
+      boost::asio::io_context& context, const Endpoint& store,
+      CounterSet& counters) const = 0;
   // Returns a function that maps the name of a target's entry to its key.
   [[nodiscard]] virtual EdgeView::KeyOf key_of() const noexcept = 0;
   // HTTP header field that identifies the target in a health check response.
@@ -81,7 +93,7 @@
 
   leaf::result<void> OpenSockets();
   void StartReaders();
-  // Ends the backoff of both readers.
+  // Ends the backoff of both readers and starts the checks that are due.
   void RetryReaders();
   // Makes both readers replace a view from before an era.
   void RelistFor(StoreEra era);
@@ -100,6 +112,8 @@
   [[nodiscard]] HttpResponse HandleReadinessCheck(const HttpRequest& request);
   [[nodiscard]] HttpResponse HandleMetrics(const HttpRequest& request);
   void OnViewChanged();
+  // Updates the ages of the view, and starts the checks that are due.
+  void CheckAges();
 
   boost::asio::io_context context_{1};
   EdgeSettings settings_;
@@ -127,17 +141,17 @@
   std::unique_ptr<PacketPort> port_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> metrics_server_;
-  std::unique_ptr<CollectionClient<TargetRecord>> target_client_;
-  std::unique_ptr<CollectionClient<RouteConfig>> route_client_;
-  std::unique_ptr<CollectionClient<RouteConfig>> route_check_client_;
+  StoreClients clients_;
+  StoreClients check_clients_;
   ProbeTurns probe_turns_;
+  RevisionClock revision_clock_;
   std::unique_ptr<CollectionReader<TargetRecord>> target_reader_;
   std::unique_ptr<CollectionReader<RouteConfig>> route_reader_;
+  std::unique_ptr<CollectionChecker> checker_;
 
   // Expiry of steering_timer_, if it is set.
   std::optional<TimePoint> armed_;
   TimePoint last_settings_check_{};
-  TimePoint last_route_check_{};
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge_io/edge_settings.cc
+++ b/src/sapphirestream/edge_io/edge_settings.cc
@@ -97,12 +97,12 @@
                  return error;
                }},
     SettingRow{"watch-wait-ms", "20000",
-               "long-poll timeout of consistent watches in ms",
+               "long-poll timeout of configuration watches in ms",
                [](std::string_view v, EdgeSettings& s) {
                  return AssignNumber(v, 100, 30000, "ms", s.watch_wait);
                }},
     SettingRow{"cached-wait-ms", "3000",
-               "long-poll timeout of cached watches in ms",
+               "long-poll timeout of target watches in ms",
                [](std::string_view v, EdgeSettings& s) {
                  return AssignNumber(v, 100, 30000, "ms", s.cached_wait);
                }},
@@ -111,6 +111,11 @@
                [](std::string_view v, EdgeSettings& s) {
                  return AssignNumber(v, 0, 10000, "ms", s.target_pause);
                }},
+    SettingRow{"drain-bound-ms", "3000",
+               "time after which a draining target must get no new flows in ms",
+               [](std::string_view v, EdgeSettings& s) {
+                 return AssignNumber(v, 100, 600000, "ms", s.drain_bound);
+               }},
     SettingRow{"config-pause-ms", "500",
                "minimum time between configuration watches in ms",
                [](std::string_view v, EdgeSettings& s) {
--- a/src/sapphirestream/edge_io/edge_settings.h
+++ b/src/sapphirestream/edge_io/edge_settings.h
@@ -31,19 +31,22 @@
   Endpoint store;
   // Time between the stop request and the kill of the process.
   std::chrono::milliseconds grace{};
-  // Long-poll timeout of a consistent watch.
+  // Long-poll timeout of a configuration watch.
   std::chrono::milliseconds watch_wait{};
-  // Long-poll timeout of a cached watch. If a watch is lost on the network, the
-  // instance sees no changes for this time; a change must take effect within
-  // 5 s.
+  // Long-poll timeout of a target watch. A shorter one shows earlier that the
+  // store is away, so that entries that expire meanwhile are not taken for
+  // targets that have left.
   std::chrono::milliseconds cached_wait{};
-  // Minimum time between two watches of targets. A draining target must get no
-  // new flows after 3 s.
+  // Minimum time between two watches of targets.
   std::chrono::milliseconds target_pause{};
+  // Time after which a draining target must get no new flows. The view of the
+  // targets is kept younger.
+  std::chrono::milliseconds drain_bound{};
   // Minimum time between two watches of the configuration; see
   // ConfigWatchInterval.
   std::chrono::milliseconds config_pause{};
-  // Time within which an accepted configuration must take effect.
+  // Time within which an accepted configuration must take effect. The view of
+  // the routes is kept younger.
   std::chrono::milliseconds config_bound{};
   // Interval at which targets confirm their entries.
   std::chrono::milliseconds heartbeat{};
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -38,7 +38,9 @@
       era_changes_(counters.Emplace("store_era_changes_total")),
       outdated_replies_(counters.Emplace("store_outdated_replies_total")),
       ignored_entries_(counters.Emplace("target_entries_ignored_total")),
-      outdated_configs_(counters.Emplace("configs_outdated_total")) {}
+      outdated_configs_(counters.Emplace("configs_outdated_total")),
+      targets_age_("targets", log, counters),
+      routes_age_("routes", log, counters) {}
 
 void EdgeView::ApplySnapshot(
     const std::vector<CollectionItem<TargetRecord>>& items,
@@ -117,26 +119,18 @@
   }
 }
 
-void EdgeView::ReportCurrent(const TargetObserver& /*observer*/) {
-  targets_outdated_ = false;
-  targets_confirmed_at_ = clock_.Now();
-  flow_log_.OnTargetsRead(targets_confirmed_at_);
-  callbacks_.on_read();
+void EdgeView::SetCompleteUntil(TimePoint targets, TimePoint routes) noexcept {
+  targets_age_.SetCompleteUntil(targets);
+  routes_age_.SetCompleteUntil(routes);
+  flow_log_.SetTargetsCompleteUntil(targets_age_.complete_until());
 }
 
-void EdgeView::ReportCurrent(const RouteObserver& /*observer*/) {
-  routes_outdated_ = false;
-  callbacks_.on_read();
-}
-
-void EdgeView::Invalidate() noexcept {
-  targets_outdated_ = true;
-  routes_outdated_ = true;
-  invalidated_at_ = clock_.Now();
-}
+void EdgeView::Invalidate() noexcept { invalidated_at_ = clock_.Now(); }
 
 bool EdgeView::is_outdated() const noexcept {
-  return (targets_outdated_ || routes_outdated_) &&
+  const TimePoint complete_until =
+      std::min(targets_age_.complete_until(), routes_age_.complete_until());
+  return complete_until < invalidated_at_ &&
          clock_.Now() - invalidated_at_ < kMaxOutdatedTime;
 }
 
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -15,6 +15,7 @@
 #include "sapphirestream/edge/edge_log.h"
 #include "sapphirestream/edge/route_table.h"
 #include "sapphirestream/edge/target_directory.h"
+#include "sapphirestream/edge_io/view_age.h"
 #include "sapphirestream/store/collection.h"
 
 namespace sapphirestream {
@@ -57,10 +58,10 @@
   [[nodiscard]] bool is_complete() const noexcept {
     return has_targets_ && routes_.version() != 0;
   }
-  // When the store last confirmed that the listed targets are up to date.
-  [[nodiscard]] TimePoint targets_confirmed_at() const noexcept {
-    return targets_confirmed_at_;
-  }
+  // The ages of the two collections. Changed by SetCompleteUntil.
+  [[nodiscard]] ViewAge& targets_age() noexcept { return targets_age_; }
+  [[nodiscard]] ViewAge& routes_age() noexcept { return routes_age_; }
+  void SetCompleteUntil(TimePoint targets, TimePoint routes) noexcept;
   // Marks the view as outdated until both collections have been read again,
   // because the process was paused: a target may have left or a route may have
   // been withdrawn meanwhile.
@@ -86,7 +87,7 @@
     void OnChanges(const std::vector<CollectionItem<Record>>& items) override {
       view_.ApplyChanges(items);
     }
-    void OnSynced() override { view_.ReportCurrent(*this); }
+    void OnSynced() override { view_.callbacks_.on_read(); }
     void OnStoreUnavailable(ErrorKind error) override {
       view_.ReportStoreLost(collection_, error);
     }
@@ -94,7 +95,7 @@
       view_.ReportStoreRegained(collection_, away);
     }
     void OnCacheOutdated() override { view_.ReportCacheOutdated(collection_); }
-    void OnPollFailed(ErrorKind error) override {
+    void OnCheckFailed(ErrorKind error) override {
       view_.ReportCheckFailed(collection_, error);
     }
     void OnEraChanged(StoreRevision held, StoreRevision offered) override {
@@ -110,8 +111,6 @@
     std::string_view collection_;
   };
   using TargetItem = CollectionItem<TargetRecord>;
-  using TargetObserver = Observer<TargetRecord>;
-  using RouteObserver = Observer<RouteConfig>;
 
   void ApplySnapshot(const std::vector<CollectionItem<TargetRecord>>& items,
                      StoreRevision revision);
@@ -119,8 +118,6 @@
                      StoreRevision revision);
   void ApplyChanges(const std::vector<CollectionItem<TargetRecord>>& items);
   void ApplyChanges(const std::vector<CollectionItem<RouteConfig>>& items);
-  void ReportCurrent(const TargetObserver& observer);
-  void ReportCurrent(const RouteObserver& observer);
   void ReportStoreLost(std::string_view collection, ErrorKind error);
   void ReportStoreRegained(std::string_view collection, Duration away);
   void ReportCacheOutdated(std::string_view collection);
@@ -173,16 +170,15 @@
   bool has_targets_ = false;
   // Era of the last list of targets.
   StoreEra targets_era_ = kUnknownEra;
-  // Whether a collection has not been read since the last pause.
-  bool targets_outdated_ = false;
-  bool routes_outdated_ = false;
+  ViewAge targets_age_;
+  ViewAge routes_age_;
+  // End of the last pause.
   TimePoint invalidated_at_{};
-  TimePoint targets_confirmed_at_{};
   // When the store last recovered from an outage, or the first list after a
   // restoration was read.
   TimePoint recovered_at_{};
-  TargetObserver target_observer_{*this, "targets"};
-  RouteObserver route_observer_{*this, "routes"};
+  Observer<TargetRecord> target_observer_{*this, "targets"};
+  Observer<RouteConfig> route_observer_{*this, "routes"};
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/store/collection.h
+++ b/src/sapphirestream/store/collection.h
@@ -79,7 +79,7 @@
   virtual void OnSnapshot(const std::vector<CollectionItem<Record>>& items,
                           StoreRevision revision) = 0;
   virtual void OnChanges(const std::vector<CollectionItem<Record>>& items) = 0;
-  // A successful reply confirmed that the collection is up to date.
+  // A successful reply was applied.
   virtual void OnSynced() {}
   // Called on the first failed call of an outage, and on the first successful
   // reply after it.
@@ -88,8 +88,8 @@
   // The changes missing from a cached list could not be read because the store
   // has lost its history; the list is read again.
   virtual void OnCacheOutdated() {}
-  // A poll failed; see CollectionReader::Poll.
-  virtual void OnPollFailed(ErrorKind /*error*/) {}
+  // A check failed; see CollectionReader::Check.
+  virtual void OnCheckFailed(ErrorKind /*error*/) {}
   // A reply is from a later era than the view: the store was restored from a
   // backup. The list is read again.
   virtual void OnEraChanged(StoreRevision /*held*/, StoreRevision /*offered*/) {
--- /dev/null
+++ b/src/sapphirestream/store/collection_checker.h
@@ -0,0 +1,84 @@
+// Bounds the age of the local views of a store's collections.
+#ifndef SAPPHIRESTREAM_STORE_COLLECTION_CHECKER_H_
+#define SAPPHIRESTREAM_STORE_COLLECTION_CHECKER_H_
+
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/store/checked_collection.h"
+#include "sapphirestream/store/epoch.h"
+#include "sapphirestream/store/revision_clock.h"
+#include "sapphirestream/store/timer.h"
+
+namespace sapphirestream {
+
+// Times of the checks that keep a view younger than a bound.
+struct CheckTiming {
+  // Age at which a view is checked.
+  Duration interval{};
+  // Deadline of one check. A second one on a new connection still completes the
+  // view within the bound.
+  Duration deadline{};
+};
+
+[[nodiscard]] CheckTiming CheckTimingFor(Duration max_age) noexcept;
+
+// Watches bring changes early, but they tell nothing about the time up to which
+// a view is complete: a cached reply may lag behind without limit, and a
+// connection can go silent. So each view is checked at an interval that follows
+// from the bound on its age. One current read serves all collections: the
+// others need a cached read only, unless it lags behind the current one.
+//
+// Not thread-safe: all calls and callbacks happen on the control thread.
+class CollectionChecker {
+ public:
+  // The references must outlive the checker.
+  CollectionChecker(Timer& timer, const Clock& clock,
+                    const RevisionClock& revision_clock)
+      : timer_(timer), clock_(clock), revision_clock_(revision_clock) {}
+  ~CollectionChecker() { timer_.Cancel(next_timer_); }
+  CollectionChecker(const CollectionChecker&) = delete;
+  CollectionChecker& operator=(const CollectionChecker&) = delete;
+
+  // Collections that were added first are read currently. `collection` must
+  // outlive the checker.
+  void Emplace(CheckedCollection& collection, Duration max_age);
+  // Starts the checks that are due. Must be called when a list is complete and
+  // when the store has recovered; otherwise the checker sets its own timers.
+  void Run();
+
+ private:
+  struct Entry {
+    CheckedCollection* collection = nullptr;
+    CheckTiming timing;
+    bool in_flight = false;
+    // Consecutive failed checks.
+    unsigned failures = 0;
+    // End of the pause after a check that was rejected.
+    TimePoint not_before{};
+    // Latest current read for which a cached check was tried.
+    TimePoint tried_cached{};
+  };
+
+  // Whether a check of another entry has shown that the store is away.
+  [[nodiscard]] bool IsStoreAway() const;
+  // Returns when the entry must be checked, or nothing if it cannot be.
+  [[nodiscard]] std::optional<TimePoint> DueTime(const Entry& entry) const;
+  [[nodiscard]] Freshness FreshnessFor(Entry& entry) const;
+  void Start(std::size_t index);
+  void OnDone(std::size_t index, Freshness freshness, ErrorKind error);
+
+  Timer& timer_;
+  const Clock& clock_;
+  const RevisionClock& revision_clock_;
+  std::vector<Entry> entries_;
+  Epoch<CollectionChecker> epoch_{*this};
+  TimerId next_timer_ = kNoTimer;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_STORE_COLLECTION_CHECKER_H_
--- a/src/sapphirestream/store/collection_reader_options.h
+++ b/src/sapphirestream/store/collection_reader_options.h
@@ -16,6 +16,8 @@
   // repeating large replies that are slow to arrive would keep the link of the
   // store full.
   Duration max_call_deadline = std::chrono::seconds(4);
+  // Longest deadline of a probe, which reads changes only.
+  Duration max_probe_deadline = std::chrono::seconds(4);
   // Time that the store holds a watch open waiting for a change.
   Duration watch_timeout = std::chrono::seconds(10);
   // Minimum time between the starts of two watches, which batches changes in
@@ -24,8 +26,7 @@
   // Consistency of watches and of all lists but the first, which is current.
   // Pages are read from the cache after a failed or rate-limited page.
   Freshness freshness = Freshness::kCurrent;
-  // Time for which reads use kCurrent after a cached reply was found to be
-  // stale.
+  // Time for which reads use kCurrent after a reply was from an earlier era.
   Duration cache_bypass_period = std::chrono::seconds(30);
   // The same after the store was restored. Longer than a cache lags behind: a
   // reply of the lost part might not be recognised.
