Soak: cached reads that lag, silent connections, entries of living targets

Its check of drains and routes excused instances for 7 and 9 s after a disturbance; the users' bound is 4 s, and 3 s for a route instead of 5 s.

--- a/testing/soak/soak_clients.cc
+++ b/testing/soak/soak_clients.cc
@@ -24,12 +24,11 @@
 constexpr std::uint32_t kMaxAttempts = 3;
 constexpr Duration kRetryDelay = 50ms;
 // An accepted configuration change must be applied within this time.
-constexpr Duration kConfigLimit = 5s;
+constexpr Duration kConfigLimit = 3s;
 // A draining target must get no new flows after this time.
 constexpr Duration kDrainLimit = 3s;
-// An instance must use a recovered store or link within this time, which covers
-// the backoff and the timeout of a lost call.
-constexpr Duration kReconnectLimit = 4s;
+// The limits hold at an instance that was undisturbed for this time.
+constexpr Duration kStableWindow = 4s;
 // Requests may need a second attempt for this time after an unplanned fault.
 constexpr Duration kRecoveryLimit = 6s;
 constexpr std::uint16_t kFirstPort = 2000;
@@ -203,8 +202,7 @@
                             store_fault_ != StoreFault::kNone;
         const TimePoint healthy =
             std::max(instance.healthy_since, store_healthy_since_);
-        const TimePoint until =
-            is_cut ? clock_.Now() : healthy + kReconnectLimit;
+        const TimePoint until = is_cut ? clock_.Now() : healthy + kStableWindow;
         return until > targets_changed_ && flow.began < until;
       });
 }
@@ -224,7 +222,7 @@
     return now - route.accepted > kConfigLimit;
   };
   for (std::size_t i = 0; i < instances_.size(); ++i) {
-    if (!IsHealthyFor(i, kConfigLimit + kReconnectLimit)) continue;
+    if (!IsHealthyFor(i, kStableWindow)) continue;
     const auto added = std::find_if(added_.rbegin(), added_.rend(), is_due);
     if (added != added_.rend()) {
       CheckRoute(i, added->address, FlowOutcome::kRefused);
@@ -297,7 +295,7 @@
   const V4Endpoint sender = it->process->sender();
   for (std::size_t i = 0; i < instances_.size(); ++i) {
     const bool is_sender = instances_[i].process->options().data == sender;
-    if (is_sender && IsHealthyFor(i, kDrainLimit + kReconnectLimit)) {
+    if (is_sender && IsHealthyFor(i, kStableWindow)) {
       AddViolation("edge-" + std::to_string(i + 1) +
                    " placed a flow at target " + ToString(target) +
                    " that is draining");
--- a/testing/soak/soak_faults.cc
+++ b/testing/soak/soak_faults.cc
@@ -61,6 +61,22 @@
   store_->SetFault(fault);
 }
 
+void SoakWorld::SetCacheLag(Duration lag) {
+  Log("cached reads lag " +
+      std::to_string(
+          std::chrono::duration_cast<std::chrono::milliseconds>(lag).count()) +
+      " ms");
+  store_->SetCacheLag(lag);
+}
+
+void SoakWorld::SilenceConnections() {
+  Log("connections to the store go silent");
+  for (Instance& instance : instances_) {
+    instance.link->SilenceOpenConnections();
+    instance.healthy_since = clock_.Now();
+  }
+}
+
 void SoakWorld::ForgetHistory() {
   Log("store discards its history");
   store_->ForgetHistory();
@@ -118,6 +134,19 @@
   WriteEntry(*targets_.at(index).process);
 }
 
+void SoakWorld::ExpireEntry(std::size_t index) {
+  Log("entry of target " + std::to_string(index + 1) + " expires");
+  store_->Delete("servers",
+                 EntryName(targets_.at(index).process->record().key));
+}
+
+void SoakWorld::RestoreEntry(std::size_t index) {
+  const Target& target = targets_.at(index);
+  if (!target.process->is_running()) return;
+  Log("entry of target " + std::to_string(index + 1) + " is written again");
+  WriteEntry(*target.process);
+}
+
 void SoakWorld::FreezeTarget(std::size_t index) {
   Log("freeze target " + std::to_string(index + 1));
   ++open_faults_;
--- a/testing/soak/soak_schedule.cc
+++ b/testing/soak/soak_schedule.cc
@@ -35,17 +35,29 @@
 constexpr Duration kMinDrainDelay = 100ms;
 constexpr Duration kMaxDrainDelay = 2500ms;
 constexpr Duration kLongDrainTime = 12s;
+// Faults of the view.
+constexpr std::uint64_t kViewSeed = 0x9e3779b97f4a7c15;
+constexpr std::uint64_t kMaxViewGapMs = 2500;
+constexpr std::uint64_t kMaxCacheLagMs = 4000;
+// Times after which the entry of a target that is cut off expires, after which
+// it is reached again, and after which it writes its entry again.
+constexpr Duration kCutExpiryDelay = 1500ms;
+constexpr Duration kCutTime = 2500ms;
+constexpr Duration kCutReturnDelay = 3200ms;
 
 }  // namespace
 
 SoakSchedule::SoakSchedule(SoakWorld& world)
-    : world_(world), restoration_random_(~world.seed()) {}
+    : world_(world),
+      restoration_random_(~world.seed()),
+      view_random_(world.seed() ^ kViewSeed) {}
 
 SoakSchedule::~SoakSchedule() { EndAllFaults(); }
 
 void SoakSchedule::Start() {
   ScheduleNext();
   ScheduleRestoration();
+  ScheduleViewFault();
 }
 
 void SoakSchedule::ScheduleNext() {
@@ -60,6 +72,7 @@
 void SoakSchedule::EndAllFaults() {
   world_.timer().Cancel(next_);
   world_.timer().Cancel(next_restoration_);
+  world_.timer().Cancel(next_view_fault_);
   for (ActiveFault& fault : std::exchange(active_faults_, {})) {
     world_.timer().Cancel(fault.timer);
     fault.end();
@@ -197,6 +210,40 @@
   });
 }
 
+void SoakSchedule::ScheduleViewFault() {
+  next_view_fault_ = world_.timer().After(
+      std::chrono::milliseconds(100 + view_random_.Below(kMaxViewGapMs)),
+      [this] {
+        InjectViewFault();
+        ScheduleViewFault();
+      });
+}
+
+void SoakSchedule::InjectViewFault() {
+  constexpr std::uint64_t ways = 4;
+  switch (view_random_.Below(ways)) {
+    case 0:
+      return world_.SilenceConnections();
+    case 1:
+      return CutOffTarget();
+    default:
+      // Not ended with the other faults: a cache may always lag.
+      return world_.SetCacheLag(
+          std::chrono::milliseconds(view_random_.Below(kMaxCacheLagMs)));
+  }
+}
+
+void SoakSchedule::CutOffTarget() {
+  const std::size_t index = view_random_.Below(world_.targets());
+  if (!world_.IsUsableTarget(index) || world_.UsablePeersOf(index) == 0) return;
+  world_.FreezeTarget(index);
+  world_.timer().After(kCutExpiryDelay,
+                       [this, index] { world_.ExpireEntry(index); });
+  world_.timer().After(kCutTime, [this, index] { world_.ThawTarget(index); });
+  world_.timer().After(kCutReturnDelay,
+                       [this, index] { world_.RestoreEntry(index); });
+}
+
 void SoakSchedule::InjectTargetFault() {
   const std::size_t index = RandomTarget();
   if (!world_.IsUsableTarget(index) || world_.UsablePeersOf(index) == 0) return;
--- a/testing/soak/soak_schedule.h
+++ b/testing/soak/soak_schedule.h
@@ -43,6 +43,11 @@
   void ScheduleRestoration();
   void InjectRestoration();
   [[nodiscard]] Duration RestorationTime(Duration min, Duration max);
+  // So have faults of the view: a cache that lags, connections to the store
+  // that go silent, and targets whose entry expires while they are cut off.
+  void ScheduleViewFault();
+  void InjectViewFault();
+  void CutOffTarget();
   void InjectTargetFault();
   void DrainAndReplaceRandomTarget();
   // Does nothing if the service needs the target.
@@ -52,8 +57,10 @@
 
   SoakWorld& world_;
   SeededRandom restoration_random_;
+  SeededRandom view_random_;
   TimerId next_ = kNoTimer;
   TimerId next_restoration_ = kNoTimer;
+  TimerId next_view_fault_ = kNoTimer;
   std::list<ActiveFault> active_faults_;
   bool store_fault_active_ = false;
   bool packet_loss_active_ = false;
--- a/testing/soak/soak_world.cc
+++ b/testing/soak/soak_world.cc
@@ -59,7 +59,7 @@
     : options_(options), random_(options.seed), start_(clock_.Now()) {
   const V4Endpoint store = Address(kStoreGroup, 0, kStorePort);
   store_ = std::make_unique<StoreStandin>(context_, ToEndpoint(store), timer_,
-                                          random_);
+                                          clock_, random_);
   const V4Endpoint clients = Address(kClientGroup, 0, kDataPort);
   clients_socket_ = {
       context_, asio::ip::udp::endpoint(asio::ip::address_v4(clients.address),
--- a/testing/soak/soak_world.h
+++ b/testing/soak/soak_world.h
@@ -86,6 +86,10 @@
   void ReloadInstance(std::size_t index, bool with_signal);
   void SetLinkFault(std::size_t index, LinkFault fault);
   void SetStoreFault(StoreFault fault);
+  // Cached reads of the store return the state of this long ago.
+  void SetCacheLag(Duration lag);
+  // All open connections to the store go silent for good; new ones work.
+  void SilenceConnections();
   void ForgetHistory();
   // ExpireEntries removes the entries of all targets; RestoreEntries writes
   // those of running targets again.
@@ -98,6 +102,9 @@
   void ExpireReplacedEntries();
   void CrashTarget(std::size_t index);
   void RestartTarget(std::size_t index);
+  // Removes or writes the entry of one target that is alive.
+  void ExpireEntry(std::size_t index);
+  void RestoreEntry(std::size_t index);
   void FreezeTarget(std::size_t index);
   void ThawTarget(std::size_t index);
   void DrainTarget(std::size_t index);
--- a/testing/soak/store_standin.cc
+++ b/testing/soak/store_standin.cc
@@ -51,8 +51,9 @@
 }
 
 StoreStandin::StoreStandin(boost::asio::io_context& context,
-                           const Endpoint& local, Timer& timer, Random& random)
-    : timer_(timer), random_(random) {
+                           const Endpoint& local, Timer& timer,
+                           const Clock& clock, Random& random)
+    : timer_(timer), clock_(clock), random_(random) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
         BOOST_LEAF_ASSIGN(server_,
@@ -75,7 +76,7 @@
 }
 
 void StoreStandin::TakeCopy() {
-  copies_.push_back({revision_, objects_});
+  copies_.push_back({clock_.Now(), revision_, objects_});
   if (copies_.size() > kMaxCopies) copies_.pop_front();
   timer_.After(kCopyInterval, [this] { TakeCopy(); });
 }
@@ -89,7 +90,7 @@
   ++era_;
   changes_.clear();
   history_from_ = revision_;
-  copies_.assign(1, {revision_, objects_});
+  copies_.assign(1, {clock_.Now(), revision_, objects_});
   EndWatches();
 }
 
@@ -116,7 +117,7 @@
 
 void StoreStandin::Record(const std::string& kind, const std::string& name,
                           const std::string& spec) {
-  changes_.push_back({++revision_, kind, name, spec});
+  changes_.push_back({clock_.Now(), ++revision_, kind, name, spec});
 }
 
 void StoreStandin::ForgetHistory() {
@@ -169,18 +170,41 @@
   }
   const std::string kind(path.substr(std::min(path.size(), kPath.size())));
   const std::string since = QueryParameter(query, "Watch");
-  if (since.empty()) return reply(List(kind, QueryParameter(query, "after")));
+  if (since.empty()) {
+    const std::string after = QueryParameter(query, "after");
+    if (!is_cached || cache_lag_ == Duration::zero()) {
+      return reply(List(objects_, revision_, kind, after));
+    }
+    const Copy copy = CachedCopy();
+    return reply(List(copy.objects, copy.revision, kind, after));
+  }
   const std::string wait = QueryParameter(query, "WaitMs");
-  StartWatch({kind, std::stoull(since), reply},
+  StartWatch({kind, std::stoull(since), is_cached, reply},
              std::chrono::milliseconds(wait.empty() ? 0 : std::stoul(wait)));
 }
 
-HttpResponse StoreStandin::List(const std::string& kind,
-                                const std::string& after) const {
+std::uint64_t StoreStandin::Visible(bool is_cached) const {
+  if (!is_cached) return revision_;
+  const auto hidden = std::find_if(
+      changes_.begin(), changes_.end(),
+      [this](const Change& c) { return clock_.Now() - c.time < cache_lag_; });
+  return hidden == changes_.end() ? revision_ : hidden->revision - 1;
+}
+
+StoreStandin::Copy StoreStandin::CachedCopy() const {
+  const auto copy = std::find_if(
+      copies_.rbegin(), copies_.rend(),
+      [this](const Copy& c) { return clock_.Now() - c.time >= cache_lag_; });
+  return copy == copies_.rend() ? copies_.front() : *copy;
+}
+
+HttpResponse StoreStandin::List(const Objects& objects, std::uint64_t revision,
+                                const std::string& kind,
+                                const std::string& after) {
   std::string items;
   std::size_t count = 0;
   bool is_truncated = false;
-  if (const auto it = objects_.find(kind); it != objects_.end()) {
+  if (const auto it = objects.find(kind); it != objects.end()) {
     auto object = it->second.upper_bound(after);
     for (; object != it->second.end() && count < kPageSize; ++object, ++count) {
       if (count > 0) items += ',';
@@ -191,18 +215,22 @@
   }
   return {.body = R"({"items":[)" + items + R"(],"Truncated":)" +
                   (is_truncated ? "true" : "false") + R"(,"CurrentRev":)" +
-                  std::to_string(revision_) + "}"};
+                  std::to_string(revision) + "}"};
 }
 
 bool StoreStandin::HasChanges(const Watch& watch) const {
+  const std::uint64_t visible = Visible(watch.is_cached);
   return std::any_of(changes_.begin(), changes_.end(), [&](const Change& c) {
-    return c.kind == watch.kind && c.revision > watch.since;
+    return c.kind == watch.kind && c.revision > watch.since &&
+           c.revision <= visible;
   });
 }
 
 HttpResponse StoreStandin::Changes(const Watch& watch) const {
+  const std::uint64_t visible = Visible(watch.is_cached);
   std::string events;
   for (const Change& change : changes_) {
+    if (change.revision > visible) break;
     if (change.kind != watch.kind || change.revision <= watch.since) continue;
     if (!events.empty()) events += ',';
     events += R"({"Tombstone":)";
@@ -211,7 +239,7 @@
               ObjectJson(change.name, change.revision, change.spec) + "}";
   }
   return {.body = R"({"events":[)" + events + R"(],"CurrentRev":)" +
-                  std::to_string(revision_) + "}"};
+                  std::to_string(visible) + "}"};
 }
 
 void StoreStandin::StartWatch(Watch watch, Duration wait) {
--- a/testing/soak/store_standin.h
+++ b/testing/soak/store_standin.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "sapphirestream/admin/http_server.h"
+#include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/store/timer.h"
 
@@ -33,13 +34,15 @@
  public:
   // Throws std::runtime_error if the address cannot be opened.
   StoreStandin(boost::asio::io_context& context, const Endpoint& local,
-               Timer& timer, Random& random);
+               Timer& timer, const Clock& clock, Random& random);
 
   // `spec` is a JSON object.
   void Put(const std::string& kind, const std::string& name,
            const std::string& spec);
   void Delete(const std::string& kind, const std::string& name);
   void SetFault(StoreFault fault);
+  // Cached reads return the state of this long ago.
+  void SetCacheLag(Duration lag) noexcept { cache_lag_ = lag; }
   // Discards the history of changes and ends all watches.
   void ForgetHistory();
   // Restores a copy of the objects that is about `age` old, or the oldest one.
@@ -54,6 +57,7 @@
     std::string spec;
   };
   struct Change {
+    TimePoint time;
     std::uint64_t revision = 0;
     std::string kind;
     std::string name;
@@ -63,11 +67,13 @@
   struct Watch {
     std::string kind;
     std::uint64_t since = 0;
+    bool is_cached = false;
     HttpServer::Reply reply;
     TimerId timer = kNoTimer;
   };
   using Objects = std::map<std::string, std::map<std::string, Object>>;
   struct Copy {
+    TimePoint time;
     std::uint64_t revision = 0;
     Objects objects;
   };
@@ -80,8 +86,14 @@
   // Adds the era to each response.
   [[nodiscard]] HttpServer::Reply WithEra(HttpServer::Reply reply) const;
   void Handle(const HttpRequest& request, const HttpServer::Reply& reply);
-  [[nodiscard]] HttpResponse List(const std::string& kind,
-                                  const std::string& after) const;
+  // Returns the last revision that a read can see.
+  [[nodiscard]] std::uint64_t Visible(bool is_cached) const;
+  // Returns a copy that is older than the cache's lag, or the oldest one.
+  [[nodiscard]] Copy CachedCopy() const;
+  [[nodiscard]] static HttpResponse List(const Objects& objects,
+                                         std::uint64_t revision,
+                                         const std::string& kind,
+                                         const std::string& after);
   [[nodiscard]] HttpResponse Changes(const Watch& watch) const;
   [[nodiscard]] bool HasChanges(const Watch& watch) const;
   void StartWatch(Watch watch, Duration wait);
@@ -91,6 +103,7 @@
               const std::string& spec);
 
   Timer& timer_;
+  const Clock& clock_;
   Random& random_;
   StoreFault fault_ = StoreFault::kNone;
   std::uint64_t revision_ = 1;
@@ -98,6 +111,7 @@
   std::uint64_t history_from_ = 1;
   // Rises with each restoration.
   std::uint64_t era_ = 1;
+  Duration cache_lag_{};
   Objects objects_;
   // The last copies, newest last.
   std::deque<Copy> copies_;
--- a/testing/soak/tcp_proxy.cc
+++ b/testing/soak/tcp_proxy.cc
@@ -58,6 +58,7 @@
     ResetSocket(client_);
     ResetSocket(server_);
   }
+  void Silence() noexcept { is_silent_ = true; }
 
  private:
   struct Pump {
@@ -96,6 +97,7 @@
   }
 
   void Write(Pump& pump) {
+    if (is_silent_) return Read(pump);
     if (IsHeld(pump)) return WriteAfter(pump, kHoldCheckInterval);
     asio::async_write(pump.to, asio::buffer(pump.buffer.data(), pump.size),
                       [self = shared_from_this(), &pump](
@@ -110,6 +112,8 @@
   tcp::socket server_;
   Pump requests_;
   Pump responses_;
+  // Whether all data is discarded.
+  bool is_silent_ = false;
 };
 
 TcpProxy::TcpProxy(asio::io_context& context, const Endpoint& local,
@@ -127,6 +131,12 @@
   connections_.clear();
 }
 
+void TcpProxy::SilenceOpenConnections() {
+  for (const auto& weak : connections_) {
+    if (const auto connection = weak.lock()) connection->Silence();
+  }
+}
+
 void TcpProxy::Accept() {
   acceptor_.async_accept([this](const error_code& error, tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
--- a/testing/soak/tcp_proxy.h
+++ b/testing/soak/tcp_proxy.h
@@ -31,6 +31,8 @@
            const Endpoint& server);
 
   void SetFault(LinkFault fault);
+  // Open connections carry nothing any more, without a reset; new ones work.
+  void SilenceOpenConnections();
   [[nodiscard]] LinkFault fault() const noexcept { return fault_; }
 
  private:
