Let entries of unknown services retire no target

Cause: an address that is named by a later entry shows that its former owner has stopped, and any entry counted.

Change: only the entry of a service that the current configuration names does. Entries under an unknown service are kept as before, since the configuration may follow.

--- a/src/sapphirestream/edge/route_table.cc
+++ b/src/sapphirestream/edge/route_table.cc
@@ -35,6 +35,7 @@
     }
     for (const WeightedService& service : spec.services) {
       const ServiceNumber number = Number(service.name);
+      services_[Value(number)].version = config.version;
       route.shares.push_back({number, service.weight});
       if (!route.Allows(number)) route.allowed.push_back(number);
     }
@@ -48,7 +49,9 @@
   }
   routes_ = std::move(next);
   for (const ServiceSpec& service : config.services) {
-    services_[Value(Number(service.name))].health_path = service.health_path;
+    Service& configured = services_[Value(Number(service.name))];
+    configured.health_path = service.health_path;
+    configured.version = config.version;
   }
   version_ = config.version;
   return true;
@@ -68,10 +71,14 @@
   const auto next = static_cast<std::uint32_t>(services_.size());
   const auto [it, is_new] =
       numbers_.try_emplace(std::string(service), ServiceNumber{next});
-  if (is_new) services_.push_back({std::string(service), {}});
+  if (is_new) services_.push_back({std::string(service), {}, 0});
   return it->second;
 }
 
+bool RouteTable::IsConfigured(ServiceNumber service) const noexcept {
+  return version_ != 0 && services_[Value(service)].version == version_;
+}
+
 std::string_view RouteTable::NameOf(ServiceNumber service) const noexcept {
   return services_[Value(service)].name;
 }
--- a/src/sapphirestream/edge/route_table.h
+++ b/src/sapphirestream/edge/route_table.h
@@ -88,6 +88,8 @@
   [[nodiscard]] bool WasRemoved(V4Endpoint address) const noexcept;
   // Returns the index of a service; adds the service if it is unknown.
   [[nodiscard]] ServiceNumber Number(std::string_view service);
+  // Whether the current version names the service, itself or in a route.
+  [[nodiscard]] bool IsConfigured(ServiceNumber service) const noexcept;
   [[nodiscard]] std::string_view NameOf(ServiceNumber service) const noexcept;
   // Returns an empty string if none is configured.
   [[nodiscard]] std::string_view HealthPathOf(
@@ -98,9 +100,16 @@
   [[nodiscard]] std::size_t size() const noexcept { return routes_.size(); }
 
  private:
+  struct Service {
+    std::string name;
+    std::string health_path;
+    // Last version that named the service; zero if there was none.
+    std::uint64_t version = 0;
+  };
+
   std::uint64_t version_ = 0;
   // Indexed by ServiceNumber; entries are never removed.
-  std::vector<ServiceSpec> services_;
+  std::vector<Service> services_;
   std::unordered_map<std::string, ServiceNumber> numbers_;
   std::unordered_map<V4Endpoint, Route, V4EndpointHash> routes_;
   // The last kMaxRemoved addresses of removed routes, oldest first.
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -47,15 +47,16 @@
   if (!is_new) RemoveFromIndexes(target);
   const bool moved = target.record.address != record.address;
   if (restarted || registered_again || moved) target.health = TargetHealth(now);
+  target.service = routes_.Number(record.service);
   if (restarted) {
     target.usable_from = propagated ? now : now + kPropagationDelay;
-    RetirePreviousOwner(record, now);
+    // Any writer may name any address under a service of its own.
+    if (routes_.IsConfigured(target.service)) RetirePreviousOwner(record, now);
   } else if (is_restored && target.presence == TargetPresence::kGone) {
     target.usable_from = now + entry_lifetime_ + kPropagationDelay;
   }
   target.record = record;
   target.revision = revision;
-  target.service = routes_.Number(record.service);
   target.presence = TargetPresence::kListed;
   target.is_local = record.domain == domain_;
   target.cold_until = now + record.cold_remaining;
--- a/test/edge/route_table_test.cc
+++ b/test/edge/route_table_test.cc
@@ -64,6 +64,19 @@
   BOOST_TEST(counts[2] == 0);
 }
 
+BOOST_AUTO_TEST_CASE(only_services_of_the_current_version_are_configured) {
+  RouteTable table;
+  BOOST_TEST(!table.IsConfigured(table.Number("desk")));
+  RouteConfig config = sample::Routes(1);
+  config.services.push_back({"spare", "/health"});
+  table.Apply(config);
+  BOOST_TEST(table.IsConfigured(table.Number("desk")));
+  BOOST_TEST(table.IsConfigured(table.Number("spare")));
+  BOOST_TEST(!table.IsConfigured(table.Number("nobody")));
+  table.Apply(sample::Routes(2));
+  BOOST_TEST(!table.IsConfigured(table.Number("spare")));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/edge/target_directory_test.cc
+++ b/test/edge/target_directory_test.cc
@@ -242,6 +242,22 @@
   BOOST_TEST(targets.Find(TargetKey{1})->record.draining);
 }
 
+// Any writer may leave an entry that names the addresses of living targets.
+BOOST_AUTO_TEST_CASE(an_entry_of_an_unknown_service_retires_no_target) {
+  Add(sample::Target(1, "a"));
+  TargetRecord odd = sample::Target(7, "a", "nobody");
+  odd.address = sample::Target(1, "a").address;
+  odd.incarnation = Incarnation{5000};
+  Add(odd, 2);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
+  // An address that was given to another service does.
+  TargetRecord next = sample::Target(8, "a", "intake");
+  next.address = odd.address;
+  next.incarnation = Incarnation{6000};
+  Add(next, 3);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
