Let an odd entry cost itself alone

Cause: each reply was parsed as a whole, with a depth limit and strict strings. One part that the parser rejects made the whole list, page or event unreadable, and the reader took that for an outage of the store: it probed with the same read for ever, and the other collection waited. A reply without its entries, on the other hand, counted as an empty list.

What cannot be decoded has no record; its name and revision are kept where they can be read. An ignored entry is counted and logged once for each revision (target_entry_malformed), with a name that is printable; ignored routes are counted in config_applied.

--- a/src/sapphirestream/edge/route_table.h
+++ b/src/sapphirestream/edge/route_table.h
@@ -51,6 +51,8 @@
   std::uint64_t version = 0;
   std::vector<RouteSpec> routes;
   std::vector<ServiceSpec> services;
+  // Number of routes that cannot be used, and that are not in `routes`.
+  std::size_t ignored_routes = 0;
 };
 
 // A route with its services resolved to indexes.
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -32,6 +32,7 @@
       lost_(counters.Emplace("store_lost_total")),
       refused_(counters.Emplace("store_refusals_total")),
       malformed_(counters.Emplace("target_entries_malformed_total")),
+      malformed_replies_(counters.Emplace("store_replies_malformed_total")),
       config_version_(counters.Emplace("config_version")),
       listed_(counters.Emplace("targets_listed")),
       era_(counters.Emplace("store_era")),
@@ -97,7 +98,10 @@
 void EdgeView::ApplyChanges(
     const std::vector<CollectionItem<RouteConfig>>& items) {
   for (const auto& item : items) {
-    if (!item.record) continue;
+    if (!item.record) {
+      if (!item.deleted) ReportReplyMalformed("routes");
+      continue;
+    }
     const std::uint64_t before = routes_.version();
     if (!routes_.Apply(*item.record)) {
       if (item.record->version == before) continue;
@@ -114,6 +118,7 @@
                {{"version", routes_.version()},
                 {"before", before},
                 {"routes", routes_.size()},
+                {"ignored", item.record->ignored_routes},
                 {"revision", item.revision.number},
                 {"era", Value(item.revision.era)}});
   }
@@ -194,6 +199,12 @@
               {"era", Value(revision.era)}});
 }
 
+void EdgeView::ReportReplyMalformed(std::string_view collection) {
+  malformed_replies_.Add();
+  log_.Write(LogLevel::kWarn, "store_reply_malformed",
+             {{"collection", collection}});
+}
+
 void EdgeView::ReportRefused(std::string_view collection) {
   refused_.Add();
   log_.Write(LogLevel::kWarn, "store_refused", {{"collection", collection}});
@@ -218,7 +229,7 @@
                            bool propagated) {
   const auto key = key_of_(item.name);
   if (!item.record) {
-    if (!item.deleted) malformed_.Add();
+    if (!item.deleted) ReportMalformed(item);
     if (key) EraseTarget(*key, item);
     return;
   }
@@ -241,6 +252,15 @@
               {"era", Value(item.revision.era)}});
 }
 
+void EdgeView::ReportMalformed(const TargetItem& item) {
+  if (!malformed_entries_.Insert(item.name, item.revision)) return;
+  malformed_.Add();
+  log_.Write(LogLevel::kWarn, "target_entry_malformed",
+             {{"entry", PrintableName(item.name)},
+              {"revision", item.revision.number},
+              {"era", Value(item.revision.era)}});
+}
+
 void EdgeView::EraseTarget(TargetKey key, const TargetItem& removal) {
   const bool was_unavailable = StoreRecentlyRecovered();
   const StoreRevision held = HeldRevision(key);
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -15,6 +15,7 @@
 #include "sapphirestream/edge/edge_log.h"
 #include "sapphirestream/edge/route_table.h"
 #include "sapphirestream/edge/target_directory.h"
+#include "sapphirestream/edge_io/malformed_entries.h"
 #include "sapphirestream/edge_io/view_age.h"
 #include "sapphirestream/store/collection.h"
 
@@ -104,6 +105,9 @@
     void OnOutdatedReply(StoreRevision held, StoreRevision offered) override {
       view_.ReportOutdatedReply(collection_, held, offered);
     }
+    void OnReplyMalformed() override {
+      view_.ReportReplyMalformed(collection_);
+    }
     void OnRateLimited() override { view_.ReportRefused(collection_); }
 
    private:
@@ -122,6 +126,7 @@
   void ReportStoreRegained(std::string_view collection, Duration away);
   void ReportCacheOutdated(std::string_view collection);
   void ReportCheckFailed(std::string_view collection, ErrorKind error);
+  void ReportReplyMalformed(std::string_view collection);
   void ReportRefused(std::string_view collection);
   void ReportEraChanged(std::string_view collection, StoreRevision held,
                         StoreRevision offered);
@@ -131,6 +136,8 @@
                   StoreRevision revision);
 
   void ApplyTarget(const CollectionItem<TargetRecord>& item, bool propagated);
+  // Reports an entry that cannot be used, once for each of its revisions.
+  void ReportMalformed(const TargetItem& item);
   // Whether targets may be missing from a list because they registered after
   // the copy that the store was restored from.
   [[nodiscard]] bool IsFirstListOf(StoreEra era) const noexcept {
@@ -160,6 +167,7 @@
   Counter& lost_;
   Counter& refused_;
   Counter& malformed_;
+  Counter& malformed_replies_;
   Counter& config_version_;
   Counter& listed_;
   Counter& era_;
@@ -170,6 +178,7 @@
   bool has_targets_ = false;
   // Era of the last list of targets.
   StoreEra targets_era_ = kUnknownEra;
+  MalformedEntries malformed_entries_;
   ViewAge targets_age_;
   ViewAge routes_age_;
   // End of the last pause.
--- a/src/sapphirestream/store/collection.h
+++ b/src/sapphirestream/store/collection.h
@@ -17,6 +17,7 @@
 
 template <typename Record>
 struct CollectionItem {
+  // Empty if it cannot be decoded.
   std::string name;
   StoreRevision revision;
   bool deleted = false;
@@ -27,7 +28,7 @@
 template <typename Record>
 struct CollectionReply {
   // kNone, kHistoryLost (the list must be read again), kRateLimited,
-  // kStoreUnavailable or kTimedOut.
+  // kMalformedJson, kStoreUnavailable or kTimedOut.
   ErrorKind error = ErrorKind::kNone;
   // Revision of the whole store at the time of the reply. Failed replies have
   // no number, and no era either if the store did not answer.
@@ -97,6 +98,9 @@
   // A reply is from an earlier era than the view and was ignored.
   virtual void OnOutdatedReply(StoreRevision /*held*/,
                                StoreRevision /*offered*/) {}
+  // The store answered, but the reply cannot be used. An item that cannot be
+  // decoded does not make its reply unusable.
+  virtual void OnReplyMalformed() {}
   // The store rejected a call because all instances together exceed its rate
   // limit.
   virtual void OnRateLimited() {}
--- a/src/sapphirestream/store/collection_reader_impl.h
+++ b/src/sapphirestream/store/collection_reader_impl.h
@@ -56,7 +56,10 @@
   OnSuccess();
   ObserveTime(reply, list_freshness_, call_began_);
   const bool has_more = reply.has_more && !reply.items.empty();
-  list_.Append(std::move(reply));
+  const bool can_continue = list_.Append(std::move(reply));
+  if (has_more && !can_continue) {
+    return Retry(ErrorKind::kMalformedJson, &CollectionReader::ReadCurrentList);
+  }
   if (has_more) return ReadPage();
   if (!has_list_ && list_freshness_ == Freshness::kCached) {
     return ConfirmList();
@@ -83,6 +86,9 @@
     observer_.OnCacheOutdated();
     return ReadCurrentList();
   }
+  if (reply.error == ErrorKind::kMalformedJson) {
+    return Retry(reply.error, &CollectionReader::ReadCurrentList);
+  }
   if (reply.error != ErrorKind::kNone) {
     return Retry(reply.error, &CollectionReader::ConfirmList);
   }
@@ -135,6 +141,9 @@
     if (freshness == Freshness::kCached) return Probe();
     return ReadCurrentList();
   }
+  if (reply.error == ErrorKind::kMalformedJson) {
+    return Retry(reply.error, &CollectionReader::ReadCurrentList);
+  }
   if (reply.error != ErrorKind::kNone) {
     return Retry(reply.error, &CollectionReader::Probe);
   }
@@ -228,6 +237,12 @@
 template <typename Record>
 void CollectionReader<Record>::Retry(ErrorKind error, Step step) {
   retry_ = [this, step] { (this->*step)(); };
+  if (error == ErrorKind::kMalformedJson) {
+    // The store has answered.
+    OnSuccess();
+    observer_.OnReplyMalformed();
+    return After(options_.malformed_pause, &CollectionReader::RetryNow);
+  }
   if (error == ErrorKind::kRateLimited) observer_.OnRateLimited();
   if (outage_.OnFailure(error, Now())) observer_.OnStoreUnavailable(error);
   // Without a usable view, a reader does not wait for the others.
--- a/src/sapphirestream/store/paged_list.h
+++ b/src/sapphirestream/store/paged_list.h
@@ -20,12 +20,19 @@
 
   void Clear() noexcept {
     items_.clear();
+    last_name_.clear();
     revision_.reset();
   }
   // Adds the next page. Precondition: it is from the era of the pages before.
-  void Append(CollectionReply<Record> page) {
+  // Returns whether it has a name after which another page can be read.
+  bool Append(CollectionReply<Record> page) {
+    const std::string before = last_name_;
+    for (const Item& item : page.items) {
+      if (!item.name.empty()) last_name_ = item.name;
+    }
     std::move(page.items.begin(), page.items.end(), std::back_inserter(items_));
     revision_ = std::min(revision_.value_or(page.revision), page.revision);
+    return last_name_ != before;
   }
   // Applies a change that was made after the list.
   void Apply(Item change) {
@@ -46,8 +53,8 @@
   }
 
   // Name after which the next page starts; empty for the first page.
-  [[nodiscard]] std::string last_name() const {
-    return items_.empty() ? std::string{} : items_.back().name;
+  [[nodiscard]] const std::string& last_name() const noexcept {
+    return last_name_;
   }
   // Lowest revision of the pages. The first watch starts from it, so that it
   // returns changes made while the pages were read and changes missing from
@@ -58,6 +65,8 @@
 
  private:
   std::vector<Item> items_;
+  // Last name that could be decoded.
+  std::string last_name_;
   // Empty before the first page.
   std::optional<StoreRevision> revision_;
 };
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -183,12 +183,37 @@
   BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
 }
 
+// Each list contains the entry again.
+BOOST_AUTO_TEST_CASE(a_malformed_entry_is_reported_once_for_each_change) {
+  const CollectionItem<TargetRecord> odd{"i-9", At(2), false, std::nullopt};
+  const Counter& malformed = counters.Emplace("target_entries_malformed_total");
+  for (int i = 0; i < 5; ++i) {
+    observer().OnSnapshot({Item(1, 1), odd}, At(2));
+  }
+  BOOST_TEST(malformed.value() == 1U);
+  const auto is_report = [](const std::string& line) {
+    return line == "event=target_entry_malformed entry=i-9 revision=2 era=1";
+  };
+  BOOST_TEST(std::count_if(lines.begin(), lines.end(), is_report) == 1);
+  observer().OnChanges({{"i-9", At(3), false, std::nullopt}});
+  BOOST_TEST(malformed.value() == 2U);
+  BOOST_TEST(lines.back().find("revision=3") != std::string::npos);
+}
+
+// A reply that cannot be used says nothing about the store's availability.
+BOOST_AUTO_TEST_CASE(a_malformed_reply_is_not_an_outage) {
+  observer().OnReplyMalformed();
+  BOOST_TEST(lines.back() == "event=store_reply_malformed collection=targets");
+  BOOST_TEST(!view.is_recovering());
+}
+
 // On-call engineers rely on these log lines.
 BOOST_AUTO_TEST_CASE(changes_of_the_view_are_logged) {
   ReadRoutes(2);
   BOOST_TEST(
       lines.back() ==
-      "event=config_applied version=2 before=0 routes=3 revision=2 era=1");
+      "event=config_applied version=2 before=0 routes=3 ignored=0 revision=2 "
+      "era=1");
   observer().OnSnapshot({Item(1, 1)}, At(1));
   BOOST_TEST(lines.back() == "event=targets_loaded targets=1 revision=1 era=1");
   observer().OnChanges({Item(2, 2)});
--- /dev/null
+++ b/test/platform/odd_entry_test.cc
@@ -0,0 +1,205 @@
+// Guards against an entry of another writer that hides valid entries, at any
+// place of a list, a page or an event: instances could not read the list any
+// more, and after a restart none served.
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "platform/object_codec.h"
+#include "sapphirestream/base/id.h"
+
+namespace sapphirestream::platform {
+namespace {
+
+std::string Entry(const std::string& name, const std::string& spec) {
+  return R"({"meta":{"Name":")" + name +
+         R"(","Revision":12,"CreateRevision":3,"Finalizers":[],)"
+         R"("Deleting":false},"spec":)" +
+         spec + R"(,"status":null})";
+}
+
+// A valid entry in which one field has another value.
+std::string SpecWith(const std::string& field, const std::string& value) {
+  std::string spec;
+  const auto add = [&](const std::string& name, const std::string& usual) {
+    spec += (spec.empty() ? "{\"" : ",\"") + name +
+            "\":" + (name == field ? value : usual);
+  };
+  add("Service", R"("desk")");
+  add("Address", R"("10.128.0.9:8080")");
+  add("Zone", R"("a")");
+  add("Slots", "2");
+  add("State", R"("ready")");
+  add("ColdRemainingMs", "0");
+  add("Seq", "4");
+  add("born", "1787949095014");
+  add("Extra", "0");
+  return spec + "}";
+}
+
+std::string Nested(std::size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+// Texts of entries that name no target to use. The names of those of the second
+// list cannot be decoded either.
+std::vector<std::string> OddEntries() {
+  std::vector<std::string> entries;
+  const auto add = [&](const std::string& field, const std::string& value) {
+    entries.push_back(Entry("i-9", SpecWith(field, value)));
+  };
+  // Nested deeper than the parser allows.
+  add("Extra", Nested(40));
+  add("Extra", Nested(100'000));
+  add("Service", Nested(40));
+  // Text that is no Unicode, in a value and in a key.
+  add("Service", R"("\udcff")");
+  add("Service", "\"\xff\xfe\"");
+  entries.push_back(Entry("i-9", R"({"\udcff":1,"Service":"desk"})"));
+  entries.push_back(Entry("i-9", "{\"\xff\":1,\"Service\":\"desk\"}"));
+  entries.push_back(Entry("i-9", R"({"Service":"desk")"
+                                 "\x01}"));
+  return entries;
+}
+
+std::vector<std::string> NamelessEntries() {
+  return {
+      Entry(R"(\udcff)", SpecWith("", "")),
+      Entry("\xff\xfe", SpecWith("", "")),
+      R"({"meta":{"Name":7,"Revision":12},"spec":)" + SpecWith("", "") + "}",
+      R"({"meta":)" + Nested(50) + R"(,"spec":)" + SpecWith("", "") + "}",
+      "17",
+      "null",
+      R"("text")",
+      Nested(60),
+      R"({"meta":{"Name":"i-9")"
+      "\x02}}"};
+}
+
+std::string Event(const std::string& object) {
+  return R"({"Tombstone":false,"Object":)" + object + "}";
+}
+
+// Counts the usable targets of a reply, which must be those around the odd one.
+void CheckNeighbours(const std::string& body, std::size_t expected) {
+  const auto reply = DecodeTargets(body);
+  BOOST_REQUIRE_MESSAGE(reply.has_value(), body.substr(0, 300));
+  BOOST_TEST(reply->revision.number == 530U);
+  std::size_t usable = 0;
+  for (const auto& item : reply->items) {
+    if (!item.record) continue;
+    ++usable;
+    BOOST_TEST((item.name == "i-1" || item.name == "i-2"));
+  }
+  BOOST_TEST(usable == expected, body.substr(0, 300));
+}
+
+void CheckEverywhere(const std::string& odd) {
+  const std::string first = Entry("i-1", SpecWith("", ""));
+  const std::string second = Entry("i-2", SpecWith("", ""));
+  const std::vector<std::vector<std::string>> orders{
+      {odd, first, second}, {first, odd, second}, {first, second, odd}};
+  for (const auto& order : orders) {
+    std::string items;
+    std::string events;
+    for (const std::string& object : order) {
+      const char* const separator = items.empty() ? "" : ",";
+      items += separator + object;
+      events += separator + Event(object);
+    }
+    for (const char* truncated : {"true", "false"}) {
+      CheckNeighbours(R"({"items":[)" + items + R"(],"Truncated":)" +
+                          truncated + R"(,"CurrentRev":530})",
+                      2);
+    }
+    CheckNeighbours(R"({"events":[)" + events + R"(],"CurrentRev":530})", 2);
+    CheckNeighbours(R"({"CurrentRev":530,"events":[)" + events + "]}", 2);
+  }
+  CheckNeighbours(
+      R"({"items":[)" + odd + R"(],"Truncated":false,"CurrentRev":530})", 0);
+}
+
+BOOST_AUTO_TEST_SUITE(odd_entry)
+
+BOOST_AUTO_TEST_CASE(an_odd_entry_costs_itself_alone) {
+  for (const std::string& odd : OddEntries()) CheckEverywhere(odd);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_with_an_odd_name_costs_itself_alone) {
+  for (const std::string& odd : NamelessEntries()) CheckEverywhere(odd);
+}
+
+// The entry of a known target that was damaged must be found by its name.
+BOOST_AUTO_TEST_CASE(an_odd_entry_keeps_its_name_and_revision) {
+  for (const std::string& odd : OddEntries()) {
+    const auto reply = DecodeTargets(R"({"items":[)" + odd +
+                                     R"(],"Truncated":false,"CurrentRev":5})");
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_REQUIRE(reply->items.size() == 1U);
+    BOOST_TEST(reply->items[0].name == "i-9");
+    BOOST_TEST(reply->items[0].revision.number == 12U);
+    BOOST_TEST(!reply->items[0].record.has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_odd_event_costs_itself_alone) {
+  const std::string good = Event(Entry("i-1", SpecWith("", "")));
+  for (const std::string& odd :
+       {std::string("7"), std::string("{}"), Nested(70),
+        std::string(R"({"Tombstone":"\udcff","Object":)") + Entry("i-9", "{}") +
+            "}",
+        std::string(R"({"Tombstone":false,"Object":"\udcff"})")}) {
+    CheckNeighbours(
+        R"({"events":[)" + odd + "," + good + R"(],"CurrentRev":530})", 1);
+    CheckNeighbours(
+        R"({"events":[)" + good + "," + odd + R"(],"CurrentRev":530})", 1);
+  }
+}
+
+// Odd members beside the entries do not matter.
+BOOST_AUTO_TEST_CASE(odd_members_of_a_reply_are_ignored) {
+  const std::string good = Entry("i-1", SpecWith("", ""));
+  CheckNeighbours(R"({"x":)" + Nested(90) + R"(,"y":"\udcff","items":[)" +
+                      good + R"(],"Truncated":false,"CurrentRev":530})",
+                  1);
+}
+
+// Without its entries or its revision, a reply must not count as an empty list.
+BOOST_AUTO_TEST_CASE(a_reply_without_entries_or_revision_is_rejected) {
+  const std::string good = Entry("i-1", SpecWith("", ""));
+  for (const std::string& body :
+       {std::string(R"({"CurrentRev":530})"),
+        std::string(R"({"items":7,"CurrentRev":530})"),
+        std::string(R"({"items":[],"Truncated":false})"),
+        R"({"items":[)" + good + R"(],"CurrentRev":-1})",
+        R"({"items":[)" + good + R"(],"CurrentRev":1.5})",
+        R"({"items":[)" + good + R"(],"CurrentRev":18446744073709551616})",
+        R"({"items":[)" + good + R"(,"CurrentRev":530})"}) {
+    BOOST_TEST(!DecodeTargets(body).has_value(), body);
+  }
+}
+
+// Routes: one odd route must not hide the others.
+BOOST_AUTO_TEST_CASE(an_odd_route_costs_itself_alone) {
+  const std::string good =
+      R"({"Host":"198.18.0.1","PathPrefix":"/80/","Service":"desk"})";
+  for (const std::string& odd :
+       {std::string("7"),
+        std::string(R"({"Host":"198.18.0.2","PathPrefix":"/80/",)"
+                    R"("Service":7})")}) {
+    const auto reply =
+        DecodeRoutes(R"({"items":[)" +
+                     Entry("main", R"({"Version":7,"Routes":[)" + odd + "," +
+                                       good + R"(],"Services":[]})") +
+                     R"(],"Truncated":false,"CurrentRev":530})");
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_REQUIRE(reply->items.at(0).record.has_value());
+    BOOST_TEST(reply->items[0].record->routes.size() == 1U);
+    BOOST_TEST(reply->items[0].record->ignored_routes == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream::platform
--- a/test/store/collection_reader_test.cc
+++ b/test/store/collection_reader_test.cc
@@ -366,6 +366,49 @@
   BOOST_TEST(other.count == 2);
 }
 
+// An odd entry took a whole list for an outage of the store, and the other
+// collection waited for it.
+BOOST_AUTO_TEST_CASE(a_malformed_reply_is_not_an_outage) {
+  client.replies = {Failure(ErrorKind::kMalformedJson),
+                    Reply(7, {"a"}),
+                    Reply(7, {}),
+                    Failure(ErrorKind::kMalformedJson),
+                    Failure(ErrorKind::kMalformedJson),
+                    Reply(9, {"b"})};
+  Start(CachedOptions());
+  time.RunFor(5s);
+  BOOST_TEST(
+      client.calls == (Strings{"list ", "cached list ", "check 7", "cached 7",
+                               "list ", "cached list ", "cached 9"}),
+      boost::test_tools::per_element());
+  BOOST_TEST(events == (Strings{"malformed", "snapshot@7 a", "malformed",
+                                "malformed", "snapshot@9 b"}),
+             boost::test_tools::per_element());
+  BOOST_TEST(!reader->IsAway());
+}
+
+// The last name of a page cannot be decoded: the next page starts after the one
+// before it.
+BOOST_AUTO_TEST_CASE(a_page_that_ends_with_an_odd_name_is_continued) {
+  client.replies = {Reply(7, {"a", "b", ""}, true), Reply(7, {"", "c"})};
+  Start(CachedOptions());
+  time.RunFor(900ms);
+  BOOST_TEST(client.calls[1] == "list b");
+  BOOST_TEST(events.back() == "snapshot@7 a b   c");
+}
+
+// Without any name there is no next page; the list must not be read for ever.
+BOOST_AUTO_TEST_CASE(a_page_without_names_is_repeated_with_backoff) {
+  client.replies.push_back(Reply(7, {"a"}, true));
+  for (int i = 0; i < 1000; ++i) {
+    client.replies.push_back(Reply(7, {"", ""}, true));
+  }
+  Start(CachedOptions());
+  time.RunFor(10s);
+  BOOST_TEST(client.calls.size() < 50U);
+  BOOST_TEST(events.back() == "malformed");
+}
+
 // One collection finds out first that the store is back.
 BOOST_AUTO_TEST_CASE(a_waiting_retry_can_be_started_immediately) {
   client.replies = {Reply(7, {"a"}), Failure(ErrorKind::kStoreUnavailable)};
