Check the numbers and addresses of an entry for range

A service name of 300 KB would have filled the log.

Cause: numbers were converted without a check of the range, and an address was taken if it could be parsed.

Change: slots 1 to 100,000, cold time up to an hour, start up to the year 9999, names up to 256 characters, ports 1 to 65535 of a unicast address, weights of 32 bits; whole numbers may be written with a fraction of zero. Anything else names no target, as a field of another type does.

--- a/test/platform/odd_entry_test.cc
+++ b/test/platform/odd_entry_test.cc
@@ -59,6 +59,34 @@
   entries.push_back(Entry("i-9", "{\"\xff\":1,\"Service\":\"desk\"}"));
   entries.push_back(Entry("i-9", R"({"Service":"desk")"
                                  "\x01}"));
+  add("Service", "\"" + std::string(300'000, 'x') + "\"");
+  add("Service", R"("")");
+  add("Zone", R"("")");
+  // Numbers that are no whole number of 64 bits, or out of range.
+  for (const char* number :
+       {"18446744073709551616", "1e400", "1.5", "-1", "\"2\"", "null", "true",
+        "99999999999999999999999999999999999999999"}) {
+    for (const char* field : {"Slots", "ColdRemainingMs", "Seq", "born"}) {
+      // A target may have no time of its start.
+      const bool is_missing = std::string(number) == "null";
+      if (is_missing && std::string(field) == "born") continue;
+      add(field, number);
+    }
+  }
+  add("Slots", "0");
+  add("Slots", "4294967297");
+  add("Slots", "9007199254740992");
+  add("ColdRemainingMs", "9300000000000");
+  add("ColdRemainingMs", "18446744073709551615");
+  add("born", "18446744073709551615");
+  // Addresses that name no endpoint.
+  for (const char* address :
+       {"10.128.0.9:0", "10.128.0.9:65536", "10.128.0.9:70000", "10.128.0.9:-1",
+        "10.128.0.9:99999999999999999999", "10.128.0.9:", "10.128.0.9",
+        "0.0.0.0:80", "255.255.255.255:80", "224.0.0.1:80", "[::1]:80",
+        R"(10.128.0.9\u0000.example:80)"}) {
+    add("Address", std::string("\"") + address + "\"");
+  }
   return entries;
 }
 
@@ -179,12 +207,28 @@
   }
 }
 
+// A writer of another language may write whole numbers in this form.
+BOOST_AUTO_TEST_CASE(a_whole_number_may_have_a_fraction_of_zero) {
+  const auto reply =
+      DecodeTargets(R"({"items":[)" + Entry("i-9", SpecWith("Slots", "4.0")) +
+                    R"(],"Truncated":false,"CurrentRev":5})");
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_REQUIRE(reply->items.at(0).record.has_value());
+  BOOST_TEST(reply->items[0].record->slots == 4U);
+}
+
 // Routes: one odd route must not hide the others.
 BOOST_AUTO_TEST_CASE(an_odd_route_costs_itself_alone) {
   const std::string good =
       R"({"Host":"198.18.0.1","PathPrefix":"/80/","Service":"desk"})";
   for (const std::string& odd :
        {std::string("7"),
+        std::string(R"({"Host":"198.18.0.1","PathPrefix":"/0/",)"
+                    R"("Service":"desk"})"),
+        std::string(R"({"Host":"198.18.0.1","PathPrefix":"/65616/",)"
+                    R"("Service":"desk"})"),
+        std::string(R"({"Host":"198.18.0.2","PathPrefix":"/80/",)"
+                    R"("Backends":[{"Service":"desk","Weight":4294967296}]})"),
         std::string(R"({"Host":"198.18.0.2","PathPrefix":"/80/",)"
                     R"("Service":7})")}) {
     const auto reply =
