Let a rejected reader, or one of a lost era, wait for no other

Cause: the reader of the routes had found the store away. Its probe was rejected by the store of the next era, and it waited for its turn behind the reader of the targets, which was rejected in turn: no call for 5.7 s. But a store that rejects a call answers, and a view of a lost era cannot be completed by changes, so that there was nothing to wait for.

Change: only a reader whose call was not answered takes turns. A reply of a later era marks the view as one that must be replaced at once, also if it is a rejection.

Tests, both failed before: collection_reader/a_rejected_reader_does_not_wait_ for_its_turn, .../a_list_of_the_next_era_waits_for_no_other_reader.

--- a/src/sapphirestream/store/collection_reader_impl.h
+++ b/src/sapphirestream/store/collection_reader_impl.h
@@ -217,6 +217,7 @@
 template <typename Record>
 void CollectionReader<Record>::RelistAfter(EraCheck check, ErrorKind error) {
   constexpr Step relist = &CollectionReader::ReadCurrentList;
+  if (check == EraCheck::kRestored) is_replacing_ = true;
   if (check == EraCheck::kOutdated) {
     After(outage_.NextDelay(context_.random), relist);
   } else if (error == ErrorKind::kNone || error == ErrorKind::kHistoryLost) {
@@ -245,9 +246,12 @@
   }
   if (error == ErrorKind::kRateLimited) observer_.OnRateLimited();
   if (outage_.OnFailure(error, Now())) observer_.OnStoreUnavailable(error);
-  // Without a usable view, a reader does not wait for the others.
-  const bool takes_turns = outage_.is_away() && has_list_ && !is_replacing_;
+  // Without a usable view, a reader does not wait for the others; nor if the
+  // store answers.
+  const bool takes_turns = outage_.is_away() && has_list_ && !is_replacing_ &&
+                           error != ErrorKind::kRateLimited;
   if (takes_turns && !context_.probe_turns.Request(*this)) return;
+  if (!takes_turns) context_.probe_turns.Leave(*this);
   OnTurn();
 }
 
--- a/test/store/collection_reader_era_test.cc
+++ b/test/store/collection_reader_era_test.cc
@@ -71,6 +71,22 @@
   BOOST_TEST(events.back() == "snapshot@9 b");
 }
 
+// The view cannot be completed by changes any more. A reader waited for its
+// turn before it read the list, while the other one was rejected.
+BOOST_AUTO_TEST_CASE(a_list_of_the_next_era_waits_for_no_other_reader) {
+  struct : ProbeTurns::Reader {
+    void OnTurn() override {}
+  } other;
+  client.replies = {Reply(7, {"a"}), Failure(ErrorKind::kStoreUnavailable),
+                    InEra(2, Failure(ErrorKind::kStoreUnavailable)),
+                    InEra(2, Reply(9, {"b"}))};
+  Start(CachedOptions());
+  while (events.empty() || events.back() == "snapshot@7 a") time.RunFor(1ms);
+  BOOST_TEST(!turns.Request(other));
+  time.RunFor(3s);
+  BOOST_TEST(events.back() == "snapshot@9 b");
+}
+
 // A watch that is held since before the restoration reports nothing.
 BOOST_AUTO_TEST_CASE(a_list_does_not_wait_behind_a_held_watch) {
   client.replies = {Reply(7, {"a"})};
--- a/test/store/collection_reader_test.cc
+++ b/test/store/collection_reader_test.cc
@@ -319,6 +319,23 @@
              boost::test_tools::per_element());
 }
 
+// A store that rejects calls answers, so that there is nothing to wait for. A
+// reader that had found the store away before waited 8 s for another one.
+BOOST_AUTO_TEST_CASE(a_rejected_reader_does_not_wait_for_its_turn) {
+  struct : ProbeTurns::Reader {
+    void OnTurn() override { ++count; }
+    int count = 0;
+  } other;
+  client.replies = {Reply(7, {"a"}), Failure(ErrorKind::kStoreUnavailable),
+                    Failure(ErrorKind::kRateLimited), Reply(9, {"b"})};
+  Start();
+  while (events.empty() || events.back() == "snapshot@7 a") time.RunFor(1ms);
+  BOOST_TEST(!turns.Request(other));
+  time.RunFor(2s);
+  BOOST_TEST(events.back() == "changes b");
+  BOOST_TEST(other.count == 1);
+}
+
 // Without a view an instance cannot serve, so its readers do not wait for each
 // other.
 BOOST_AUTO_TEST_CASE(a_first_list_is_retried_by_each_reader) {
