Tell a silent connection from a store that is slow

Cause: the deadline of a call doubles with each one that exceeds it, up to 4 s, since a large reply may need it. A call on a connection that has gone silent exceeds any deadline, so that the next silent one was waited for twice as long.

Test: http_channel/a_reply_tells_whether_its_connection_worked_before, new with the field that it checks.

--- a/src/sapphirestream/store/http_channel.cc
+++ b/src/sapphirestream/store/http_channel.cc
@@ -111,6 +111,7 @@
 }
 
 void HttpChannel::Connect() {
+  has_answered_ = false;
   socket_.async_connect(
       server_, [self = shared_from_this()](const error_code& error) {
         if (self->closed_) return;
@@ -186,6 +187,8 @@
 }
 
 void HttpChannel::Finish(HttpReply reply) {
+  reply.was_reused = has_answered_;
+  has_answered_ = socket_.is_open();
   const PendingPtr finished = std::exchange(current_, nullptr);
   finished->timer.cancel();
   StartNext();
--- a/src/sapphirestream/store/http_channel.h
+++ b/src/sapphirestream/store/http_channel.h
@@ -34,6 +34,8 @@
   std::string etag;
   // From the header field that names the era; kUnknownEra without one.
   StoreEra era = kUnknownEra;
+  // Whether an earlier call was answered on the same connection.
+  bool was_reused = false;
   std::string body;
 };
 
@@ -91,6 +93,8 @@
       parser_;
   std::deque<PendingPtr> queue_;
   PendingPtr current_;
+  // Whether the open connection has answered a call.
+  bool has_answered_ = false;
   bool closed_ = false;
 };
 
--- a/test/store/http_channel_test.cc
+++ b/test/store/http_channel_test.cc
@@ -19,12 +19,13 @@
 constexpr Duration kLong = std::chrono::minutes(1);
 
 struct Fixture {
-  void Call(const std::string& path) {
-    channel->Call({http::verb::get, path, 11}, kLong,
+  void Call(const std::string& path, Duration deadline = kLong) {
+    channel->Call({http::verb::get, path, 11}, deadline,
                   [this, path](const HttpReply& reply) {
                     answered.push_back(path);
                     outcome = reply.outcome;
                     era = reply.era;
+                    was_reused = reply.was_reused;
                   });
   }
   void RunUntilAnswered(std::size_t calls) {
@@ -48,6 +49,7 @@
   std::vector<std::string> answered;
   HttpOutcome outcome = HttpOutcome::kNotSent;
   StoreEra era = kUnknownEra;
+  bool was_reused = false;
 };
 
 BOOST_FIXTURE_TEST_SUITE(http_channel, Fixture)
@@ -80,6 +82,28 @@
   BOOST_TEST((era == StoreEra{12}));
 }
 
+// A connection that has gone silent looks like a slow store otherwise.
+BOOST_AUTO_TEST_CASE(a_reply_tells_whether_its_connection_worked_before) {
+  constexpr Duration brief = std::chrono::milliseconds(20);
+  Call("/held", brief);
+  RunUntilAnswered(1);
+  BOOST_TEST((outcome == HttpOutcome::kTimedOut));
+  BOOST_TEST(!was_reused);
+  Call("/any");
+  RunUntilAnswered(2);
+  BOOST_TEST(!was_reused);
+  Call("/any");
+  RunUntilAnswered(3);
+  BOOST_TEST(was_reused);
+  Call("/held", brief);
+  RunUntilAnswered(4);
+  BOOST_TEST((outcome == HttpOutcome::kTimedOut));
+  BOOST_TEST(was_reused);
+  Call("/any");
+  RunUntilAnswered(5);
+  BOOST_TEST(!was_reused);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
