Read replies that are larger than one value, or the list instead

Cause: the limit of a reply was the size of one value. A page of a list has an envelope, and a reply to a watch has each version that was missed, in full. A reply beyond the limit looked like an outage, and the same changes were asked for again until the store had forgotten them.

Change: the limit is four values for replies that contain several. Beyond it the list is read instead, which has the last version only; the reply is logged as store_reply_unusable with error=reply_too_large and is no outage. The product's own protocol, where a reply is one value, keeps its limit.

Tests: collection_reader/changes_that_are_too_large_are_read_as_a_list, http_ channel/a_reply_may_be_larger_than_one_value; both need the new outcome to be built. Before, the channel reported kConnectionFailed and the reader probed.

--- a/src/sapphirestream/base/error.cc
+++ b/src/sapphirestream/base/error.cc
@@ -68,6 +68,8 @@
      "the store no longer has the changes since this revision"},
     {kRateLimited, "rate_limited", 0, 0, kNoReply,
      "the store rejected the call: rate limit exceeded"},
+    {kReplyTooLarge, "reply_too_large", 0, 0, kNoReply,
+     "the store's reply exceeds the limit"},
     {kNotReady, "not_ready", 503, 23, kNoReply,
      "this instance has no configuration yet"},
     {kTimedOut, "timed_out", 504, 24, kNoReply,
--- a/src/sapphirestream/base/error.h
+++ b/src/sapphirestream/base/error.h
@@ -57,6 +57,7 @@
   kOutcomeUnknown,
   kHistoryLost,
   kRateLimited,
+  kReplyTooLarge,
   kNotReady,
   kTimedOut,
   kUnreachable,
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -32,7 +32,7 @@
       lost_(counters.Emplace("store_lost_total")),
       refused_(counters.Emplace("store_refusals_total")),
       malformed_(counters.Emplace("target_entries_malformed_total")),
-      malformed_replies_(counters.Emplace("store_replies_malformed_total")),
+      unusable_replies_(counters.Emplace("store_replies_unusable_total")),
       config_version_(counters.Emplace("config_version")),
       listed_(counters.Emplace("targets_listed")),
       era_(counters.Emplace("store_era")),
@@ -99,7 +99,8 @@
     const std::vector<CollectionItem<RouteConfig>>& items) {
   for (const auto& item : items) {
     if (!item.record) {
-      if (!item.deleted) ReportReplyMalformed("routes");
+      if (!item.deleted)
+        ReportReplyUnusable("routes", ErrorKind::kMalformedJson);
       continue;
     }
     const std::uint64_t before = routes_.version();
@@ -199,10 +200,11 @@
               {"era", Value(revision.era)}});
 }
 
-void EdgeView::ReportReplyMalformed(std::string_view collection) {
-  malformed_replies_.Add();
-  log_.Write(LogLevel::kWarn, "store_reply_malformed",
-             {{"collection", collection}});
+void EdgeView::ReportReplyUnusable(std::string_view collection,
+                                   ErrorKind error) {
+  unusable_replies_.Add();
+  log_.Write(LogLevel::kWarn, "store_reply_unusable",
+             {{"collection", collection}, {"error", AnswerFor(error).name}});
 }
 
 void EdgeView::ReportRefused(std::string_view collection) {
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -105,8 +105,8 @@
     void OnOutdatedReply(StoreRevision held, StoreRevision offered) override {
       view_.ReportOutdatedReply(collection_, held, offered);
     }
-    void OnReplyMalformed() override {
-      view_.ReportReplyMalformed(collection_);
+    void OnReplyUnusable(ErrorKind error) override {
+      view_.ReportReplyUnusable(collection_, error);
     }
     void OnRateLimited() override { view_.ReportRefused(collection_); }
 
@@ -126,7 +126,7 @@
   void ReportStoreRegained(std::string_view collection, Duration away);
   void ReportCacheOutdated(std::string_view collection);
   void ReportCheckFailed(std::string_view collection, ErrorKind error);
-  void ReportReplyMalformed(std::string_view collection);
+  void ReportReplyUnusable(std::string_view collection, ErrorKind error);
   void ReportRefused(std::string_view collection);
   void ReportEraChanged(std::string_view collection, StoreRevision held,
                         StoreRevision offered);
@@ -167,7 +167,7 @@
   Counter& lost_;
   Counter& refused_;
   Counter& malformed_;
-  Counter& malformed_replies_;
+  Counter& unusable_replies_;
   Counter& config_version_;
   Counter& listed_;
   Counter& era_;
--- a/src/sapphirestream/store/collection.h
+++ b/src/sapphirestream/store/collection.h
@@ -28,7 +28,7 @@
 template <typename Record>
 struct CollectionReply {
   // kNone, kHistoryLost (the list must be read again), kRateLimited,
-  // kMalformedJson, kStoreUnavailable or kTimedOut.
+  // kMalformedJson, kReplyTooLarge, kStoreUnavailable or kTimedOut.
   ErrorKind error = ErrorKind::kNone;
   // Revision of the whole store at the time of the reply. Failed replies have
   // no number, and no era either if the store did not answer.
@@ -100,7 +100,7 @@
                                StoreRevision /*offered*/) {}
   // The store answered, but the reply cannot be used. An item that cannot be
   // decoded does not make its reply unusable.
-  virtual void OnReplyMalformed() {}
+  virtual void OnReplyUnusable(ErrorKind /*error*/) {}
   // The store rejected a call because all instances together exceed its rate
   // limit.
   virtual void OnRateLimited() {}
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -106,6 +106,11 @@
   }
 
  private:
+  // Whether the store answered with something that cannot be used.
+  [[nodiscard]] static bool IsUnusable(ErrorKind error) noexcept {
+    return error == ErrorKind::kMalformedJson ||
+           error == ErrorKind::kReplyTooLarge;
+  }
   // A call that is made later.
   using Step = void (CollectionReader::*)();
   [[nodiscard]] TimePoint Now() const { return context_.clock.Now(); }
--- a/src/sapphirestream/store/collection_reader_impl.h
+++ b/src/sapphirestream/store/collection_reader_impl.h
@@ -86,7 +86,7 @@
     observer_.OnCacheOutdated();
     return ReadCurrentList();
   }
-  if (reply.error == ErrorKind::kMalformedJson) {
+  if (IsUnusable(reply.error)) {
     return Retry(reply.error, &CollectionReader::ReadCurrentList);
   }
   if (reply.error != ErrorKind::kNone) {
@@ -141,7 +141,13 @@
     if (freshness == Freshness::kCached) return Probe();
     return ReadCurrentList();
   }
-  if (reply.error == ErrorKind::kMalformedJson) {
+  if (reply.error == ErrorKind::kReplyTooLarge) {
+    // Each missed version of an object is a change; a list has the last one.
+    observer_.OnReplyUnusable(reply.error);
+    OnSuccess();
+    return ReadCurrentList();
+  }
+  if (IsUnusable(reply.error)) {
     return Retry(reply.error, &CollectionReader::ReadCurrentList);
   }
   if (reply.error != ErrorKind::kNone) {
@@ -163,7 +169,9 @@
   const EraCheck check = CheckEra(reply);
   if (check == EraCheck::kOutdated || is_replacing_) return ErrorKind::kNone;
   const bool is_lost = reply.error == ErrorKind::kHistoryLost;
-  if (check == EraCheck::kRestored ||
+  const bool is_too_large = reply.error == ErrorKind::kReplyTooLarge;
+  if (is_too_large) observer_.OnReplyUnusable(reply.error);
+  if (check == EraCheck::kRestored || is_too_large ||
       (is_lost && freshness == Freshness::kCurrent)) {
     ReadCurrentList();
     return ErrorKind::kNone;
@@ -238,11 +246,11 @@
 template <typename Record>
 void CollectionReader<Record>::Retry(ErrorKind error, Step step) {
   retry_ = [this, step] { (this->*step)(); };
-  if (error == ErrorKind::kMalformedJson) {
+  if (IsUnusable(error)) {
     // The store has answered.
     OnSuccess();
-    observer_.OnReplyMalformed();
-    return After(options_.malformed_pause, &CollectionReader::RetryNow);
+    observer_.OnReplyUnusable(error);
+    return After(options_.unusable_pause, &CollectionReader::RetryNow);
   }
   if (error == ErrorKind::kRateLimited) observer_.OnRateLimited();
   if (outage_.OnFailure(error, Now())) observer_.OnStoreUnavailable(error);
--- a/src/sapphirestream/store/collection_reader_options.h
+++ b/src/sapphirestream/store/collection_reader_options.h
@@ -32,7 +32,7 @@
   // reply of the lost part might not be recognised.
   Duration restored_bypass_period = std::chrono::seconds(6);
   // Time after which a call whose reply could not be used is repeated.
-  Duration malformed_pause = std::chrono::seconds(1);
+  Duration unusable_pause = std::chrono::seconds(1);
   // Interval at which the whole list is read again, in case a change was
   // missed.
   Duration relist_period = std::chrono::seconds(30);
--- a/src/sapphirestream/store/http_channel.cc
+++ b/src/sapphirestream/store/http_channel.cc
@@ -8,8 +8,6 @@
 #include <string_view>
 #include <utility>
 
-#include "sapphirestream/store/object_store.h"
-
 namespace sapphirestream::internal {
 namespace {
 
@@ -45,9 +43,11 @@
 
 HttpChannel::HttpChannel(asio::io_context& context,
                          asio::ip::tcp::endpoint server,
+                         std::size_t max_reply_bytes,
                          std::string_view era_field)
     : context_(context),
       server_(std::move(server)),
+      max_reply_bytes_(max_reply_bytes),
       era_field_(era_field),
       socket_(context) {}
 
@@ -116,7 +116,7 @@
       server_, [self = shared_from_this()](const error_code& error) {
         if (self->closed_) return;
         if (error || self->current_->timed_out) {
-          self->FinishFailed();
+          self->FinishFailed(error);
           return;
         }
         error_code ignored;
@@ -133,7 +133,7 @@
       [self = shared_from_this()](const error_code& error, std::size_t) {
         if (self->closed_) return;
         if (error) {
-          self->FinishFailed();
+          self->FinishFailed(error);
         } else {
           self->Read();
         }
@@ -142,13 +142,13 @@
 
 void HttpChannel::Read() {
   parser_.emplace();
-  parser_->body_limit(kMaxValueBytes);
+  parser_->body_limit(max_reply_bytes_);
   http::async_read(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](const error_code& error, std::size_t) {
         if (self->closed_) return;
         if (error) {
-          self->FinishFailed();
+          self->FinishFailed(error);
           return;
         }
         auto& message = self->parser_->get();
@@ -176,12 +176,16 @@
   pending->done(HttpReply{});
 }
 
-void HttpChannel::FinishFailed() {
+void HttpChannel::FinishFailed(const error_code& error) {
   CloseSocket();
   HttpReply reply;
-  if (current_->sending) {
-    reply.outcome = current_->timed_out ? HttpOutcome::kTimedOut
-                                        : HttpOutcome::kConnectionFailed;
+  if (current_->timed_out) {
+    reply.outcome =
+        current_->sending ? HttpOutcome::kTimedOut : HttpOutcome::kNotSent;
+  } else if (error == http::error::body_limit) {
+    reply.outcome = HttpOutcome::kTooLarge;
+  } else if (current_->sending) {
+    reply.outcome = HttpOutcome::kConnectionFailed;
   }
   Finish(std::move(reply));
 }
--- a/src/sapphirestream/store/http_channel.h
+++ b/src/sapphirestream/store/http_channel.h
@@ -18,6 +18,7 @@
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/store_revision.h"
+#include "sapphirestream/store/object_store.h"
 
 namespace sapphirestream::internal {
 
@@ -26,8 +27,14 @@
   kNotSent,           // nothing was sent, so the request had no effect
   kConnectionFailed,  // connection error or invalid response after sending
   kTimedOut,          // deadline exceeded after sending
+  kTooLarge,          // the reply exceeds the limit
 };
 
+// Limit of a reply that contains several values: a page of a list may hold one
+// of the largest size beside others, and a reply to a watch several versions of
+// an object.
+inline constexpr std::size_t kMaxListBytes = 4 * kMaxValueBytes;
+
 struct HttpReply {
   HttpOutcome outcome = HttpOutcome::kNotSent;
   unsigned status = 0;
@@ -44,11 +51,11 @@
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
   using Done = std::function<void(HttpReply)>;
 
-  // `era_field`: header field of replies that contains the era of the store;
-  // empty if the server has none.
+  // `max_reply_bytes`: limit of a reply's body. `era_field`: header field of
+  // replies that contains the era of the store; empty if the server has none.
   HttpChannel(boost::asio::io_context& context,
               boost::asio::ip::tcp::endpoint server,
-              std::string_view era_field = {});
+              std::size_t max_reply_bytes, std::string_view era_field = {});
 
   // Queues a request. The deadline starts now and includes the time in the
   // queue.
@@ -77,14 +84,16 @@
   void Read();
   void OnDeadline(const PendingPtr& pending);
   void Finish(HttpReply reply);
-  // Finishes the current call after its connection failed or timed out.
-  void FinishFailed();
+  // Finishes the current call after its connection failed, its deadline passed
+  // or its reply was too large.
+  void FinishFailed(const boost::system::error_code& error);
   // Whether the server has closed the idle connection.
   [[nodiscard]] bool IsStale();
   void CloseSocket();
 
   boost::asio::io_context& context_;
   boost::asio::ip::tcp::endpoint server_;
+  std::size_t max_reply_bytes_;
   std::string era_field_;
   boost::asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
--- a/src/sapphirestream/store/http_object_store.cc
+++ b/src/sapphirestream/store/http_object_store.cc
@@ -146,7 +146,8 @@
                                  const Endpoint& server)
     : host_(ToString(server)), context_(context) {
   const auto make = [&] {
-    return std::make_shared<HttpChannel>(context, ToAsio(server), kEraField);
+    return std::make_shared<HttpChannel>(context, ToAsio(server),
+                                         kMaxValueBytes, kEraField);
   };
   gets_ = make();
   watches_ = make();
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -201,9 +201,11 @@
 }
 
 // A reply that cannot be used says nothing about the store's availability.
-BOOST_AUTO_TEST_CASE(a_malformed_reply_is_not_an_outage) {
-  observer().OnReplyMalformed();
-  BOOST_TEST(lines.back() == "event=store_reply_malformed collection=targets");
+BOOST_AUTO_TEST_CASE(an_unusable_reply_is_not_an_outage) {
+  observer().OnReplyUnusable(ErrorKind::kMalformedJson);
+  BOOST_TEST(lines.back() ==
+             "event=store_reply_unusable collection=targets "
+             "error=malformed_json");
   BOOST_TEST(!view.is_recovering());
 }
 
--- a/test/store/collection_reader_fixture.h
+++ b/test/store/collection_reader_fixture.h
@@ -96,7 +96,10 @@
   void OnCheckFailed(ErrorKind error) override {
     events.push_back("check failed " + std::string(AnswerFor(error).name));
   }
-  void OnReplyMalformed() override { events.emplace_back("malformed"); }
+  void OnReplyUnusable(ErrorKind error) override {
+    events.emplace_back(error == ErrorKind::kReplyTooLarge ? "too large"
+                                                           : "malformed");
+  }
   void OnRateLimited() override { events.emplace_back("refused"); }
 
   static CollectionReaderOptions Options() {
--- a/test/store/collection_reader_test.cc
+++ b/test/store/collection_reader_test.cc
@@ -404,6 +404,23 @@
   BOOST_TEST(!reader->IsAway());
 }
 
+// An instance had missed three configurations of 0.4 MB, and read the changes
+// for up to 20 s in vain, until the store had forgotten them.
+BOOST_AUTO_TEST_CASE(changes_that_are_too_large_are_read_as_a_list) {
+  client.replies = {Reply(7, {"a"}), Failure(ErrorKind::kReplyTooLarge),
+                    Reply(9, {"b"})};
+  Start(CachedOptions());
+  time.RunFor(50ms);
+  BOOST_TEST(events == (Strings{"snapshot@7 a", "too large", "snapshot@9 b"}),
+             boost::test_tools::per_element());
+  check_client.replies = {Failure(ErrorKind::kReplyTooLarge)};
+  client.replies = {Reply(12, {"c"})};
+  Check();
+  time.RunFor(50ms);
+  BOOST_TEST(events.back() == "snapshot@12 c");
+  BOOST_TEST(!reader->IsAway());
+}
+
 // The last name of a page cannot be decoded: the next page starts after the one
 // before it.
 BOOST_AUTO_TEST_CASE(a_page_that_ends_with_an_odd_name_is_continued) {
--- a/test/store/http_channel_test.cc
+++ b/test/store/http_channel_test.cc
@@ -33,19 +33,25 @@
   }
 
   boost::asio::io_context context;
+  // Of the reply to /large.
+  std::size_t body_size = 0;
   // Leaves requests for /held unanswered.
-  HttpServer server{context, [](const HttpServer::Request& request) {
+  HttpServer server{context, [this](const HttpServer::Request& request) {
                       HttpServer::HandlerResult result;
                       if (request.target() == "/held") return result;
                       result.response.emplace(http::status::ok, 11);
                       result.response->set("Era", "12");
+                      if (request.target() == "/large") {
+                        result.response->body() = std::string(body_size, 'x');
+                        result.response->prepare_payload();
+                      }
                       return result;
                     }};
   std::shared_ptr<HttpChannel> channel = std::make_shared<HttpChannel>(
       context,
       boost::asio::ip::tcp::endpoint(boost::asio::ip::address_v4::loopback(),
                                      server.endpoint().port),
-      "Era");
+      internal::kMaxListBytes, "Era");
   std::vector<std::string> answered;
   HttpOutcome outcome = HttpOutcome::kNotSent;
   StoreEra era = kUnknownEra;
@@ -104,6 +110,21 @@
   BOOST_TEST(!was_reused);
 }
 
+// A list or several versions of an object may exceed the size of one value.
+BOOST_AUTO_TEST_CASE(a_reply_may_be_larger_than_one_value) {
+  body_size = kMaxValueBytes + 4096;
+  Call("/large");
+  RunUntilAnswered(1);
+  BOOST_TEST((outcome == HttpOutcome::kAnswered));
+  body_size = internal::kMaxListBytes + 1;
+  Call("/large");
+  RunUntilAnswered(2);
+  BOOST_TEST((outcome == HttpOutcome::kTooLarge));
+  Call("/any");
+  RunUntilAnswered(3);
+  BOOST_TEST((outcome == HttpOutcome::kAnswered));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/testing/soak/ready_check.cc
+++ b/testing/soak/ready_check.cc
@@ -30,8 +30,10 @@
   // Each check uses a new connection, so that a frozen process fails only the
   // current one.
   channel_ = std::make_shared<internal::HttpChannel>(
-      context_, asio::ip::tcp::endpoint(asio::ip::address_v4(address_.address),
-                                        address_.port));
+      context_,
+      asio::ip::tcp::endpoint(asio::ip::address_v4(address_.address),
+                              address_.port),
+      kMaxValueBytes);
   internal::HttpChannel::Request request(http::verb::get, path_, http11);
   request.set(http::field::host, ToString(address_));
   channel_->Call(
