Accept settings of times that are fractions

Cause: all numbers of the settings were parsed as whole ones.

Change: times may be fractions; they are kept in whole milliseconds. The least bound on drains and configurations is 10 ms.

--- a/src/sapphirestream/edge_io/edge_settings.cc
+++ b/src/sapphirestream/edge_io/edge_settings.cc
@@ -5,6 +5,7 @@
 #include <boost/program_options.hpp>
 #include <cctype>
 #include <charconv>
+#include <chrono>
 #include <sstream>
 #include <string_view>
 #include <utility>
@@ -63,6 +64,32 @@
   return {};
 }
 
+// Assigns a number of `Unit`, which may be a fraction, in whole milliseconds.
+template <typename Unit>
+std::string AssignTime(std::string_view value, Unit min, Unit max,
+                       std::string_view unit, std::chrono::milliseconds& out) {
+  using Fraction = std::chrono::duration<double, typename Unit::period>;
+  double number = 0;
+  const auto [end, error] =
+      std::from_chars(value.data(), value.data() + value.size(), number);
+  // Not a number compares as false.
+  const bool is_valid = error == std::errc{} &&
+                        end == value.data() + value.size() &&
+                        Fraction(number) >= min && Fraction(number) <= max;
+  if (!is_valid) {
+    return "must be " + std::to_string(min.count()) + " to " +
+           std::to_string(max.count()) + " " + std::string(unit);
+  }
+  out = std::chrono::duration_cast<std::chrono::milliseconds>(Fraction(number));
+  return {};
+}
+
+std::string AssignMs(std::string_view value, std::int64_t min, std::int64_t max,
+                     std::chrono::milliseconds& out) {
+  return AssignTime(value, std::chrono::milliseconds(min),
+                    std::chrono::milliseconds(max), "ms", out);
+}
+
 // All settings, in the order of --help.
 constexpr std::array kSettings{
     SettingRow{"name", "", "name of this instance in logs",
@@ -91,45 +118,44 @@
                }},
     SettingRow{"grace-s", "6", "seconds between the stop request and the kill",
                [](std::string_view v, EdgeSettings& s) {
-                 std::chrono::seconds grace{};
-                 std::string error = AssignNumber(v, 1, 600, "seconds", grace);
-                 s.grace = grace;
-                 return error;
+                 return AssignTime(v, std::chrono::seconds(1),
+                                   std::chrono::seconds(600), "seconds",
+                                   s.grace);
                }},
     SettingRow{"watch-wait-ms", "20000",
                "long-poll timeout of configuration watches in ms",
                [](std::string_view v, EdgeSettings& s) {
-                 return AssignNumber(v, 100, 30000, "ms", s.watch_wait);
+                 return AssignMs(v, 100, 30000, s.watch_wait);
                }},
     SettingRow{"cached-wait-ms", "3000",
                "long-poll timeout of target watches in ms",
                [](std::string_view v, EdgeSettings& s) {
-                 return AssignNumber(v, 100, 30000, "ms", s.cached_wait);
+                 return AssignMs(v, 100, 30000, s.cached_wait);
                }},
     SettingRow{"target-pause-ms", "1500",
                "minimum time between target watches in ms",
                [](std::string_view v, EdgeSettings& s) {
-                 return AssignNumber(v, 0, 10000, "ms", s.target_pause);
+                 return AssignMs(v, 0, 10000, s.target_pause);
                }},
     SettingRow{"drain-bound-ms", "3000",
                "time after which a draining target must get no new flows in ms",
                [](std::string_view v, EdgeSettings& s) {
-                 return AssignNumber(v, 100, 600000, "ms", s.drain_bound);
+                 return AssignMs(v, 10, 600000, s.drain_bound);
                }},
     SettingRow{"config-pause-ms", "500",
                "minimum time between configuration watches in ms",
                [](std::string_view v, EdgeSettings& s) {
-                 return AssignNumber(v, 0, 10000, "ms", s.config_pause);
+                 return AssignMs(v, 0, 10000, s.config_pause);
                }},
     SettingRow{"config-bound-ms", "2000",
                "time within which a configuration must take effect in ms",
                [](std::string_view v, EdgeSettings& s) {
-                 return AssignNumber(v, 100, 600000, "ms", s.config_bound);
+                 return AssignMs(v, 10, 600000, s.config_bound);
                }},
     SettingRow{"heartbeat-ms", "1200",
                "interval at which targets confirm their entries in ms",
                [](std::string_view v, EdgeSettings& s) {
-                 return AssignNumber(v, 10, 600000, "ms", s.heartbeat);
+                 return AssignMs(v, 10, 600000, s.heartbeat);
                }},
     SettingRow{"flow-capacity", "2048",
                "flows tracked for load and failure detection",
--- a/test/edge_io/edge_settings_test.cc
+++ b/test/edge_io/edge_settings_test.cc
@@ -72,6 +72,25 @@
   BOOST_TEST(interval_for({"--config-pause-ms=2000"}) == 2000);
 }
 
+// The platform fills in whole numbers and fractions; with 6.5 s the program did
+// not start.
+BOOST_AUTO_TEST_CASE(times_may_be_fractions) {
+  const auto parsed =
+      ParseEdgeSettings({"--grace-s=6.5", "--drain-bound-ms=2500.5",
+                         "--config-bound-ms=3e3", "--heartbeat-ms=1200.0"},
+                        Variables({}), kFile);
+  BOOST_TEST(parsed.errors.empty());
+  BOOST_TEST(parsed.settings.grace.count() == 6500);
+  BOOST_TEST(parsed.settings.drain_bound.count() == 2500);
+  BOOST_TEST(parsed.settings.config_bound.count() == 3000);
+  BOOST_TEST(parsed.settings.heartbeat.count() == 1200);
+  for (const char* value : {"x", "6.5s", "nan", "inf", "-1", "1e99"}) {
+    const auto bad = ParseEdgeSettings({std::string("--grace-s=") + value},
+                                       Variables({}), kFile);
+    BOOST_TEST(bad.errors.size() == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_flag_is_an_error) {
   const auto parsed = ParseEdgeSettings({"--domian=a"}, Variables({}), kFile);
   BOOST_TEST(!parsed.errors.empty());
