Test the view after a silent outage of the store

A probe that hangs when the store answers again delays the view by its deadline. A reply that cannot be used ends an outage before its step is kept, so that its repetition waits for the pause.

--- a/src/sapphirestream/store/collection_reader_impl.h
+++ b/src/sapphirestream/store/collection_reader_impl.h
@@ -245,10 +245,10 @@
 
 template <typename Record>
 void CollectionReader<Record>::Retry(ErrorKind error, Step step) {
+  // A reply that cannot be used is an answer.
+  if (IsUnusable(error)) OnSuccess();
   retry_ = [this, step] { (this->*step)(); };
   if (IsUnusable(error)) {
-    // The store has answered.
-    OnSuccess();
     observer_.OnReplyUnusable(error);
     return After(options_.unusable_pause, &CollectionReader::RetryNow);
   }
--- a/src/sapphirestream/store/collection_reader_options.h
+++ b/src/sapphirestream/store/collection_reader_options.h
@@ -16,7 +16,8 @@
   // repeating large replies that are slow to arrive would keep the link of the
   // store full.
   Duration max_call_deadline = std::chrono::seconds(4);
-  // Longest deadline of a probe, which reads changes only.
+  // Longest deadline of a probe, which reads changes only. A probe may hang
+  // until then although the store is available again.
   Duration max_probe_deadline = std::chrono::seconds(4);
   // Time that the store holds a watch open waiting for a change.
   Duration watch_timeout = std::chrono::seconds(10);
--- a/test/store/collection_checker_test.cc
+++ b/test/store/collection_checker_test.cc
@@ -173,6 +173,23 @@
   BOOST_TEST(routes.outages == 10);
 }
 
+// A call that hangs when the store answers again must not hang for long: a
+// change from just before the outage must be known 4 s after its end.
+BOOST_AUTO_TEST_CASE(after_a_silent_outage_the_view_is_complete_within_4_s) {
+  for (int i = 0; i < 25; ++i) {
+    const std::string name = "x" + std::to_string(i);
+    store.is_silent = true;
+    store.Put("targets", name);
+    store.Put("routes", name);
+    time.RunFor(3s + i * 370ms);
+    store.is_silent = false;
+    time.RunFor(4s);
+    BOOST_TEST(targets.seen.contains(name));
+    BOOST_TEST(routes.seen.contains(name));
+    time.RunFor(2s);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(one_current_read_serves_both_collections) {
   const auto calls = [this] {
     return std::pair(
--- a/test/store/model_store.h
+++ b/test/store/model_store.h
@@ -49,6 +49,8 @@
   std::vector<Change> changes;
   Duration cache_lag{};
   bool is_available = true;
+  // Calls are not answered, on any connection.
+  bool is_silent = false;
   TimePoint silenced_at{};
 };
 
@@ -56,6 +58,7 @@
 struct ModelConnection {
   // When it was opened; unset if it is not open.
   TimePoint opened{};
+  bool has_answered = false;
   // Increases when it is closed.
   int number = 0;
 };
@@ -100,10 +103,11 @@
   // Replies to earlier calls do not arrive.
   void Disconnect() {
     connection_.opened = {};
+    connection_.has_answered = false;
     ++connection_.number;
   }
   [[nodiscard]] bool IsSilent() const {
-    return connection_.opened < store_.silenced_at;
+    return store_.is_silent || connection_.opened < store_.silenced_at;
   }
 
   [[nodiscard]] CollectionReply<int> Changes(std::uint64_t since,
@@ -141,7 +145,8 @@
     CollectionReply<int> reply;
     Duration delay = kLatency;
     if (IsSilent()) {
-      reply.error = ErrorKind::kTimedOut;
+      reply.error = connection_.has_answered ? ErrorKind::kStoreUnavailable
+                                             : ErrorKind::kTimedOut;
       delay = deadline;
     } else if (!store_.is_available) {
       reply.error = ErrorKind::kStoreUnavailable;
@@ -152,6 +157,7 @@
         delay, [this, number = connection_.number, reply = std::move(reply),
                 done = std::move(done)] {
           if (number != connection_.number) return;
+          connection_.has_answered = true;
           if (reply.error != ErrorKind::kNone) Disconnect();
           done(reply);
         });
