Apply the entries of a service that is configured later

After a start, flows could be placed at a target that had crashed and whose address a target of another service uses now: their opening packets were lost until a probe had found it out.

An instance that starts may read the targets before the configuration, when no service is, and nothing looked at these entries again.

Change: each target knows whether it has taken its address; a configuration lets those of its services do so. A target takes an address once, so that a living target that registers again is not retired by each later version.

Tests, both failed before: target_directory/a_service_that_is_configured_later_ takes_its_addresses (with the body of OnServicesConfigured left out), edge_view/ a_configuration_applies_entries_that_were_read_before.

--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -50,8 +50,7 @@
   target.service = routes_.Number(record.service);
   if (restarted) {
     target.usable_from = propagated ? now : now + kPropagationDelay;
-    // Any writer may name any address under a service of its own.
-    if (routes_.IsConfigured(target.service)) RetirePreviousOwner(record, now);
+    target.owns_address = false;
   } else if (is_restored && target.presence == TargetPresence::kGone) {
     target.usable_from = now + entry_lifetime_ + kPropagationDelay;
   }
@@ -61,6 +60,7 @@
   target.is_local = record.domain == domain_;
   target.cold_until = now + record.cold_remaining;
   AddToIndexes(target);
+  TakeAddress(target, now);
   return changed ? EntryOutcome::kApplied : EntryOutcome::kUnchanged;
 }
 
@@ -83,14 +83,22 @@
   });
 }
 
-void TargetDirectory::RetirePreviousOwner(const TargetRecord& record,
-                                          TimePoint now) {
-  const auto [begin, end] = by_address_.equal_range(record.address);
+void TargetDirectory::TakeAddress(EdgeTarget& target, TimePoint now) {
+  // Any writer may name any address under a service of its own.
+  if (target.owns_address || !routes_.IsConfigured(target.service)) return;
+  target.owns_address = true;
+  const auto [begin, end] = by_address_.equal_range(target.record.address);
   for (auto it = begin; it != end; ++it) {
     EdgeTarget& other = *it->second;
-    const bool is_previous = other.record.key != record.key &&
-                             other.record.incarnation < record.incarnation;
-    if (is_previous) Retire(other, now);
+    if (other.record.incarnation < target.record.incarnation) {
+      Retire(other, now);
+    }
+  }
+}
+
+void TargetDirectory::OnServicesConfigured(TimePoint now) {
+  for (auto& [key, target] : targets_) {
+    if (target.presence == TargetPresence::kListed) TakeAddress(target, now);
   }
 }
 
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -52,6 +52,9 @@
   TimePoint unlisted_at{};
   // Requests forwarded by this instance that are still in progress.
   std::uint32_t outstanding = 0;
+  // Whether earlier targets at its address have been retired. Only a target of
+  // a configured service takes its address from them.
+  bool owns_address = false;
   // Whether a request that may be reset waits for a probe of this target.
   bool has_waiting_request = false;
   TargetHealth health;
@@ -95,6 +98,8 @@
   // kApplied if the target was listed.
   EntryOutcome Erase(TargetKey key, StoreRevision revision,
                      bool store_was_unavailable, TimePoint now);
+  // Applies the entries of services that were unknown when they were read.
+  void OnServicesConfigured(TimePoint now);
   // Marks a target as gone, regardless of service discovery.
   static void Retire(EdgeTarget& target, TimePoint now) noexcept;
   // Makes the next entry or removal of each target count, whatever its
@@ -135,7 +140,7 @@
   [[nodiscard]] bool HasLaterOwner(const TargetRecord& record) const;
   // An address that is reused by a new target shows that its previous owner has
   // stopped.
-  void RetirePreviousOwner(const TargetRecord& record, TimePoint now);
+  void TakeAddress(EdgeTarget& target, TimePoint now);
 
   RouteTable& routes_;
   std::string domain_;
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -114,6 +114,7 @@
                   {"era", Value(item.revision.era)}});
       continue;
     }
+    targets_.OnServicesConfigured(clock_.Now());
     config_version_.Set(routes_.version());
     log_.Write(LogLevel::kInfo, "config_applied",
                {{"version", routes_.version()},
--- a/test/edge/target_directory_test.cc
+++ b/test/edge/target_directory_test.cc
@@ -258,6 +258,34 @@
   BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
 }
 
+// When an instance starts, it may read the targets before the configuration;
+// the entry of a target that has crashed is listed beside the one of its
+// successor at the same address.
+BOOST_AUTO_TEST_CASE(a_service_that_is_configured_later_takes_its_addresses) {
+  RouteTable empty;
+  TargetDirectory early(empty, "a");
+  const TargetRecord first = sample::Target(1, "a");
+  TargetRecord next = sample::Target(8, "a", "intake");
+  next.address = first.address;
+  next.incarnation = Incarnation{6000};
+  for (const TargetRecord& record : {first, next}) {
+    early.Upsert(record, At(1), /*propagated=*/true, now);
+  }
+  const auto presence_of_first = [&early] {
+    return early.Find(TargetKey{1})->presence;
+  };
+  early.OnServicesConfigured(now);
+  BOOST_TEST((presence_of_first() == TargetPresence::kListed));
+  empty.Apply(sample::Routes(1));
+  early.OnServicesConfigured(now);
+  BOOST_TEST((presence_of_first() == TargetPresence::kGone));
+  // It takes them once: a target that registers again afterwards is alive.
+  early.Upsert(first, At(2), /*propagated=*/true, now);
+  empty.Apply(sample::Routes(2));
+  early.OnServicesConfigured(now);
+  BOOST_TEST((presence_of_first() == TargetPresence::kListed));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -200,6 +200,18 @@
   BOOST_TEST(lines.back().find("revision=3") != std::string::npos);
 }
 
+// The entry of a target that has crashed was used beside the one of its
+// successor if both were read before the configuration.
+BOOST_AUTO_TEST_CASE(a_configuration_applies_entries_that_were_read_before) {
+  CollectionItem<TargetRecord> next = Item(2, 2);
+  next.record->address = Item(1, 1).record->address;
+  observer().OnSnapshot({Item(1, 1), next}, At(2));
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
+  ReadRoutes(1);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+  BOOST_TEST((PresenceOf(2) == TargetPresence::kListed));
+}
+
 // A reply that cannot be used says nothing about the store's availability.
 BOOST_AUTO_TEST_CASE(an_unusable_reply_is_not_an_outage) {
   observer().OnReplyUnusable(ErrorKind::kMalformedJson);
