Use only the current configuration

An object that another writer leaves among the configurations, with a higher version, would have replaced the operator's: routes that it lacks were refused, and the operator's next versions were ignored as outdated.

Cause: any object of the kind was applied, whatever its name (class of the odd entries).

One that has another name, or cannot be decoded, is logged and counted once for each of its revisions (`config_unusable`); before, the reply was called unusable at each read.

Tests, failed before: odd_entry/only_the_current_configuration_is_used; edge_view/an_unusable_configuration_is_reported_once is new with its names.

--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -40,6 +40,7 @@
       outdated_replies_(counters.Emplace("store_outdated_replies_total")),
       ignored_entries_(counters.Emplace("target_entries_ignored_total")),
       outdated_configs_(counters.Emplace("configs_outdated_total")),
+      unusable_configs_(counters.Emplace("configs_unusable_total")),
       targets_age_("targets", log, counters),
       routes_age_("routes", log, counters) {}
 
@@ -98,32 +99,45 @@
 void EdgeView::ApplyChanges(
     const std::vector<CollectionItem<RouteConfig>>& items) {
   for (const auto& item : items) {
-    if (!item.record) {
-      if (!item.deleted)
-        ReportReplyUnusable("routes", ErrorKind::kMalformedJson);
-      continue;
+    if (item.record) {
+      ApplyConfig(item);
+    } else if (!item.deleted) {
+      ReportUnusableConfig(item);
     }
-    const std::uint64_t before = routes_.version();
-    if (!routes_.Apply(*item.record)) {
-      if (item.record->version == before) continue;
-      outdated_configs_.Add();
-      log_.Write(LogLevel::kWarn, "config_outdated",
-                 {{"version", before},
-                  {"offered", item.record->version},
-                  {"revision", item.revision.number},
-                  {"era", Value(item.revision.era)}});
-      continue;
-    }
-    targets_.OnServicesConfigured(clock_.Now());
-    config_version_.Set(routes_.version());
-    log_.Write(LogLevel::kInfo, "config_applied",
-               {{"version", routes_.version()},
-                {"before", before},
-                {"routes", routes_.size()},
-                {"ignored", item.record->ignored_routes},
+  }
+}
+
+void EdgeView::ApplyConfig(const ConfigItem& item) {
+  const RouteConfig& config = *item.record;
+  const std::uint64_t before = routes_.version();
+  if (!routes_.Apply(config)) {
+    if (config.version == before) return;
+    outdated_configs_.Add();
+    log_.Write(LogLevel::kWarn, "config_outdated",
+               {{"version", before},
+                {"offered", config.version},
                 {"revision", item.revision.number},
                 {"era", Value(item.revision.era)}});
+    return;
   }
+  targets_.OnServicesConfigured(clock_.Now());
+  config_version_.Set(routes_.version());
+  log_.Write(LogLevel::kInfo, "config_applied",
+             {{"version", routes_.version()},
+              {"before", before},
+              {"routes", routes_.size()},
+              {"ignored", config.ignored_routes},
+              {"revision", item.revision.number},
+              {"era", Value(item.revision.era)}});
+}
+
+void EdgeView::ReportUnusableConfig(const ConfigItem& item) {
+  if (!unusable_config_entries_.Insert(item.name, item.revision)) return;
+  unusable_configs_.Add();
+  log_.Write(LogLevel::kWarn, "config_unusable",
+             {{"entry", PrintableName(item.name)},
+              {"revision", item.revision.number},
+              {"era", Value(item.revision.era)}});
 }
 
 void EdgeView::SetCompleteUntil(TimePoint targets, TimePoint routes) noexcept {
@@ -256,7 +270,7 @@
 }
 
 void EdgeView::ReportMalformed(const TargetItem& item) {
-  if (!malformed_entries_.Insert(item.name, item.revision)) return;
+  if (!malformed_targets_.Insert(item.name, item.revision)) return;
   malformed_.Add();
   log_.Write(LogLevel::kWarn, "target_entry_malformed",
              {{"entry", PrintableName(item.name)},
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -115,6 +115,7 @@
     std::string_view collection_;
   };
   using TargetItem = CollectionItem<TargetRecord>;
+  using ConfigItem = CollectionItem<RouteConfig>;
 
   void ApplySnapshot(const std::vector<CollectionItem<TargetRecord>>& items,
                      StoreRevision revision);
@@ -122,6 +123,9 @@
                      StoreRevision revision);
   void ApplyChanges(const std::vector<CollectionItem<TargetRecord>>& items);
   void ApplyChanges(const std::vector<CollectionItem<RouteConfig>>& items);
+  void ApplyConfig(const ConfigItem& item);
+  // Reports a configuration that cannot be used, once for each revision.
+  void ReportUnusableConfig(const ConfigItem& item);
   void ReportStoreLost(std::string_view collection, ErrorKind error);
   void ReportStoreRegained(std::string_view collection, Duration away);
   void ReportCacheOutdated(std::string_view collection);
@@ -175,10 +179,12 @@
   Counter& outdated_replies_;
   Counter& ignored_entries_;
   Counter& outdated_configs_;
+  Counter& unusable_configs_;
   bool has_targets_ = false;
   // Era of the last list of targets.
   StoreEra targets_era_ = kUnknownEra;
-  MalformedEntries malformed_entries_;
+  MalformedEntries malformed_targets_;
+  MalformedEntries unusable_config_entries_;
   ViewAge targets_age_;
   ViewAge routes_age_;
   // End of the last pause.
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -200,6 +200,20 @@
   BOOST_TEST(lines.back().find("revision=3") != std::string::npos);
 }
 
+// Each list contains the object again; it is no fault of the reply.
+BOOST_AUTO_TEST_CASE(an_unusable_configuration_is_reported_once) {
+  ReadRoutes(1);
+  const Counter& unusable = counters.Emplace("configs_unusable_total");
+  for (int i = 0; i < 5; ++i) {
+    view.route_observer().OnChanges({{"backup", At(2), false, std::nullopt}});
+  }
+  BOOST_TEST(unusable.value() == 1U);
+  BOOST_TEST(lines.back() ==
+             "event=config_unusable entry=backup revision=2 era=1");
+  BOOST_TEST(counters.Emplace("store_replies_unusable_total").value() == 0U);
+  BOOST_TEST(routes.version() == 1U);
+}
+
 // The entry of a target that has crashed was used beside the one of its
 // successor if both were read before the configuration.
 BOOST_AUTO_TEST_CASE(a_configuration_applies_entries_that_were_read_before) {
--- a/test/platform/odd_entry_test.cc
+++ b/test/platform/odd_entry_test.cc
@@ -243,6 +243,21 @@
   }
 }
 
+// An object that another writer left beside the configuration, with a higher
+// version, must not replace it.
+BOOST_AUTO_TEST_CASE(only_the_current_configuration_is_used) {
+  const std::string spec =
+      R"({"Version":9,"Routes":[{"Host":"198.18.0.1","PathPrefix":"/80/",)"
+      R"("Service":"desk"}],"Services":[]})";
+  const std::string items = Entry("backup", spec) + "," + Entry("main", spec);
+  const auto reply = DecodeRoutes(R"({"items":[)" + items +
+                                  R"(],"Truncated":false,"CurrentRev":530})");
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_REQUIRE(reply->items.size() == 2U);
+  BOOST_TEST(!reply->items[0].record.has_value());
+  BOOST_TEST(reply->items[1].record.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
