Soak: entries of another writer, and a drain after the last fault

Its check of drains excuses an instance after each disturbance; with faults all the time few drains counted.

Change: every 2 s at most another writer leaves an entry that is undecodable, out of range, or of an unknown service with the address of a target; these entries have a random source of their own, so that the other faults of a seed stay. 7 s after the last fault a target drains, for 5 s. The specs are shared with the tests of the codec (testing/odd_target_specs.h).

--- a/test/platform/odd_entry_test.cc
+++ b/test/platform/odd_entry_test.cc
@@ -7,6 +7,7 @@
 
 #include "platform/object_codec.h"
 #include "sapphirestream/base/id.h"
+#include "testing/odd_target_specs.h"
 
 namespace sapphirestream::platform {
 namespace {
@@ -18,90 +19,32 @@
          spec + R"(,"status":null})";
 }
 
-// A valid entry in which one field has another value.
-std::string SpecWith(const std::string& field, const std::string& value) {
-  std::string spec;
-  const auto add = [&](const std::string& name, const std::string& usual) {
-    spec += (spec.empty() ? "{\"" : ",\"") + name +
-            "\":" + (name == field ? value : usual);
-  };
-  add("Service", R"("desk")");
-  add("Address", R"("10.128.0.9:8080")");
-  add("Zone", R"("a")");
-  add("Slots", "2");
-  add("State", R"("ready")");
-  add("ColdRemainingMs", "0");
-  add("Seq", "4");
-  add("born", "1787949095014");
-  add("Extra", "0");
-  return spec + "}";
-}
-
-std::string Nested(std::size_t depth) {
-  return std::string(depth, '[') + std::string(depth, ']');
-}
-
-// Texts of entries that name no target to use. The names of those of the second
-// list cannot be decoded either.
+// Entries that name no target to use. The names of those of the second list
+// cannot be decoded either.
 std::vector<std::string> OddEntries() {
   std::vector<std::string> entries;
-  const auto add = [&](const std::string& field, const std::string& value) {
-    entries.push_back(Entry("i-9", SpecWith(field, value)));
-  };
-  // Nested deeper than the parser allows.
-  add("Extra", Nested(40));
-  add("Extra", Nested(100'000));
-  add("Service", Nested(40));
-  // Text that is no Unicode, in a value and in a key.
-  add("Service", R"("\udcff")");
-  add("Service", "\"\xff\xfe\"");
-  entries.push_back(Entry("i-9", R"({"\udcff":1,"Service":"desk"})"));
-  entries.push_back(Entry("i-9", "{\"\xff\":1,\"Service\":\"desk\"}"));
-  entries.push_back(Entry("i-9", R"({"Service":"desk")"
-                                 "\x01}"));
-  add("Service", "\"" + std::string(300'000, 'x') + "\"");
-  add("Service", R"("")");
-  add("Zone", R"("")");
-  // Numbers that are no whole number of 64 bits, or out of range.
-  for (const char* number :
-       {"18446744073709551616", "1e400", "1.5", "-1", "\"2\"", "null", "true",
-        "99999999999999999999999999999999999999999"}) {
-    for (const char* field : {"Slots", "ColdRemainingMs", "Seq", "born"}) {
-      // A target may have no time of its start.
-      const bool is_missing = std::string(number) == "null";
-      if (is_missing && std::string(field) == "born") continue;
-      add(field, number);
+  for (const auto& specs :
+       {testing::UndecodableTargetSpecs(), testing::OutOfRangeTargetSpecs()}) {
+    for (const std::string& spec : specs) {
+      entries.push_back(Entry("i-9", spec));
     }
   }
-  add("Slots", "0");
-  add("Slots", "4294967297");
-  add("Slots", "9007199254740992");
-  add("ColdRemainingMs", "9300000000000");
-  add("ColdRemainingMs", "18446744073709551615");
-  add("born", "18446744073709551615");
-  // Addresses that name no endpoint.
-  for (const char* address :
-       {"10.128.0.9:0", "10.128.0.9:65536", "10.128.0.9:70000", "10.128.0.9:-1",
-        "10.128.0.9:99999999999999999999", "10.128.0.9:", "10.128.0.9",
-        "0.0.0.0:80", "255.255.255.255:80", "224.0.0.1:80", "[::1]:80",
-        R"(10.128.0.9\u0000.example:80)"}) {
-    add("Address", std::string("\"") + address + "\"");
-  }
   return entries;
 }
 
 std::vector<std::string> NamelessEntries() {
-  return {
-      Entry(R"(\udcff)", SpecWith("", "")),
-      Entry("\xff\xfe", SpecWith("", "")),
-      R"({"meta":{"Name":7,"Revision":12},"spec":)" + SpecWith("", "") + "}",
-      R"({"meta":)" + Nested(50) + R"(,"spec":)" + SpecWith("", "") + "}",
-      "17",
-      "null",
-      R"("text")",
-      Nested(60),
-      R"({"meta":{"Name":"i-9")"
-      "\x02}}"};
+  return {Entry(R"(\udcff)", testing::TargetSpecWith("", "")),
+          Entry("\xff\xfe", testing::TargetSpecWith("", "")),
+          R"({"meta":{"Name":7,"Revision":12},"spec":)" +
+              testing::TargetSpecWith("", "") + "}",
+          R"({"meta":)" + testing::NestedArrays(50) + R"(,"spec":)" +
+              testing::TargetSpecWith("", "") + "}",
+          "17",
+          "null",
+          R"("text")",
+          testing::NestedArrays(60),
+          R"({"meta":{"Name":"i-9")"
+          "\x02}}"};
 }
 
 std::string Event(const std::string& object) {
@@ -123,8 +66,8 @@
 }
 
 void CheckEverywhere(const std::string& odd) {
-  const std::string first = Entry("i-1", SpecWith("", ""));
-  const std::string second = Entry("i-2", SpecWith("", ""));
+  const std::string first = Entry("i-1", testing::TargetSpecWith("", ""));
+  const std::string second = Entry("i-2", testing::TargetSpecWith("", ""));
   const std::vector<std::vector<std::string>> orders{
       {odd, first, second}, {first, odd, second}, {first, second, odd}};
   for (const auto& order : orders) {
@@ -171,9 +114,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_odd_event_costs_itself_alone) {
-  const std::string good = Event(Entry("i-1", SpecWith("", "")));
+  const std::string good = Event(Entry("i-1", testing::TargetSpecWith("", "")));
   for (const std::string& odd :
-       {std::string("7"), std::string("{}"), Nested(70),
+       {std::string("7"), std::string("{}"), testing::NestedArrays(70),
         std::string(R"({"Tombstone":"\udcff","Object":)") + Entry("i-9", "{}") +
             "}",
         std::string(R"({"Tombstone":false,"Object":"\udcff"})")}) {
@@ -186,15 +129,16 @@
 
 // Odd members beside the entries do not matter.
 BOOST_AUTO_TEST_CASE(odd_members_of_a_reply_are_ignored) {
-  const std::string good = Entry("i-1", SpecWith("", ""));
-  CheckNeighbours(R"({"x":)" + Nested(90) + R"(,"y":"\udcff","items":[)" +
-                      good + R"(],"Truncated":false,"CurrentRev":530})",
+  const std::string good = Entry("i-1", testing::TargetSpecWith("", ""));
+  CheckNeighbours(R"({"x":)" + testing::NestedArrays(90) +
+                      R"(,"y":"\udcff","items":[)" + good +
+                      R"(],"Truncated":false,"CurrentRev":530})",
                   1);
 }
 
 // Without its entries or its revision, a reply must not count as an empty list.
 BOOST_AUTO_TEST_CASE(a_reply_without_entries_or_revision_is_rejected) {
-  const std::string good = Entry("i-1", SpecWith("", ""));
+  const std::string good = Entry("i-1", testing::TargetSpecWith("", ""));
   for (const std::string& body :
        {std::string(R"({"CurrentRev":530})"),
         std::string(R"({"items":7,"CurrentRev":530})"),
@@ -209,9 +153,9 @@
 
 // A writer of another language may write whole numbers in this form.
 BOOST_AUTO_TEST_CASE(a_whole_number_may_have_a_fraction_of_zero) {
-  const auto reply =
-      DecodeTargets(R"({"items":[)" + Entry("i-9", SpecWith("Slots", "4.0")) +
-                    R"(],"Truncated":false,"CurrentRev":5})");
+  const auto reply = DecodeTargets(
+      R"({"items":[)" + Entry("i-9", testing::TargetSpecWith("Slots", "4.0")) +
+      R"(],"Truncated":false,"CurrentRev":5})");
   BOOST_REQUIRE(reply.has_value());
   BOOST_REQUIRE(reply->items.at(0).record.has_value());
   BOOST_TEST(reply->items[0].record->slots == 4U);
--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -25,7 +25,7 @@
 // After the last fault: time until every request must be answered again, and
 // time for which this is verified.
 constexpr Duration kRecoveryTime = 7s;
-constexpr Duration kVerificationTime = 4s;
+constexpr Duration kVerificationTime = 5s;
 
 int RunSeed(SoakOptions options) {
   namespace fs = std::filesystem;
@@ -45,6 +45,7 @@
     world.Log("all faults have ended");
     world.RunFor(kRecoveryTime);
     world.ExpectAllAnswered();
+    schedule.DrainAnyTarget();
     world.RunFor(kVerificationTime);
     world.Stop();
     const SoakCounts& counts = world.counts();
--- a/testing/soak/soak_schedule.cc
+++ b/testing/soak/soak_schedule.cc
@@ -44,13 +44,17 @@
 constexpr Duration kCutExpiryDelay = 1500ms;
 constexpr Duration kCutTime = 2500ms;
 constexpr Duration kCutReturnDelay = 3200ms;
+// Entries of another writer.
+constexpr std::uint64_t kEntrySeed = 0xd1b54a32d192ed03;
+constexpr std::uint64_t kMaxEntryGapMs = 2000;
 
 }  // namespace
 
 SoakSchedule::SoakSchedule(SoakWorld& world)
     : world_(world),
       restoration_random_(~world.seed()),
-      view_random_(world.seed() ^ kViewSeed) {}
+      view_random_(world.seed() ^ kViewSeed),
+      entry_random_(world.seed() ^ kEntrySeed) {}
 
 SoakSchedule::~SoakSchedule() { EndAllFaults(); }
 
@@ -58,6 +62,7 @@
   ScheduleNext();
   ScheduleRestoration();
   ScheduleViewFault();
+  ScheduleOddEntry();
 }
 
 void SoakSchedule::ScheduleNext() {
@@ -73,6 +78,8 @@
   world_.timer().Cancel(next_);
   world_.timer().Cancel(next_restoration_);
   world_.timer().Cancel(next_view_fault_);
+  // The entries stay: they are no fault that ends.
+  world_.timer().Cancel(next_odd_entry_);
   for (ActiveFault& fault : std::exchange(active_faults_, {})) {
     world_.timer().Cancel(fault.timer);
     fault.end();
@@ -235,7 +242,7 @@
 
 void SoakSchedule::CutOffTarget() {
   const std::size_t index = view_random_.Below(world_.targets());
-  if (!world_.IsUsableTarget(index) || world_.UsablePeersOf(index) == 0) return;
+  if (!IsDispensable(index)) return;
   world_.FreezeTarget(index);
   world_.timer().After(kCutExpiryDelay,
                        [this, index] { world_.ExpireEntry(index); });
@@ -244,9 +251,18 @@
                        [this, index] { world_.RestoreEntry(index); });
 }
 
+void SoakSchedule::ScheduleOddEntry() {
+  next_odd_entry_ = world_.timer().After(
+      std::chrono::milliseconds(100 + entry_random_.Below(kMaxEntryGapMs)),
+      [this] {
+        world_.WriteOddEntry(entry_random_);
+        ScheduleOddEntry();
+      });
+}
+
 void SoakSchedule::InjectTargetFault() {
   const std::size_t index = RandomTarget();
-  if (!world_.IsUsableTarget(index) || world_.UsablePeersOf(index) == 0) return;
+  if (!IsDispensable(index)) return;
   if (world_.random().Below(2) == 0) {
     world_.FreezeTarget(index);
     return ScheduleEnd([this, index] { world_.ThawTarget(index); });
@@ -255,12 +271,22 @@
   ScheduleEnd([this, index] { world_.RestartTarget(index); });
 }
 
+bool SoakSchedule::IsDispensable(std::size_t index) const {
+  return world_.IsUsableTarget(index) && world_.UsablePeersOf(index) > 0;
+}
+
+void SoakSchedule::DrainAnyTarget() {
+  for (std::size_t index = 0; index < world_.targets(); ++index) {
+    if (IsDispensable(index)) return world_.DrainTarget(index);
+  }
+}
+
 void SoakSchedule::DrainAndReplaceRandomTarget() {
   DrainAndReplaceTarget(RandomTarget(), kDrainTime);
 }
 
 void SoakSchedule::DrainAndReplaceTarget(std::size_t index, Duration time) {
-  if (!world_.IsUsableTarget(index) || world_.UsablePeersOf(index) == 0) return;
+  if (!IsDispensable(index)) return;
   world_.DrainTarget(index);
   world_.timer().After(time, [this, index] { world_.ReplaceTarget(index); });
 }
--- a/testing/soak/soak_schedule.h
+++ b/testing/soak/soak_schedule.h
@@ -22,6 +22,9 @@
   void Start();
   // Ends all active faults and injects no more.
   void EndAllFaults();
+  // Drains a target until the end. While no fault is active, each instance must
+  // learn of it.
+  void DrainAnyTarget();
 
  private:
   struct ActiveFault {
@@ -48,19 +51,25 @@
   void ScheduleViewFault();
   void InjectViewFault();
   void CutOffTarget();
+  // And so have entries that another writer leaves among those of the targets.
+  void ScheduleOddEntry();
   void InjectTargetFault();
   void DrainAndReplaceRandomTarget();
   // Does nothing if the service needs the target.
   void DrainAndReplaceTarget(std::size_t index, Duration time);
+  // Whether the target serves and its service has another one.
+  [[nodiscard]] bool IsDispensable(std::size_t index) const;
   [[nodiscard]] std::size_t RandomInstance();
   [[nodiscard]] std::size_t RandomTarget();
 
   SoakWorld& world_;
   SeededRandom restoration_random_;
   SeededRandom view_random_;
+  SeededRandom entry_random_;
   TimerId next_ = kNoTimer;
   TimerId next_restoration_ = kNoTimer;
   TimerId next_view_fault_ = kNoTimer;
+  TimerId next_odd_entry_ = kNoTimer;
   std::list<ActiveFault> active_faults_;
   bool store_fault_active_ = false;
   bool packet_loss_active_ = false;
--- a/testing/soak/soak_world.cc
+++ b/testing/soak/soak_world.cc
@@ -127,16 +127,18 @@
   return name.data();
 }
 
+std::string SoakWorld::SpecOf(const TargetRecord& record) {
+  return R"({"Service":")" + record.service + R"(","Address":")" +
+         ToString(record.address) + R"(","Zone":")" + record.domain +
+         R"(","Version":"v1","Slots":)" + std::to_string(record.slots) +
+         R"(,"State":")" + (record.draining ? "draining" : "ready") +
+         R"(","ColdRemainingMs":0,"Seq":1,"born":)" +
+         std::to_string(Value(record.incarnation)) + "}";
+}
+
 void SoakWorld::WriteEntry(const SoakTarget& target) {
-  const TargetRecord& record = target.record();
-  store_->Put("servers", EntryName(record.key),
-              R"({"Service":")" + record.service + R"(","Address":")" +
-                  ToString(record.address) + R"(","Zone":")" + record.domain +
-                  R"(","Version":"v1","Slots":)" +
-                  std::to_string(record.slots) + R"(,"State":")" +
-                  (record.draining ? "draining" : "ready") +
-                  R"(","ColdRemainingMs":0,"Seq":1,"born":)" +
-                  std::to_string(Value(record.incarnation)) + "}");
+  store_->Put("servers", EntryName(target.record().key),
+              SpecOf(target.record()));
 }
 
 void SoakWorld::WriteRoutes() {
--- a/testing/soak/soak_world.h
+++ b/testing/soak/soak_world.h
@@ -100,6 +100,9 @@
   void RestoreStore(Duration age);
   // Removes the entries of targets that have been replaced.
   void ExpireReplacedEntries();
+  // Another writer leaves an entry that must not matter: one that cannot be
+  // used, or one of an unknown service with the address of a target.
+  void WriteOddEntry(Random& random);
   void CrashTarget(std::size_t index);
   void RestartTarget(std::size_t index);
   // Removes or writes the entry of one target that is alive.
@@ -171,6 +174,7 @@
   void AddInstance(std::size_t index);
   void AddTarget(std::size_t index);
   [[nodiscard]] static std::string EntryName(TargetKey key);
+  [[nodiscard]] static std::string SpecOf(const TargetRecord& record);
   void WriteEntry(const SoakTarget& target);
   // Writes the routes as a new version.
   void WriteRoutes();
