--- a/test/platform/odd_entry_test.cc
+++ b/test/platform/odd_entry_test.cc
@@ -43,14 +43,25 @@
           "null",
           R"("text")",
           testing::NestedArrays(60),
-          R"({"meta":{"Name":"i-9")"
-          "\x02}}"};
+          "{\"meta\":{\"Name\":\"i-9\"\x02}}"};
 }
 
 std::string Event(const std::string& object) {
   return R"({"Tombstone":false,"Object":)" + object + "}";
 }
 
+std::string Joined(const std::string& first, const std::string& second) {
+  return first + "," + second;
+}
+
+std::string ListReply(const std::string& items) {
+  return R"({"items":[)" + items + R"(],"Truncated":false,"CurrentRev":530})";
+}
+
+std::string EventsReply(const std::string& events) {
+  return R"({"events":[)" + events + R"(],"CurrentRev":530})";
+}
+
 // Counts the usable targets of a reply, which must be those around the odd one.
 void CheckNeighbours(const std::string& body, std::size_t expected) {
   const auto reply = DecodeTargets(body);
@@ -83,11 +94,10 @@
                           truncated + R"(,"CurrentRev":530})",
                       2);
     }
-    CheckNeighbours(R"({"events":[)" + events + R"(],"CurrentRev":530})", 2);
+    CheckNeighbours(EventsReply(events), 2);
     CheckNeighbours(R"({"CurrentRev":530,"events":[)" + events + "]}", 2);
   }
-  CheckNeighbours(
-      R"({"items":[)" + odd + R"(],"Truncated":false,"CurrentRev":530})", 0);
+  CheckNeighbours(ListReply(odd), 0);
 }
 
 BOOST_AUTO_TEST_SUITE(odd_entry)
@@ -103,8 +113,7 @@
 // The entry of a known target that was damaged must be found by its name.
 BOOST_AUTO_TEST_CASE(an_odd_entry_keeps_its_name_and_revision) {
   for (const std::string& odd : OddEntries()) {
-    const auto reply = DecodeTargets(R"({"items":[)" + odd +
-                                     R"(],"Truncated":false,"CurrentRev":5})");
+    const auto reply = DecodeTargets(ListReply(odd));
     BOOST_REQUIRE(reply.has_value());
     BOOST_REQUIRE(reply->items.size() == 1U);
     BOOST_TEST(reply->items[0].name == "i-9");
@@ -120,10 +129,8 @@
         std::string(R"({"Tombstone":"\udcff","Object":)") + Entry("i-9", "{}") +
             "}",
         std::string(R"({"Tombstone":false,"Object":"\udcff"})")}) {
-    CheckNeighbours(
-        R"({"events":[)" + odd + "," + good + R"(],"CurrentRev":530})", 1);
-    CheckNeighbours(
-        R"({"events":[)" + good + "," + odd + R"(],"CurrentRev":530})", 1);
+    CheckNeighbours(EventsReply(Joined(odd, good)), 1);
+    CheckNeighbours(EventsReply(Joined(good, odd)), 1);
   }
 }
 
@@ -161,6 +168,10 @@
   BOOST_TEST(reply->items[0].record->slots == 4U);
 }
 
+std::string ConfigOf(const std::string& routes) {
+  return R"({"Version":7,"Routes":[)" + routes + R"(],"Services":[]})";
+}
+
 // Routes: one odd route must not hide the others.
 BOOST_AUTO_TEST_CASE(an_odd_route_costs_itself_alone) {
   const std::string good =
@@ -176,10 +187,7 @@
         std::string(R"({"Host":"198.18.0.2","PathPrefix":"/80/",)"
                     R"("Service":7})")}) {
     const auto reply =
-        DecodeRoutes(R"({"items":[)" +
-                     Entry("main", R"({"Version":7,"Routes":[)" + odd + "," +
-                                       good + R"(],"Services":[]})") +
-                     R"(],"Truncated":false,"CurrentRev":530})");
+        DecodeRoutes(ListReply(Entry("main", ConfigOf(Joined(odd, good)))));
     BOOST_REQUIRE(reply.has_value());
     BOOST_REQUIRE(reply->items.at(0).record.has_value());
     BOOST_TEST(reply->items[0].record->routes.size() == 1U);
@@ -191,11 +199,9 @@
 // version, must not replace it.
 BOOST_AUTO_TEST_CASE(only_the_current_configuration_is_used) {
   const std::string spec =
-      R"({"Version":9,"Routes":[{"Host":"198.18.0.1","PathPrefix":"/80/",)"
-      R"("Service":"desk"}],"Services":[]})";
-  const std::string items = Entry("backup", spec) + "," + Entry("main", spec);
-  const auto reply = DecodeRoutes(R"({"items":[)" + items +
-                                  R"(],"Truncated":false,"CurrentRev":530})");
+      ConfigOf(R"({"Host":"198.18.0.1","PathPrefix":"/80/","Service":"desk"})");
+  const auto reply = DecodeRoutes(
+      ListReply(Joined(Entry("backup", spec), Entry("main", spec))));
   BOOST_REQUIRE(reply.has_value());
   BOOST_REQUIRE(reply->items.size() == 2U);
   BOOST_TEST(!reply->items[0].record.has_value());
