--- a/test/store/collection_checker_test.cc
+++ b/test/store/collection_checker_test.cc
@@ -83,6 +83,27 @@
     }
     return longest;
   }
+  // Makes the change with this number in both collections.
+  std::string PutInBoth(int number) {
+    const std::string name = "x" + std::to_string(number);
+    store.Put("targets", name);
+    store.Put("routes", name);
+    return name;
+  }
+  void CheckSeenInTime(const std::string& change) {
+    time.RunFor(kMaxAge);
+    BOOST_TEST(targets.seen.contains(change));
+    BOOST_TEST(routes.seen.contains(change));
+  }
+  // Makes changes after the open connections have gone silent, at some moments
+  // of the checks' cycle.
+  void CheckChangesAfterSilence() {
+    for (int i = 0; i < 20; ++i) {
+      time.RunFor(370ms);
+      store.SilenceOpenConnections();
+      CheckSeenInTime(PutInBoth(i));
+    }
+  }
 
   testing::VirtualTime time;
   SeededRandom random{1};
@@ -129,31 +150,13 @@
 
 // A drain stayed unknown for 5.5 s, until the deadline of a watch.
 BOOST_AUTO_TEST_CASE(silent_connections_hide_no_change_for_long) {
-  for (int i = 0; i < 20; ++i) {
-    time.RunFor(370ms);
-    store.SilenceOpenConnections();
-    const std::string name = "x" + std::to_string(i);
-    store.Put("targets", name);
-    store.Put("routes", name);
-    time.RunFor(kMaxAge);
-    BOOST_TEST(targets.seen.contains(name));
-    BOOST_TEST(routes.seen.contains(name));
-  }
+  CheckChangesAfterSilence();
 }
 
 // Together: the cache cannot take the place of a silent connection.
 BOOST_AUTO_TEST_CASE(silent_connections_and_a_lagging_cache_hide_nothing) {
   store.cache_lag = 10s;
-  for (int i = 0; i < 20; ++i) {
-    time.RunFor(370ms);
-    store.SilenceOpenConnections();
-    const std::string name = "x" + std::to_string(i);
-    store.Put("targets", name);
-    store.Put("routes", name);
-    time.RunFor(kMaxAge);
-    BOOST_TEST(targets.seen.contains(name));
-    BOOST_TEST(routes.seen.contains(name));
-  }
+  CheckChangesAfterSilence();
 }
 
 // Time for which an instance may still use its old view after an outage.
@@ -161,13 +164,9 @@
   for (int i = 0; i < 10; ++i) {
     store.is_available = false;
     time.RunFor(5500ms + i * 170ms);
-    const std::string name = "x" + std::to_string(i);
-    store.Put("targets", name);
-    store.Put("routes", name);
+    const std::string name = PutInBoth(i);
     store.is_available = true;
-    time.RunFor(kMaxAge);
-    BOOST_TEST(targets.seen.contains(name));
-    BOOST_TEST(routes.seen.contains(name));
+    CheckSeenInTime(name);
   }
   BOOST_TEST(targets.outages == 10);
   BOOST_TEST(routes.outages == 10);
--- a/test/store/probe_turns_test.cc
+++ b/test/store/probe_turns_test.cc
@@ -12,6 +12,18 @@
   int turns = 0;
 };
 
+// The first reader has the turn, the second one waits.
+struct TwoReaders {
+  TwoReaders() {
+    BOOST_TEST(turns.Request(a));
+    BOOST_TEST(!turns.Request(b));
+  }
+
+  ProbeTurns turns;
+  Reader a;
+  Reader b;
+};
+
 BOOST_AUTO_TEST_SUITE(probe_turns)
 
 BOOST_AUTO_TEST_CASE(a_reader_alone_always_has_the_turn) {
@@ -22,12 +34,7 @@
   BOOST_TEST(a.turns == 0);
 }
 
-BOOST_AUTO_TEST_CASE(a_failed_probe_passes_the_turn) {
-  ProbeTurns turns;
-  Reader a;
-  Reader b;
-  BOOST_TEST(turns.Request(a));
-  BOOST_TEST(!turns.Request(b));
+BOOST_FIXTURE_TEST_CASE(a_failed_probe_passes_the_turn, TwoReaders) {
   BOOST_TEST(!turns.Request(b));
   BOOST_TEST(b.turns == 0);
   BOOST_TEST(!turns.Request(a));
@@ -36,12 +43,7 @@
   BOOST_TEST(a.turns == 1);
 }
 
-BOOST_AUTO_TEST_CASE(a_reader_that_leaves_passes_the_turn) {
-  ProbeTurns turns;
-  Reader a;
-  Reader b;
-  BOOST_TEST(turns.Request(a));
-  BOOST_TEST(!turns.Request(b));
+BOOST_FIXTURE_TEST_CASE(a_reader_that_leaves_passes_the_turn, TwoReaders) {
   turns.Leave(a);
   BOOST_TEST(b.turns == 1);
   turns.Leave(a);
@@ -51,12 +53,8 @@
   BOOST_TEST(a.turns == 1);
 }
 
-BOOST_AUTO_TEST_CASE(a_waiting_reader_that_leaves_is_not_called) {
-  ProbeTurns turns;
-  Reader a;
-  Reader b;
-  BOOST_TEST(turns.Request(a));
-  BOOST_TEST(!turns.Request(b));
+BOOST_FIXTURE_TEST_CASE(a_waiting_reader_that_leaves_is_not_called,
+                        TwoReaders) {
   turns.Leave(b);
   BOOST_TEST(turns.Request(a));
   BOOST_TEST(b.turns == 0);
