Soak: let the store serve more than 64 connections

A soak with 60 instances ended with "not all instances are ready after 10 s" in 2 of 2 runs, without any fault: 35 instances had no connection to the store.

Cause: the HTTP server closes connections beyond 64, and the stand-in of the store uses it. Since each instance has a connection for checks, three instead of two, 21 instances reach the limit, 32 before. Ruled out: descriptors (320 of 20,000 in use), load (the second run had the machine half idle).

Change: the limit is a parameter with the same default; the stand-in allows 4,000. The program under test has the same limit as before. One comment whose wording an earlier rename had broken is corrected.

--- a/src/sapphirestream/admin/http_server.cc
+++ b/src/sapphirestream/admin/http_server.cc
@@ -100,7 +100,8 @@
 };
 
 leaf::result<std::unique_ptr<HttpServer>> HttpServer::Open(
-    asio::io_context& io, const Endpoint& local, Handler handler) {
+    asio::io_context& io, const Endpoint& local, Handler handler,
+    std::size_t max_connections) {
   const Tcp::endpoint endpoint(asio::ip::make_address(ToString(local.address)),
                                local.port);
   Tcp::acceptor acceptor(io);
@@ -114,7 +115,7 @@
                      "listen " + ToString(local) + ": " + error.message());
   }
   std::unique_ptr<HttpServer> server(
-      new HttpServer(std::move(acceptor), std::move(handler)));
+      new HttpServer(std::move(acceptor), std::move(handler), max_connections));
   server->Accept();
   return server;
 }
@@ -127,7 +128,7 @@
 void HttpServer::Accept() {
   acceptor_.async_accept([this](beast::error_code error, Tcp::socket socket) {
     if (error == asio::error::operation_aborted) return;
-    if (!error && *connections_ < kMaxConnections) {
+    if (!error && *connections_ < max_connections_) {
       std::make_shared<Session>(std::move(socket), handler_, connections_)
           ->ReadRequest();
     }
--- a/src/sapphirestream/edge/target_health.h
+++ b/src/sapphirestream/edge/target_health.h
@@ -48,8 +48,8 @@
 
 class TargetHealth {
  public:
-  // Unanswered openings that make a target suspicious even though it
-  // AcceptsNewFlows connections; a single one may be due to packet loss.
+  // Unanswered openings that make a target suspicious even though it accepts
+  // connections; a single one may be due to packet loss.
   static constexpr std::uint32_t kUnansweredLimit = 2;
   // Time for which an unresponsive target gets no new flows.
   static constexpr Duration kUnresponsiveBackoff =
--- a/testing/soak/store_standin.cc
+++ b/testing/soak/store_standin.cc
@@ -18,6 +18,9 @@
 constexpr Duration kCopyInterval = std::chrono::milliseconds(500);
 constexpr Duration kOtherWriteInterval = std::chrono::milliseconds(50);
 constexpr std::size_t kMaxCopies = 24;
+// Each of up to 200 instances has three connections, and those that the proxies
+// have silenced stay open.
+constexpr std::size_t kMaxConnections = 4000;
 
 constexpr int kUnavailable = 503;
 constexpr int kTooManyCalls = 429;
@@ -56,12 +59,13 @@
     : timer_(timer), clock_(clock), random_(random) {
   leaf::try_handle_all(
       [&]() -> leaf::result<void> {
-        BOOST_LEAF_ASSIGN(server_,
-                          HttpServer::Open(context, local,
-                                           [this](const HttpRequest& request,
-                                                  const HttpServer::Reply& r) {
-                                             Handle(request, WithEra(r));
-                                           }));
+        BOOST_LEAF_ASSIGN(server_, HttpServer::Open(
+                                       context, local,
+                                       [this](const HttpRequest& request,
+                                              const HttpServer::Reply& r) {
+                                         Handle(request, WithEra(r));
+                                       },
+                                       kMaxConnections));
         return {};
       },
       [](const Error& error) { throw std::runtime_error(error.detail); },
