--- a/test/store/collection_checker_test.cc
+++ b/test/store/collection_checker_test.cc
@@ -85,7 +85,7 @@
   }
   // Makes the change with this number in both collections.
   std::string PutInBoth(int number) {
-    const std::string name = "x" + std::to_string(number);
+    std::string name = "x" + std::to_string(number);
     store.Put("targets", name);
     store.Put("routes", name);
     return name;
