--- a/test/platform/object_codec_test.cc
+++ b/test/platform/object_codec_test.cc
@@ -99,16 +99,21 @@
               R"({"Name":"r3","Host":"198.18.0.2","PathPrefix":"/1/",)"
               R"("Type":"upload","Service":"intake"},)"
               R"({"Name":"r4","Host":"198.18.0.2","PathPrefix":"/none/",)"
-              R"("Service":"intake"}],)"
+              R"("Service":"intake"},)"
+              R"({"Name":"r5","Host":"198.18.0.2","PathPrefix":"/2/",)"
+              R"("Type":"download","Service":"intake"}],)"
               R"("Services":[{"Name":"desk","HealthPath":"/health"}]})")));
   BOOST_REQUIRE(reply.has_value());
   const RouteConfig& config = *reply->items.at(0).record;
   BOOST_TEST(config.version == 7U);
-  BOOST_REQUIRE(config.routes.size() == 3U);
+  BOOST_REQUIRE(config.routes.size() == 4U);
   BOOST_TEST((config.routes[0].kind == RequestKind::kNonIdempotent));
   BOOST_TEST((config.routes[1].kind == RequestKind::kIdempotent));
   BOOST_TEST(config.routes[1].services.size() == 2U);
   BOOST_TEST((config.routes[2].kind == RequestKind::kUpload));
+  // A download that is not idempotent would not be reset when its target is
+  // lost, so that the client waits for its own timeout.
+  BOOST_TEST((config.routes[3].kind == RequestKind::kIdempotent));
   BOOST_TEST(ToString(config.routes[0].address) == "198.18.0.1:8080");
   BOOST_TEST(config.services.at(0).health_path == "/health");
 }
