Decode objectives of routes and limits of services

Cause: the time budget, the latency objective and the priority of a route, the flow limit of a service's targets and the limit on cold targets were not decoded, so that no decision under load could use them. Change: RouteObjective on routes; flow limit, cold start time and rate on ServiceSpec. RouteTable::SpecOf replaces the accessors of single fields. Result: no behaviour depends on them yet; object_codec_test covers missing and unusable values.

--- a/src/sapphirestream/edge/edge_steering_failover.cc
+++ b/src/sapphirestream/edge/edge_steering_failover.cc
@@ -26,7 +26,7 @@
       {.kind = kind,
        .target = target.record.key,
        .address = target.record.address,
-       .health_path = routes_.HealthPathOf(target.service),
+       .health_path = routes_.SpecOf(target.service).health_path,
        .control = needs_control ? ControlFor(target, now) : std::nullopt});
 }
 
--- a/src/sapphirestream/edge/route_table.cc
+++ b/src/sapphirestream/edge/route_table.cc
@@ -30,6 +30,7 @@
   for (const RouteSpec& spec : config.routes) {
     Route route;
     route.kind = spec.kind;
+    route.objective = spec.objective;
     if (const Route* before = Find(spec.address)) {
       route.allowed = before->allowed;
     }
@@ -50,7 +51,7 @@
   routes_ = std::move(next);
   for (const ServiceSpec& service : config.services) {
     Service& configured = services_[Value(Number(service.name))];
-    configured.health_path = service.health_path;
+    configured.spec = service;
     configured.version = config.version;
   }
   version_ = config.version;
@@ -71,7 +72,7 @@
   const auto next = static_cast<std::uint32_t>(services_.size());
   const auto [it, is_new] =
       numbers_.try_emplace(std::string(service), ServiceNumber{next});
-  if (is_new) services_.push_back({std::string(service), {}, 0});
+  if (is_new) services_.push_back({{.name = std::string(service)}, 0});
   return it->second;
 }
 
@@ -79,13 +80,8 @@
   return version_ != 0 && services_[Value(service)].version == version_;
 }
 
-std::string_view RouteTable::NameOf(ServiceNumber service) const noexcept {
-  return services_[Value(service)].name;
-}
-
-std::string_view RouteTable::HealthPathOf(
-    ServiceNumber service) const noexcept {
-  return services_[Value(service)].health_path;
+const ServiceSpec& RouteTable::SpecOf(ServiceNumber service) const noexcept {
+  return services_[Value(service)].spec;
 }
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge/route_table.h
+++ b/src/sapphirestream/edge/route_table.h
@@ -5,11 +5,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
+#include "sapphirestream/base/clock.h"
 #include "sapphirestream/edge/fwd.h"
 #include "sapphirestream/edge/v4_endpoint.h"
 
@@ -17,7 +19,7 @@
 
 // Retry safety and transfer cost of a route's requests.
 enum class RequestKind : std::uint8_t {
-  kIdempotent,     // may be retried
+  kIdempotent,     // may be retried; includes downloads
   kNonIdempotent,  // must not run twice
   kUpload,         // must not run twice; has a large body
 };
@@ -29,12 +31,25 @@
   bool operator==(const WeightedService&) const = default;
 };
 
+// What callers expect of a route's requests. A time of zero is not configured.
+struct RouteObjective {
+  // Time after which callers give up.
+  Duration timeout{};
+  // Time within which most requests should be answered.
+  Duration target_latency{};
+  // Zero is the most urgent.
+  std::uint32_t priority = 0;
+
+  bool operator==(const RouteObjective&) const = default;
+};
+
 // A route as configured.
 struct RouteSpec {
   V4Endpoint address;
   RequestKind kind = RequestKind::kNonIdempotent;
   // Not empty; new flows are distributed by weight.
   std::vector<WeightedService> services;
+  RouteObjective objective{};
 
   bool operator==(const RouteSpec&) const = default;
 };
@@ -43,6 +58,13 @@
   std::string name;
   // Health check path of the service's targets.
   std::string health_path;
+  // Open flows that a target of the service can hold; zero if not configured.
+  std::uint32_t max_flows = 0;
+  // Time for which a target is cold after its start.
+  Duration cold_start{};
+  // New flows that a cold target handles per second; nothing if there is no
+  // limit.
+  std::optional<double> cold_flows_per_s{};
 
   bool operator==(const ServiceSpec&) const = default;
 };
@@ -63,6 +85,7 @@
   };
 
   RequestKind kind = RequestKind::kNonIdempotent;
+  RouteObjective objective{};
   // Services of new flows.
   std::vector<Share> shares;
   // Services of this route in any version applied here. Open flows stay with
@@ -92,10 +115,12 @@
   [[nodiscard]] ServiceNumber Number(std::string_view service);
   // Whether the current version names the service, itself or in a route.
   [[nodiscard]] bool IsConfigured(ServiceNumber service) const noexcept;
-  [[nodiscard]] std::string_view NameOf(ServiceNumber service) const noexcept;
-  // Returns an empty string if none is configured.
-  [[nodiscard]] std::string_view HealthPathOf(
-      ServiceNumber service) const noexcept;
+  [[nodiscard]] std::string_view NameOf(ServiceNumber service) const noexcept {
+    return SpecOf(service).name;
+  }
+  // Returns the configuration of a service; all its fields but the name are
+  // unset if it is not configured.
+  [[nodiscard]] const ServiceSpec& SpecOf(ServiceNumber service) const noexcept;
 
   // Zero before the first configuration.
   [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
@@ -103,8 +128,7 @@
 
  private:
   struct Service {
-    std::string name;
-    std::string health_path;
+    ServiceSpec spec;
     // Last version that named the service; zero if there was none.
     std::uint64_t version = 0;
   };
--- a/test/platform/object_codec_test.cc
+++ b/test/platform/object_codec_test.cc
@@ -118,6 +118,35 @@
   BOOST_TEST(config.services.at(0).health_path == "/health");
 }
 
+// A limit that is missing or unusable must not make the route or the service
+// unusable.
+BOOST_AUTO_TEST_CASE(objectives_and_limits_are_decoded) {
+  const auto reply = DecodeRoutes(List(Entry(
+      "main", R"({"Version":7,"Routes":[)"
+              R"({"Name":"r1","Host":"198.18.0.1","PathPrefix":"/8080/",)"
+              R"("Type":"unsafe","TimeoutMs":1200,"TargetLatencyMs":300,)"
+              R"("Priority":1,"Service":"desk"},)"
+              R"({"Name":"r2","Host":"198.18.0.1","PathPrefix":"/8443/",)"
+              R"("TimeoutMs":-1,"Priority":"high","Service":"desk"}],)"
+              R"("Services":[{"Name":"desk","HealthPath":"/health",)"
+              R"("MaxFlows":2000,"ColdStartS":2.5,"ColdPerS":0.0},)"
+              R"({"Name":"intake","HealthPath":"/h","ColdPerS":"x"}]})")));
+  BOOST_REQUIRE(reply.has_value());
+  const RouteConfig& config = *reply->items.at(0).record;
+  BOOST_REQUIRE(config.routes.size() == 2U);
+  const RouteObjective& objective = config.routes[0].objective;
+  BOOST_TEST((objective.timeout == std::chrono::milliseconds(1200)));
+  BOOST_TEST((objective.target_latency == std::chrono::milliseconds(300)));
+  BOOST_TEST(objective.priority == 1U);
+  BOOST_TEST((config.routes[1].objective == RouteObjective{}));
+  BOOST_REQUIRE(config.services.size() == 2U);
+  BOOST_TEST(config.services[0].max_flows == 2000U);
+  BOOST_TEST(
+      (config.services[0].cold_start == std::chrono::milliseconds(2500)));
+  BOOST_TEST((config.services[0].cold_flows_per_s == 0.0));
+  BOOST_TEST(!config.services[1].cold_flows_per_s.has_value());
+}
+
 // Responses that were truncated or corrupted in transit.
 BOOST_AUTO_TEST_CASE(any_text_is_decoded_or_rejected) {
   const std::string whole = List(Entry("i-7f3a91c2", kSpec));
