Add settings for platform rules, evacuations, seeds and the peer address

Cause: an instance could not see which of the platform's rules are in force, so that no feature could depend on them; nor does it know other instances. Change: settings `rules`, `evacuation-bound-ms`, `seeds` and `peer`, filled in by the template; all may be empty. Result: nothing depends on them yet.

--- a/scripts/build_deploy.sh
+++ b/scripts/build_deploy.sh
@@ -9,7 +9,7 @@
 # Replace every placeholder by a value of the right type.
 settings=$(mktemp)
 trap 'rm -f "$settings"' EXIT
-sed -E -e 's/\{\{(Listen[^}]*|platform\.Address)\}\}/127.0.0.1:7000/g' \
+sed -E -e 's/\{\{(Listen[^}]*|platform\.Address|Seeds)\}\}/127.0.0.1:7000/g' \
   -e 's/\{\{Ip\}\}/127.0.0.1/g' -e 's/\{\{[^}]*Ms\}\}/3000/g' \
   -e 's/\{\{[^}]*\}\}/7/g' \
   deploy/edge.settings >"$settings"
--- a/src/sapphirestream/edge_io/edge_settings.cc
+++ b/src/sapphirestream/edge_io/edge_settings.cc
@@ -20,7 +20,7 @@
 // Describes one setting.
 struct SettingRow {
   const char* name;
-  const char* default_value;  // empty if the setting is required
+  const char* default_value;  // parsed if the setting is missing
   const char* help;
   // Parses `value` and assigns it. Returns an error message, empty on success.
   std::string (*assign)(std::string_view value, EdgeSettings& settings);
@@ -90,6 +90,29 @@
                     std::chrono::milliseconds(max), "ms", out);
 }
 
+// Splits a comma-separated list; returns no empty items.
+std::vector<std::string> SplitList(std::string_view list) {
+  std::vector<std::string> items;
+  while (!list.empty()) {
+    const std::size_t end = std::min(list.find(','), list.size());
+    if (end > 0) items.emplace_back(list.substr(0, end));
+    list.remove_prefix(std::min(end + 1, list.size()));
+  }
+  return items;
+}
+
+std::string AssignEndpoints(std::string_view value,
+                            std::vector<Endpoint>& out) {
+  out.clear();
+  for (const std::string& item : SplitList(value)) {
+    if (std::string error = AssignEndpoint(item, out.emplace_back());
+        !error.empty()) {
+      return error;
+    }
+  }
+  return {};
+}
+
 // All settings, in the order of --help.
 constexpr std::array kSettings{
     SettingRow{"name", "", "name of this instance in logs",
@@ -152,6 +175,30 @@
                [](std::string_view v, EdgeSettings& s) {
                  return AssignMs(v, 10, 600000, s.config_bound);
                }},
+    SettingRow{"rules", "", "comma-separated rules of the platform in force",
+               [](std::string_view v, EdgeSettings& s) -> std::string {
+                 s.rules = SplitList(v);
+                 return {};
+               }},
+    SettingRow{"evacuation-bound-ms", "",
+               "time after which an evacuated failure domain must get no new "
+               "flows in ms; empty if domains are not evacuated",
+               [](std::string_view v, EdgeSettings& s) -> std::string {
+                 s.evacuation_bound = {};
+                 if (v.empty()) return {};
+                 return AssignMs(v, 10, 600000, s.evacuation_bound);
+               }},
+    SettingRow{"seeds", "",
+               "comma-separated addresses of other instances; may be stale",
+               [](std::string_view v, EdgeSettings& s) {
+                 return AssignEndpoints(v, s.seeds);
+               }},
+    SettingRow{"peer", "", "address:port for messages between instances (UDP)",
+               [](std::string_view v, EdgeSettings& s) -> std::string {
+                 s.peer.reset();
+                 if (v.empty()) return {};
+                 return AssignEndpoint(v, s.peer.emplace());
+               }},
     SettingRow{"heartbeat-ms", "1200",
                "interval at which targets confirm their entries in ms",
                [](std::string_view v, EdgeSettings& s) {
@@ -232,6 +279,15 @@
 
 }  // namespace
 
+std::string_view Name(PlatformRule rule) noexcept {
+  constexpr std::array<std::string_view, 2> names{"health", "places"};
+  return names[static_cast<std::size_t>(rule)];
+}
+
+bool EdgeSettings::IsInForce(PlatformRule rule) const {
+  return std::find(rules.begin(), rules.end(), Name(rule)) != rules.end();
+}
+
 std::chrono::milliseconds ConfigWatchInterval(
     const EdgeSettings& settings) noexcept {
   // The rest of the bound is left for a slow reply and a repeated call.
--- a/src/sapphirestream/edge_io/edge_settings.h
+++ b/src/sapphirestream/edge_io/edge_settings.h
@@ -6,7 +6,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "sapphirestream/base/clock.h"
@@ -16,6 +18,18 @@
 
 namespace sapphirestream {
 
+// Rules of the platform that call for a feature of the product.
+enum class PlatformRule : std::uint8_t {
+  // Health checks of targets may mislead: targets are judged by what their
+  // flows show.
+  kTargetHealth,
+  // Operators evacuate failure domains, and cold targets bear few flows.
+  kDomainPlacement,
+};
+
+// Returns the name of the rule in the settings.
+[[nodiscard]] std::string_view Name(PlatformRule rule) noexcept;
+
 struct EdgeSettings {
   std::string name;
   // Failure domain of this instance.
@@ -48,6 +62,18 @@
   // Time within which an accepted configuration must take effect. The view of
   // the routes is kept younger.
   std::chrono::milliseconds config_bound{};
+  // Names of the platform's rules that are in force; unknown ones are ignored.
+  std::vector<std::string> rules;
+  // Time after which the targets of an evacuated failure domain must get no new
+  // flows; zero if domains are not evacuated. The view of the evacuations is
+  // kept younger.
+  std::chrono::milliseconds evacuation_bound{};
+  // Addresses of some instances; only their IP addresses are used. They may be
+  // stale.
+  std::vector<Endpoint> seeds;
+  // UDP address for messages between instances; the port is the same on all of
+  // them. No messages are exchanged if it is not set.
+  std::optional<Endpoint> peer;
   // Interval at which targets confirm their entries.
   std::chrono::milliseconds heartbeat{};
   std::size_t flow_capacity = 0;
@@ -56,6 +82,14 @@
   std::uint32_t log_lines = 0;
   LogLevel log_level = LogLevel::kInfo;
 
+  [[nodiscard]] bool IsInForce(PlatformRule rule) const;
+  // Whether the evacuation of failure domains and the limit on cold targets
+  // apply.
+  [[nodiscard]] bool EvacuatesDomains() const {
+    return IsInForce(PlatformRule::kDomainPlacement) &&
+           evacuation_bound > std::chrono::milliseconds::zero();
+  }
+
   bool operator==(const EdgeSettings&) const = default;
 };
 
