Evacuate failure domains and keep new flows off cold targets

Nothing limited the flows of cold targets. Change: a reader of the evacuations, started only where the settings call for it; its age is bounded like that of the targets. Targets of an evacuated domain get no opening packet and no copy of one; open flows stay. A cold target gets no new flow at all where its service limits them, so that the limit holds whatever the instances know of each other; an opening packet waits for its client's copy if a target is warm by then. EdgeSteering delegates placement, observation of requests and admission.

--- a/bench/edge_slopes.cc
+++ b/bench/edge_slopes.cc
@@ -111,7 +111,9 @@
       1e3;
   const std::size_t with_targets = HeapBytes();
   EdgeLog log(events, routes);
-  EdgeSteering steering(routes, targets, sink, log, counters, flows);
+  TierPlacer placer;
+  EdgeSteering steering(routes, targets, sink, log, counters,
+                        {.placer = placer}, {.flow_capacity = flows});
   const std::size_t with_flows = HeapBytes();
   const double open_ns = NanosecondsPerCall(packets, [&](std::uint32_t i) {
     EdgePacket packet = Packet(i, services, kNoToken);
--- a/src/sapphirestream/edge/edge_placement.cc
+++ b/src/sapphirestream/edge/edge_placement.cc
@@ -20,12 +20,30 @@
          (query.kind == RequestKind::kUpload ? kUploadQueueAllowance : 0);
 }
 
+// Requests beyond the slots; 0 for all targets with a free slot.
+std::uint32_t QueueLength(const EdgeTarget& target) {
+  const std::uint32_t slots = std::max(1U, target.record.slots);
+  return target.outstanding < slots ? 0 : target.outstanding - slots + 1;
+}
+
+}  // namespace
+
+std::string_view Name(PlacementTier tier) noexcept {
+  constexpr std::array<std::string_view, 6> names{"local_slot",  "remote_slot",
+                                                  "local_queue", "remote_queue",
+                                                  "unproven",    "none"};
+  return names[static_cast<std::size_t>(tier)];
+}
+
 PlacementTier TierOf(const EdgeTarget& target, const PlacementQuery& query) {
   if (target.presence == TargetPresence::kGone || target.record.draining ||
       target.record.key == query.excluded) {
     return PlacementTier::kNone;
   }
-  if (target.health.state() == Reachability::kUnreachable) {
+  if (target.evacuated || target.health.state() == Reachability::kUnreachable) {
+    return PlacementTier::kNone;
+  }
+  if (query.exclude_cold && query.now < target.cold_until) {
     return PlacementTier::kNone;
   }
   if (query.now < target.usable_from ||
@@ -40,19 +58,18 @@
                          : PlacementTier::kRemoteQueue;
 }
 
-// Requests beyond the slots; 0 for all targets with a free slot.
-std::uint32_t QueueLength(const EdgeTarget& target) {
-  const std::uint32_t slots = std::max(1U, target.record.slots);
-  return target.outstanding < slots ? 0 : target.outstanding - slots + 1;
-}
-
-}  // namespace
-
-std::string_view Name(PlacementTier tier) noexcept {
-  constexpr std::array<std::string_view, 6> names{"local_slot",  "remote_slot",
-                                                  "local_queue", "remote_queue",
-                                                  "unproven",    "none"};
-  return names[static_cast<std::size_t>(tier)];
+std::optional<TimePoint> NextWarm(const std::vector<EdgeTarget*>& targets,
+                                  PlacementQuery query) {
+  query.exclude_cold = false;
+  std::optional<TimePoint> next;
+  for (const EdgeTarget* const target : targets) {
+    if (query.now >= target->cold_until ||
+        TierOf(*target, query) == PlacementTier::kNone) {
+      continue;
+    }
+    if (!next || target->cold_until < *next) next = target->cold_until;
+  }
+  return next;
 }
 
 EdgePlacement PlaceFlow(const std::vector<EdgeTarget*>& targets,
--- a/src/sapphirestream/edge/edge_placement.h
+++ b/src/sapphirestream/edge/edge_placement.h
@@ -4,6 +4,7 @@
 #define SAPPHIRESTREAM_EDGE_EDGE_PLACEMENT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -35,6 +36,9 @@
   TimePoint now;
   // Target that must not be selected.
   TargetKey excluded{};
+  // Whether cold targets must not be selected; see docs/design/cold-targets.md.
+  bool exclude_cold = false;
+  RouteObjective objective{};
 };
 
 // Uploads that a local target may hold beyond its slots before targets in other
@@ -48,6 +52,15 @@
 [[nodiscard]] EdgePlacement PlaceFlow(const std::vector<EdgeTarget*>& targets,
                                       const PlacementQuery& query);
 
+// Returns the preference class of a target; kNone if it must not be selected.
+[[nodiscard]] PlacementTier TierOf(const EdgeTarget& target,
+                                   const PlacementQuery& query);
+
+// Returns when the first target that is excluded only because it is cold can be
+// selected, or nothing if there is no such target.
+[[nodiscard]] std::optional<TimePoint> NextWarm(
+    const std::vector<EdgeTarget*>& targets, PlacementQuery query);
+
 }  // namespace sapphirestream
 
 #endif  // SAPPHIRESTREAM_EDGE_EDGE_PLACEMENT_H_
--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -11,15 +11,19 @@
 
 EdgeSteering::EdgeSteering(RouteTable& routes, TargetDirectory& targets,
                            EdgeSink& sink, EdgeLog& log, CounterSet& counters,
-                           std::size_t flow_capacity)
+                           const SteeringDecisions& decisions,
+                           const SteeringOptions& options)
     : routes_(routes),
       targets_(targets),
       sink_(sink),
       log_(log),
-      flows_(flow_capacity),
+      decisions_(decisions),
+      limits_cold_targets_(options.limits_cold_targets),
+      flows_(options.flow_capacity),
       forwarded_(counters.Emplace("packets_forwarded_total")),
       placed_(counters.Emplace("flows_placed_total")),
       refused_(counters.Emplace("flows_refused_total")),
+      not_admitted_(counters.Emplace("flows_not_admitted_total")),
       unplaced_(counters.Emplace("packets_unplaced_total")),
       moved_(counters.Emplace("flows_moved_total")),
       resets_(counters.Emplace("flows_reset_total")),
@@ -70,15 +74,26 @@
       {packet.client, packet.service, packet.opens ? 0 : packet.acknowledged});
 }
 
+PlacementQuery EdgeSteering::QueryFor(V4Endpoint client, V4Endpoint service,
+                                      const Route& route, TargetKey excluded,
+                                      TimePoint now) const {
+  const std::uint64_t hash = FlowHash(client, service);
+  const ServiceSpec& spec = routes_.SpecOf(route.Pick(hash));
+  return {
+      .kind = route.kind,
+      .flow_hash = hash,
+      .now = now,
+      .excluded = excluded,
+      .exclude_cold = limits_cold_targets_ && spec.cold_flows_per_s.has_value(),
+      .objective = route.objective};
+}
+
 EdgePlacement EdgeSteering::Place(V4Endpoint client, V4Endpoint service,
                                   const Route& route, TargetKey excluded,
-                                  TimePoint now) const {
-  const std::uint64_t hash = FlowHash(client, service);
-  return PlaceFlow(targets_.OfService(route.Pick(hash)),
-                   {.kind = route.kind,
-                    .flow_hash = hash,
-                    .now = now,
-                    .excluded = excluded});
+                                  TimePoint now) {
+  const PlacementQuery query = QueryFor(client, service, route, excluded, now);
+  return decisions_.placer.Place(
+      targets_.OfService(route.Pick(query.flow_hash)), query);
 }
 
 void EdgeSteering::OnOpening(const EdgePacket& packet, const Route& route,
@@ -88,10 +103,16 @@
     OnRepeatedOpening(packet, route, *flow, now);
     return;
   }
+  if (!IsAdmitted(packet, route, now)) {
+    not_admitted_.Add();
+    log_.Refused(packet, "overload", now);
+    sink_.Reset({packet.client, packet.service, 0});
+    return;
+  }
   const EdgePlacement placement =
       Place(packet.client, packet.service, route, TargetKey{}, now);
   if (placement.target == nullptr) {
-    OnNoTarget(packet, now, targets_recovering);
+    OnNoTarget(packet, route, now, targets_recovering);
     return;
   }
   CachedFlow& flow = TrackFlow(packet, placement.target->record.key, now);
@@ -104,11 +125,27 @@
   SaveOpening(flow, packet.bytes, now);
 }
 
-void EdgeSteering::OnNoTarget(const EdgePacket& packet, TimePoint now,
-                              bool targets_recovering) {
-  if (targets_recovering) {
-    // The targets may be back when the client retransmits; a reset would use up
-    // one of the client's attempts.
+bool EdgeSteering::IsAdmitted(const EdgePacket& packet, const Route& route,
+                              TimePoint now) {
+  if (decisions_.admission == nullptr) return true;
+  const std::uint64_t hash = FlowHash(packet.client, packet.service);
+  const ServiceNumber service = route.Pick(hash);
+  const AdmissionVerdict verdict = decisions_.admission->Admit(
+      targets_.OfService(service), {.client = packet.client,
+                                    .route = packet.service,
+                                    .service = service,
+                                    .objective = route.objective,
+                                    .copies = packet.acknowledged,
+                                    .flow_hash = hash,
+                                    .now = now});
+  return verdict == AdmissionVerdict::kAdmit;
+}
+
+void EdgeSteering::OnNoTarget(const EdgePacket& packet, const Route& route,
+                              TimePoint now, bool targets_recovering) {
+  if (targets_recovering || WillBeWarm(packet, route, now)) {
+    // A target may be available when the client retransmits; a reset would use
+    // up one of the client's attempts.
     unplaced_.Add();
     log_.Dropped(packet, "no_target_yet", now);
     return;
@@ -118,6 +155,23 @@
   sink_.Reset({packet.client, packet.service, 0});
 }
 
+bool EdgeSteering::WillBeWarm(const EdgePacket& packet, const Route& route,
+                              TimePoint now) const {
+  const PlacementQuery query =
+      QueryFor(packet.client, packet.service, route, TargetKey{}, now);
+  if (!query.exclude_cold) return false;
+  const std::size_t copies = packet.acknowledged;
+  if (copies + 1 >= kOpeningCopies.size()) return false;
+  const Duration sent =
+      copies == 0 ? Duration{} : kOpeningCopies.at(copies - 1);
+  // The last entry is when the client gives up.
+  const Duration until_last_copy =
+      kOpeningCopies.at(kOpeningCopies.size() - 2) - sent;
+  const auto warm =
+      NextWarm(targets_.OfService(route.Pick(query.flow_hash)), query);
+  return warm && *warm <= now + until_last_copy;
+}
+
 void EdgeSteering::OnRepeatedOpening(const EdgePacket& packet,
                                      const Route& route, CachedFlow& flow,
                                      TimePoint now) {
@@ -129,7 +183,8 @@
   if (target != nullptr) log_.Repeated(packet, flow, *target, now);
   const bool must_move =
       target == nullptr ||
-      (flow.phase == FlowPhase::kOpening && IsUnreachable(*target)) ||
+      (flow.phase == FlowPhase::kOpening &&
+       (target->evacuated || IsUnreachable(*target))) ||
       (flow.phase == FlowPhase::kOpening &&
        target->health.state() == Reachability::kUnresponsive);
   if (must_move) {
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -20,18 +20,41 @@
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/counter.h"
+#include "sapphirestream/edge/admission_control.h"
 #include "sapphirestream/edge/edge_log.h"
 #include "sapphirestream/edge/edge_packet.h"
 #include "sapphirestream/edge/edge_placement.h"
 #include "sapphirestream/edge/edge_sink.h"
 #include "sapphirestream/edge/flow_cache.h"
+#include "sapphirestream/edge/flow_placer.h"
+#include "sapphirestream/edge/request_observation.h"
 #include "sapphirestream/edge/route_table.h"
 #include "sapphirestream/edge/target_directory.h"
 
 namespace sapphirestream {
 
+// Decisions that EdgeSteering delegates.
+struct SteeringDecisions {
+  FlowPlacer& placer;
+  // Null if requests are not observed, or all flows are admitted.
+  RequestObserver* observer = nullptr;
+  AdmissionControl* admission = nullptr;
+};
+
+struct SteeringOptions {
+  std::size_t flow_capacity = 0;
+  // Whether cold targets of services that limit their flows get no new flows;
+  // see docs/design/cold-targets.md.
+  bool limits_cold_targets = false;
+};
+
 class EdgeSteering {
  public:
+  // When a client sends its opening packet again, after the first one; it gives
+  // up at the last of these times.
+  static constexpr std::array<Duration, 3> kOpeningCopies{
+      std::chrono::milliseconds(200), std::chrono::milliseconds(600),
+      std::chrono::milliseconds(1400)};
   // A client continues as soon as it receives the target's answer; its next
   // packet arrives within this time, even across failure domains.
   static constexpr Duration kOpeningTimeout = std::chrono::milliseconds(45);
@@ -52,7 +75,9 @@
 
   // The references must outlive this object.
   EdgeSteering(RouteTable& routes, TargetDirectory& targets, EdgeSink& sink,
-               EdgeLog& log, CounterSet& counters, std::size_t flow_capacity);
+               EdgeLog& log, CounterSet& counters,
+               const SteeringDecisions& decisions,
+               const SteeringOptions& options);
 
   // `targets_recovering`: targets are registering again after a store outage,
   // so a service without targets may have some shortly.
@@ -101,13 +126,22 @@
   // Opening packets (SYN).
   void OnOpening(const EdgePacket& packet, const Route& route, TimePoint now,
                  bool targets_recovering);
-  void OnNoTarget(const EdgePacket& packet, TimePoint now,
+  void OnNoTarget(const EdgePacket& packet, const Route& route, TimePoint now,
                   bool targets_recovering);
+  [[nodiscard]] PlacementQuery QueryFor(V4Endpoint client, V4Endpoint service,
+                                        const Route& route, TargetKey excluded,
+                                        TimePoint now) const;
+  // Whether the client will send the opening packet again when a target that is
+  // cold now can be selected.
+  [[nodiscard]] bool WillBeWarm(const EdgePacket& packet, const Route& route,
+                                TimePoint now) const;
+  [[nodiscard]] bool IsAdmitted(const EdgePacket& packet, const Route& route,
+                                TimePoint now);
   void OnRepeatedOpening(const EdgePacket& packet, const Route& route,
                          CachedFlow& flow, TimePoint now);
   [[nodiscard]] EdgePlacement Place(V4Endpoint client, V4Endpoint service,
                                     const Route& route, TargetKey excluded,
-                                    TimePoint now) const;
+                                    TimePoint now);
   void SendOpening(CachedFlow& flow, EdgeTarget& target,
                    std::span<const std::byte> packet);
   void MoveOpening(CachedFlow& flow, const Route& route,
@@ -168,6 +202,9 @@
   void FailOverFlows(EdgeTarget& target, TimePoint now);
 
   // Load accounting.
+  // Reports the flow's last request to the observer, unless it is unanswered or
+  // has been reported.
+  void ReportRequest(CachedFlow& flow);
   void BeginRequest(CachedFlow& flow, EdgeTarget& target, TimePoint now);
   void EndRequest(CachedFlow& flow);
   // Removes the flow's request from its target's load.
@@ -180,6 +217,8 @@
   TargetDirectory& targets_;
   EdgeSink& sink_;
   EdgeLog& log_;
+  SteeringDecisions decisions_;
+  bool limits_cold_targets_;
   FlowCache flows_;
   // Ordered by the time they were sent.
   std::deque<Opening> openings_;
@@ -197,6 +236,7 @@
   Counter& forwarded_;
   Counter& placed_;
   Counter& refused_;
+  Counter& not_admitted_;
   Counter& unplaced_;
   Counter& moved_;
   Counter& resets_;
--- a/src/sapphirestream/edge/edge_steering_failover.cc
+++ b/src/sapphirestream/edge/edge_steering_failover.cc
@@ -60,7 +60,12 @@
   if (!was_unreachable || !IsUnreachable(*target)) {
     log_.Probed(*target, outcome, begun, now);
   }
-  if (IsUnreachable(*target)) AddUnreachable(key, now);
+  if (IsUnreachable(*target)) {
+    AddUnreachable(key, now);
+  } else if (was_unreachable && limits_cold_targets_) {
+    // It may have restarted, which its entry may not show yet.
+    targets_.SetCold(*target, now);
+  }
   if (became_unreachable || target->has_waiting_request) {
     FailOverFlows(*target, now);
   }
--- a/src/sapphirestream/edge/edge_steering_flows.cc
+++ b/src/sapphirestream/edge/edge_steering_flows.cc
@@ -43,6 +43,9 @@
   OnProgress(packet, *flow, *target, now);
   if (!packet.payload.empty()) OnData(packet, *flow, *target, now);
   if (packet.finishes || packet.resets) {
+    // The client gives up on a request that is still waiting.
+    if (flow->waiting) flow->answered_at = now;
+    ReportRequest(*flow);
     EndRequest(*flow);
     // The client may use the port for another flow from now on.
     flow->moved = false;
@@ -107,6 +110,7 @@
   OnTargetProgress(target, now);
   if (!flow.waiting) return;
   log_.request_latency().Add(now - flow.waiting_since);
+  if (packet.payload.empty()) flow.answered_at = now;
   EndRequest(flow);
 }
 
@@ -119,6 +123,7 @@
     flow.last_data = now;
     if (!packet.request_id.empty()) {
       log_.Request(packet, target, now);
+      ReportRequest(flow);
       // A client sends a request only after the previous one was answered.
       EndRequest(flow);
     }
@@ -141,11 +146,26 @@
   }
 }
 
+void EdgeSteering::ReportRequest(CachedFlow& flow) {
+  const TimePoint answered_at = std::exchange(flow.answered_at, TimePoint{});
+  if (decisions_.observer == nullptr || answered_at == TimePoint{}) return;
+  const EdgeTarget* const target = targets_.Find(flow.target);
+  if (target == nullptr) return;
+  decisions_.observer->OnRequest(
+      {.target = target->record.key,
+       .incarnation = target->record.incarnation,
+       .route = flow.service,
+       .took = answered_at - flow.waiting_since,
+       .answer_bytes = flow.acknowledged - flow.answer_begin,
+       .at = answered_at});
+}
+
 void EdgeSteering::BeginRequest(CachedFlow& flow, EdgeTarget& target,
                                 TimePoint now) {
   flow.waiting = true;
   flow.counted = true;
   flow.waiting_since = now;
+  flow.answer_begin = flow.acknowledged;
   ++target.outstanding;
   requests_.push_back({flow.client, flow.service, now});
 }
@@ -168,7 +188,9 @@
     const Request request = requests_.front();
     requests_.pop_front();
     CachedFlow* const flow = flows_.Find(request.client, request.service);
-    if (flow != nullptr && flow->waiting_since == request.began) Uncount(*flow);
+    if (flow == nullptr || flow->waiting_since != request.began) continue;
+    ReportRequest(*flow);
+    Uncount(*flow);
   }
 }
 
--- a/src/sapphirestream/edge/flow_cache.h
+++ b/src/sapphirestream/edge/flow_cache.h
@@ -32,6 +32,11 @@
   // Sequence number after the last byte that the client sent.
   std::uint32_t sequence_end = 0;
   std::uint32_t acknowledged = 0;
+  // Acknowledgement number when the pending request was sent.
+  std::uint32_t answer_begin = 0;
+  // When the client first acknowledged the answer to the last request; unset
+  // until then, and once the request has been reported.
+  TimePoint answered_at{};
   FlowPhase phase = FlowPhase::kNone;
   // Whether a request is pending, as far as this instance has seen.
   bool waiting = false;
--- a/src/sapphirestream/edge/route_table.h
+++ b/src/sapphirestream/edge/route_table.h
@@ -57,7 +57,7 @@
 struct ServiceSpec {
   std::string name;
   // Health check path of the service's targets.
-  std::string health_path;
+  std::string health_path{};
   // Open flows that a target of the service can hold; zero if not configured.
   std::uint32_t max_flows = 0;
   // Time for which a target is cold after its start.
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -58,6 +58,7 @@
   target.revision = revision;
   target.presence = TargetPresence::kListed;
   target.is_local = record.domain == domain_;
+  target.evacuated = IsEvacuated(record.domain);
   target.cold_until = now + record.cold_remaining;
   AddToIndexes(target);
   TakeAddress(target, now);
@@ -102,6 +103,24 @@
   }
 }
 
+bool TargetDirectory::SetEvacuated(const std::string& domain, bool evacuated,
+                                   TimePoint now) {
+  const bool changed = evacuated ? evacuated_.insert(domain).second
+                                 : evacuated_.erase(domain) > 0;
+  if (!changed) return false;
+  for (auto& [key, target] : targets_) {
+    if (target.record.domain != domain) continue;
+    target.evacuated = evacuated;
+    if (!evacuated) SetCold(target, now);
+  }
+  return true;
+}
+
+void TargetDirectory::SetCold(EdgeTarget& target, TimePoint now) const {
+  target.cold_until = std::max(target.cold_until,
+                               now + routes_.SpecOf(target.service).cold_start);
+}
+
 void TargetDirectory::Retire(EdgeTarget& target, TimePoint now) noexcept {
   if (target.presence == TargetPresence::kGone) return;
   target.presence = TargetPresence::kGone;
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -5,8 +5,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "sapphirestream/base/clock.h"
@@ -44,6 +46,8 @@
   // Store revision of the entry. Entries with an earlier one are ignored.
   StoreRevision revision;
   bool is_local = false;
+  // Whether its failure domain is evacuated: it gets no new flows.
+  bool evacuated = false;
   // When the other instances have read the entry as well.
   TimePoint usable_from{};
   TimePoint cold_until{};
@@ -100,6 +104,16 @@
                      bool store_was_unavailable, TimePoint now);
   // Applies the entries of services that were unknown when they were read.
   void OnServicesConfigured(TimePoint now);
+  // Sets whether a failure domain is evacuated. When an evacuation ends, the
+  // domain's targets count as cold: they may have become so without an entry
+  // that shows it yet. Returns whether this is a change.
+  bool SetEvacuated(const std::string& domain, bool evacuated, TimePoint now);
+  // Marks a target as cold for the start time of its service. For a target that
+  // may have restarted without a known entry.
+  void SetCold(EdgeTarget& target, TimePoint now) const;
+  [[nodiscard]] bool IsEvacuated(const std::string& domain) const {
+    return evacuated_.contains(domain);
+  }
   // Marks a target as gone, regardless of service discovery.
   static void Retire(EdgeTarget& target, TimePoint now) noexcept;
   // Makes the next entry or removal of each target count, whatever its
@@ -145,6 +159,7 @@
   RouteTable& routes_;
   std::string domain_;
   Duration entry_lifetime_;
+  std::unordered_set<std::string> evacuated_;
   // The indexes point into this node-based map; pointers to its elements stay
   // valid when other elements change.
   std::unordered_map<TargetKey, EdgeTarget> targets_;
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -54,6 +54,13 @@
   return options;
 }
 
+CollectionReaderOptions EvacuationOptions(const EdgeSettings& settings) {
+  CollectionReaderOptions options = ReaderOptions(settings.evacuation_bound);
+  options.watch_timeout = settings.watch_wait;
+  options.min_watch_interval = settings.target_pause;
+  return options;
+}
+
 }  // namespace
 
 leaf::result<std::unique_ptr<EdgeInstance>> EdgeInstance::Open(
@@ -81,7 +88,9 @@
                kMissedHeartbeats * settings.heartbeat),
       flow_log_(log, routes_),
       steering_(routes_, targets_, *this, flow_log_, counters_,
-                settings.flow_capacity),
+                {.placer = tier_placer_},
+                {.flow_capacity = settings.flow_capacity,
+                 .limits_cold_targets = settings.EvacuatesDomains()}),
       view_(routes_, targets_, flow_log_, log, clock, counters_,
             platform.key_of(),
             {.on_read = [this] { CheckAges(); },
@@ -137,6 +146,7 @@
   checker_.reset();
   target_reader_.reset();
   route_reader_.reset();
+  evacuation_reader_.reset();
   clients_ = platform_.MakeClients(context_, settings_.store, counters_);
   check_clients_ =
       platform_.MakeCheckClients(context_, settings_.store, counters_);
@@ -157,17 +167,30 @@
   view_.routes_age().set_bound(settings_.config_bound);
   target_reader_->Start();
   route_reader_->Start();
+  if (settings_.EvacuatesDomains()) StartEvacuationReader(shared);
+}
+
+void EdgeInstance::StartEvacuationReader(const ReaderContext& shared) {
+  view_.FollowEvacuations();
+  evacuation_reader_ = std::make_unique<CollectionReader<Evacuation>>(
+      *clients_.evacuations, *check_clients_.evacuations, shared,
+      view_.evacuation_observer(), EvacuationOptions(settings_));
+  checker_->Emplace(*evacuation_reader_, settings_.evacuation_bound);
+  view_.evacuations_age().set_bound(settings_.evacuation_bound);
+  evacuation_reader_->Start();
 }
 
 void EdgeInstance::RetryReaders() {
   target_reader_->RetryNow();
   route_reader_->RetryNow();
+  if (evacuation_reader_) evacuation_reader_->RetryNow();
   checker_->Run();
 }
 
 void EdgeInstance::RelistFor(StoreEra era) {
   target_reader_->ObserveEra(era);
   route_reader_->ObserveEra(era);
+  if (evacuation_reader_) evacuation_reader_->ObserveEra(era);
 }
 
 void EdgeInstance::OnPacket(const EdgePacket& packet) {
@@ -203,12 +226,14 @@
   const TimePoint now = clock_.Now();
   OnViewChanged();
   targets_.Expire(now, view_.targets_age().complete_until());
+  view_.ExpireEvacuations();
   if (now - last_settings_check_ >= kSettingsCheckPeriod) {
     last_settings_check_ = now;
     ReloadSettings("file");
   }
   view_.targets_age().Report(now);
   view_.routes_age().Report(now);
+  view_.evacuations_age().Report(now);
   StopWhenDrained(now);
   lines_.Flush();
   if (lifecycle_.state() == EdgeState::kStopped) {
@@ -234,8 +259,9 @@
 }
 
 void EdgeInstance::CheckAges() {
-  view_.SetCompleteUntil(target_reader_->CompleteUntil(),
-                         route_reader_->CompleteUntil());
+  view_.SetCompleteUntil(
+      target_reader_->CompleteUntil(), route_reader_->CompleteUntil(),
+      evacuation_reader_ ? evacuation_reader_->CompleteUntil() : TimePoint{});
   checker_->Run();
   OnViewChanged();
 }
@@ -274,6 +300,8 @@
       next->domain != settings_.domain || next->data != settings_.data ||
       next->ready != settings_.ready || next->metrics != settings_.metrics ||
       next->heartbeat != settings_.heartbeat ||
+      next->EvacuatesDomains() != settings_.EvacuatesDomains() ||
+      next->peer != settings_.peer ||
       next->flow_capacity != settings_.flow_capacity;
   const bool watches_changed =
       next->store != settings_.store ||
@@ -282,6 +310,7 @@
       next->target_pause != settings_.target_pause ||
       next->drain_bound != settings_.drain_bound ||
       next->config_bound != settings_.config_bound ||
+      next->evacuation_bound != settings_.evacuation_bound ||
       ConfigWatchInterval(*next) != ConfigWatchInterval(settings_);
   if (next->store != settings_.store) targets_.ForgetRevisions();
   settings_ = *next;
--- a/src/sapphirestream/edge_io/edge_instance.h
+++ b/src/sapphirestream/edge_io/edge_instance.h
@@ -37,6 +37,7 @@
 struct StoreClients {
   std::unique_ptr<CollectionClient<TargetRecord>> targets;
   std::unique_ptr<CollectionClient<RouteConfig>> routes;
+  std::unique_ptr<CollectionClient<Evacuation>> evacuations;
 };
 
 // Platform-specific parts of an instance; implemented by the platform adapter.
@@ -45,12 +46,12 @@
   virtual ~EdgePlatform() = default;
   [[nodiscard]] virtual const PacketFormat& format() const noexcept = 0;
   // Each client has a connection of its own, so that a pending watch does not
-  // block the calls of the other one.
+  // block the calls of the others. A client makes no calls by itself.
   [[nodiscard]] virtual StoreClients MakeClients(
       boost::asio::io_context& context, const Endpoint& store,
       CounterSet& counters) const = 0;
   // The clients share a connection: if it is silent, one failed call replaces
-  // it for both.
+  // it for all.
   [[nodiscard]] virtual StoreClients MakeCheckClients(
       boost::asio::io_context& context, const Endpoint& store,
       CounterSet& counters) const = 0;
@@ -93,9 +94,11 @@
 
   leaf::result<void> OpenSockets();
   void StartReaders();
-  // Ends the backoff of both readers and starts the checks that are due.
+  // Reads evacuations as well, if the settings call for it.
+  void StartEvacuationReader(const ReaderContext& shared);
+  // Ends the backoff of all readers and starts the checks that are due.
   void RetryReaders();
-  // Makes both readers replace a view from before an era.
+  // Makes all readers replace a view from before an era.
   void RelistFor(StoreEra era);
   void OnPacket(const EdgePacket& packet);
   // Sets the steering timer to the next deadline of EdgeSteering.
@@ -127,6 +130,7 @@
   RouteTable routes_;
   TargetDirectory targets_;
   EdgeLog flow_log_;
+  TierPlacer tier_placer_;
   EdgeSteering steering_;
   EdgeView view_;
   EdgeLifecycle lifecycle_;
@@ -147,6 +151,8 @@
   RevisionClock revision_clock_;
   std::unique_ptr<CollectionReader<TargetRecord>> target_reader_;
   std::unique_ptr<CollectionReader<RouteConfig>> route_reader_;
+  // Null unless domains are evacuated here.
+  std::unique_ptr<CollectionReader<Evacuation>> evacuation_reader_;
   std::unique_ptr<CollectionChecker> checker_;
 
   // Expiry of steering_timer_, if it is set.
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -41,8 +42,11 @@
       ignored_entries_(counters.Emplace("target_entries_ignored_total")),
       outdated_configs_(counters.Emplace("configs_outdated_total")),
       unusable_configs_(counters.Emplace("configs_unusable_total")),
+      evacuated_domains_(counters.Emplace("domains_evacuated")),
+      evacuations_(targets),
       targets_age_("targets", log, counters),
-      routes_age_("routes", log, counters) {}
+      routes_age_("routes", log, counters),
+      evacuations_age_("evacuations", log, counters) {}
 
 void EdgeView::ApplySnapshot(
     const std::vector<CollectionItem<TargetRecord>>& items,
@@ -107,6 +111,43 @@
   }
 }
 
+void EdgeView::ApplySnapshot(
+    const std::vector<CollectionItem<Evacuation>>& items,
+    StoreRevision revision) {
+  if (has_evacuations_) ReportList("evacuations", items.size(), revision);
+  const bool is_restored = has_evacuations_ && evacuations_era_ < revision.era;
+  evacuations_era_ = revision.era;
+  has_evacuations_ = true;
+  std::set<std::string> domains;
+  for (const auto& item : items) {
+    if (!item.name.empty()) domains.insert(item.name);
+  }
+  ReportEvacuations(evacuations_.Replace(domains, is_restored, clock_.Now()));
+}
+
+void EdgeView::ApplyChanges(
+    const std::vector<CollectionItem<Evacuation>>& items) {
+  for (const auto& item : items) {
+    // The name alone counts: an entry that cannot be decoded is in force.
+    if (item.name.empty()) continue;
+    ReportEvacuations(evacuations_.Set(item.name, !item.deleted, clock_.Now()));
+  }
+}
+
+void EdgeView::ExpireEvacuations() {
+  ReportEvacuations(
+      evacuations_.Expire(evacuations_age_.complete_until(), clock_.Now()));
+}
+
+void EdgeView::ReportEvacuations(const Evacuations::Changes& changes) {
+  for (const auto& [domain, evacuated] : changes) {
+    log_.Write(LogLevel::kInfo,
+               evacuated ? "domain_evacuated" : "domain_restored",
+               {{"domain", PrintableName(domain)}});
+  }
+  evacuated_domains_.Set(evacuations_.domains().size());
+}
+
 void EdgeView::ApplyConfig(const ConfigItem& item) {
   const RouteConfig& config = *item.record;
   const std::uint64_t before = routes_.version();
@@ -140,17 +181,23 @@
               {"era", Value(item.revision.era)}});
 }
 
-void EdgeView::SetCompleteUntil(TimePoint targets, TimePoint routes) noexcept {
+void EdgeView::SetCompleteUntil(TimePoint targets, TimePoint routes,
+                                TimePoint evacuations) noexcept {
   targets_age_.SetCompleteUntil(targets);
   routes_age_.SetCompleteUntil(routes);
+  evacuations_age_.SetCompleteUntil(evacuations);
   flow_log_.SetTargetsCompleteUntil(targets_age_.complete_until());
 }
 
 void EdgeView::Invalidate() noexcept { invalidated_at_ = clock_.Now(); }
 
 bool EdgeView::is_outdated() const noexcept {
-  const TimePoint complete_until =
+  TimePoint complete_until =
       std::min(targets_age_.complete_until(), routes_age_.complete_until());
+  if (follows_evacuations_) {
+    complete_until =
+        std::min(complete_until, evacuations_age_.complete_until());
+  }
   return complete_until < invalidated_at_ &&
          clock_.Now() - invalidated_at_ < kMaxOutdatedTime;
 }
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -13,6 +13,7 @@
 #include "sapphirestream/base/counter.h"
 #include "sapphirestream/base/event_log.h"
 #include "sapphirestream/edge/edge_log.h"
+#include "sapphirestream/edge/evacuations.h"
 #include "sapphirestream/edge/route_table.h"
 #include "sapphirestream/edge/target_directory.h"
 #include "sapphirestream/edge_io/malformed_entries.h"
@@ -55,15 +56,26 @@
   [[nodiscard]] CollectionObserver<RouteConfig>& route_observer() noexcept {
     return route_observer_;
   }
-  // Whether both routes and targets have been read.
+  [[nodiscard]] CollectionObserver<Evacuation>& evacuation_observer() noexcept {
+    return evacuation_observer_;
+  }
+  // Makes the view incomplete until the evacuations have been read as well.
+  void FollowEvacuations() noexcept { follows_evacuations_ = true; }
+  // Whether all collections have been read.
   [[nodiscard]] bool is_complete() const noexcept {
-    return has_targets_ && routes_.version() != 0;
+    return has_targets_ && routes_.version() != 0 &&
+           (has_evacuations_ || !follows_evacuations_);
   }
-  // The ages of the two collections. Changed by SetCompleteUntil.
+  // The ages of the collections. Changed by SetCompleteUntil.
   [[nodiscard]] ViewAge& targets_age() noexcept { return targets_age_; }
   [[nodiscard]] ViewAge& routes_age() noexcept { return routes_age_; }
-  void SetCompleteUntil(TimePoint targets, TimePoint routes) noexcept;
-  // Marks the view as outdated until both collections have been read again,
+  [[nodiscard]] ViewAge& evacuations_age() noexcept { return evacuations_age_; }
+  // `evacuations` is unset if they are not followed.
+  void SetCompleteUntil(TimePoint targets, TimePoint routes,
+                        TimePoint evacuations = {}) noexcept;
+  // Ends evacuations whose entry a restored store has lost.
+  void ExpireEvacuations();
+  // Marks the view as outdated until all collections have been read again,
   // because the process was paused: a target may have left or a route may have
   // been withdrawn meanwhile.
   void Invalidate() noexcept;
@@ -123,6 +135,10 @@
                      StoreRevision revision);
   void ApplyChanges(const std::vector<CollectionItem<TargetRecord>>& items);
   void ApplyChanges(const std::vector<CollectionItem<RouteConfig>>& items);
+  void ApplySnapshot(const std::vector<CollectionItem<Evacuation>>& items,
+                     StoreRevision revision);
+  void ApplyChanges(const std::vector<CollectionItem<Evacuation>>& items);
+  void ReportEvacuations(const Evacuations::Changes& changes);
   void ApplyConfig(const ConfigItem& item);
   // Reports a configuration that cannot be used, once for each revision.
   void ReportUnusableConfig(const ConfigItem& item);
@@ -180,6 +196,12 @@
   Counter& ignored_entries_;
   Counter& outdated_configs_;
   Counter& unusable_configs_;
+  Counter& evacuated_domains_;
+  Evacuations evacuations_;
+  bool follows_evacuations_ = false;
+  bool has_evacuations_ = false;
+  // Era of the last list of evacuations.
+  StoreEra evacuations_era_ = kUnknownEra;
   bool has_targets_ = false;
   // Era of the last list of targets.
   StoreEra targets_era_ = kUnknownEra;
@@ -187,6 +209,7 @@
   MalformedEntries unusable_config_entries_;
   ViewAge targets_age_;
   ViewAge routes_age_;
+  ViewAge evacuations_age_;
   // End of the last pause.
   TimePoint invalidated_at_{};
   // When the store last recovered from an outage, or the first list after a
@@ -194,6 +217,7 @@
   TimePoint recovered_at_{};
   Observer<TargetRecord> target_observer_{*this, "targets"};
   Observer<RouteConfig> route_observer_{*this, "routes"};
+  Observer<Evacuation> evacuation_observer_{*this, "evacuations"};
 };
 
 }  // namespace sapphirestream
--- a/test/edge/edge_steering_fixture.h
+++ b/test/edge/edge_steering_fixture.h
@@ -96,7 +96,11 @@
   TargetDirectory targets{routes, "a"};
   EdgeLog flow_log{log, routes};
   CounterSet counters;
-  EdgeSteering steering{routes, targets, *this, flow_log, counters, 256};
+  TierPlacer placer;
+  SteeringDecisions decisions{.placer = placer};
+  SteeringOptions options{.flow_capacity = 256, .limits_cold_targets = true};
+  EdgeSteering steering{routes,   targets,   *this,  flow_log,
+                        counters, decisions, options};
   std::uint64_t revision = 0;
   std::vector<Sent> sent;
   std::vector<ClientReset> resets;
--- a/test/edge/edge_steering_flows_test.cc
+++ b/test/edge/edge_steering_flows_test.cc
@@ -20,7 +20,8 @@
   BOOST_REQUIRE(sent.size() == 1U);
   BOOST_REQUIRE(sent[0].token.has_value());
   // Another instance that has not seen the flow before.
-  EdgeSteering other(routes, targets, *this, flow_log, counters, 256);
+  EdgeSteering other(routes, targets, *this, flow_log, counters, decisions,
+                     options);
   other.OnPacket(Data(1, sample::kFeed, *sent[0].token, 101, 100, 1),
                  clock.Now());
   BOOST_REQUIRE(sent.size() == 2U);
--- a/test/edge/edge_steering_test.cc
+++ b/test/edge/edge_steering_test.cc
@@ -30,7 +30,8 @@
 // the configuration yet.
 BOOST_AUTO_TEST_CASE(without_a_configuration_nothing_is_reset) {
   RouteTable no_routes;
-  EdgeSteering fresh(no_routes, targets, *this, flow_log, counters, 256);
+  EdgeSteering fresh(no_routes, targets, *this, flow_log, counters, decisions,
+                     options);
   fresh.OnPacket(
       Data(1, sample::kFeed, targets.TokenOf(TargetKey{1}), 101, 100, 1),
       clock.Now());
--- /dev/null
+++ b/test/edge/evacuations_test.cc
@@ -0,0 +1,94 @@
+// Guards against new flows at the targets of an evacuated failure domain, and
+// against an evacuation that ends because the store lost its entry.
+#include "sapphirestream/edge/evacuations.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "sapphirestream/edge/target_directory.h"
+#include "test/edge/sample.h"
+
+namespace sapphirestream {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Fixture {
+  Fixture() {
+    RouteConfig config = sample::Routes(1);
+    config.services[0].cold_start = 2s;
+    routes.Apply(config);
+    targets.Upsert(sample::Target(1, "a"), {StoreEra{1}, 1}, true, now);
+    targets.Upsert(sample::Target(2, "b"), {StoreEra{1}, 2}, true, now);
+  }
+  bool IsEvacuated(std::uint64_t key) {
+    return targets.Find(TargetKey{key})->evacuated;
+  }
+
+  TimePoint now = TimePoint{} + 100s;
+  RouteTable routes;
+  TargetDirectory targets{routes, "a"};
+  Evacuations evacuations{targets};
+};
+
+BOOST_FIXTURE_TEST_SUITE(evacuations, Fixture)
+
+BOOST_AUTO_TEST_CASE(all_targets_of_the_domain_are_evacuated) {
+  BOOST_TEST(evacuations.Set("a", true, now).size() == 1U);
+  BOOST_TEST(IsEvacuated(1));
+  BOOST_TEST(!IsEvacuated(2));
+  BOOST_TEST(evacuations.Set("a", true, now).empty());
+  // A target that registers later belongs to the domain as well.
+  targets.Upsert(sample::Target(3, "a"), {StoreEra{1}, 3}, true, now);
+  BOOST_TEST(IsEvacuated(3));
+}
+
+// The targets' entries may not yet show that they have become cold.
+BOOST_AUTO_TEST_CASE(the_targets_are_cold_when_an_evacuation_ends) {
+  evacuations.Set("a", true, now);
+  now += 10s;
+  BOOST_TEST(evacuations.Set("a", false, now).size() == 1U);
+  BOOST_TEST(!IsEvacuated(1));
+  BOOST_TEST((targets.Find(TargetKey{1})->cold_until == now + 2s));
+  BOOST_TEST((targets.Find(TargetKey{2})->cold_until <= now));
+}
+
+BOOST_AUTO_TEST_CASE(a_list_replaces_what_is_known) {
+  evacuations.Set("a", true, now);
+  const auto changes = evacuations.Replace({"b"}, /*is_restored=*/false, now);
+  BOOST_TEST(changes.size() == 2U);
+  BOOST_TEST(!IsEvacuated(1));
+  BOOST_TEST(IsEvacuated(2));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_a_restored_store_lost_stays_in_force) {
+  evacuations.Set("a", true, now);
+  evacuations.Replace({}, /*is_restored=*/true, now);
+  BOOST_TEST(IsEvacuated(1));
+  // Neither a further list nor an old view ends it before the entry can have
+  // been written again.
+  evacuations.Replace({}, /*is_restored=*/false, now + 1s);
+  evacuations.Expire(now + 1s, now + 10s);
+  BOOST_TEST(IsEvacuated(1));
+  evacuations.Expire(now + Evacuations::kRewriteTime, now + 10s);
+  BOOST_TEST(!IsEvacuated(1));
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_that_is_written_again_does_not_expire) {
+  evacuations.Set("a", true, now);
+  evacuations.Replace({}, /*is_restored=*/true, now);
+  evacuations.Set("a", true, now + 1s);
+  evacuations.Expire(now + 20s, now + 20s);
+  BOOST_TEST(IsEvacuated(1));
+}
+
+BOOST_AUTO_TEST_CASE(a_removal_ends_it_at_once_after_a_restoration) {
+  evacuations.Set("a", true, now);
+  evacuations.Replace({}, /*is_restored=*/true, now);
+  BOOST_TEST(evacuations.Set("a", false, now).size() == 1U);
+  BOOST_TEST(!IsEvacuated(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
--- a/testing/flow_ends/edge_field.cc
+++ b/testing/flow_ends/edge_field.cc
@@ -30,7 +30,7 @@
         log_(sink_, field.time_),
         flow_log_(log_, routes_),
         steering_(routes_, targets_, *this, flow_log_, counters_,
-                  kFlowCapacity) {}
+                  {.placer = placer_}, {.flow_capacity = kFlowCapacity}) {}
 
   void OnDatagram(std::span<const std::byte> datagram) {
     const auto packet = platform_->format().Decode(datagram);
@@ -96,6 +96,7 @@
   TargetDirectory targets_{routes_, kDomain};
   EdgeLog flow_log_;
   CounterSet counters_;
+  TierPlacer placer_;
   EdgeSteering steering_;
   std::optional<TimePoint> timer_expiry_;
 };
