Add the types that parts of the load decisions share

Cause: estimates of targets are made by one module and used by two others, and samples are exchanged by a third one. Result: no change of behaviour.

--- a/src/sapphirestream/edge/fwd.h
+++ b/src/sapphirestream/edge/fwd.h
@@ -24,6 +24,10 @@
 // Zero means that no token has been assigned yet.
 enum class FlowToken : std::uint32_t {};
 
+// Identifies a process of another instance: a random number that each process
+// selects when it starts.
+enum class PeerId : std::uint64_t {};
+
 // Index of a service in RouteTable.
 enum class ServiceNumber : std::uint32_t {};
 
