Serve on in a domain that is evacuated and cut off; keep evacuations by revision

A list that was older than a change which a watch had brought ended an evacuation for 0.25 s. Change: a domain of which three targets are silent counts as cut off, so that its targets come last; evacuated targets of the own domain are the last choice while the store is away and other targets are listed. Each domain has the revision of its last change.

--- a/src/sapphirestream/edge/edge_placement.cc
+++ b/src/sapphirestream/edge/edge_placement.cc
@@ -40,13 +40,14 @@
       target.record.key == query.excluded) {
     return PlacementTier::kNone;
   }
-  if (target.evacuated || target.health.state() == Reachability::kUnreachable) {
+  if (target.evacuated && !query.allow_evacuated) return PlacementTier::kNone;
+  if (target.health.state() == Reachability::kUnreachable) {
     return PlacementTier::kNone;
   }
   if (query.exclude_cold && query.now < target.cold_until) {
     return PlacementTier::kNone;
   }
-  if (query.now < target.usable_from ||
+  if (query.now < target.usable_from || query.now < target.cut_off_until ||
       !target.health.AcceptsNewFlows(query.now)) {
     return PlacementTier::kUnproven;
   }
--- a/src/sapphirestream/edge/edge_placement.h
+++ b/src/sapphirestream/edge/edge_placement.h
@@ -38,6 +38,8 @@
   TargetKey excluded{};
   // Whether cold targets must not be selected; see docs/design/cold-targets.md.
   bool exclude_cold = false;
+  // Whether targets of evacuated domains may be selected.
+  bool allow_evacuated = false;
   RouteObjective objective{};
 };
 
--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -18,7 +18,7 @@
       sink_(sink),
       log_(log),
       decisions_(decisions),
-      limits_cold_targets_(options.limits_cold_targets),
+      evacuates_domains_(options.evacuates_domains),
       flows_(options.flow_capacity),
       forwarded_(counters.Emplace("packets_forwarded_total")),
       placed_(counters.Emplace("flows_placed_total")),
@@ -34,7 +34,8 @@
       probes_(counters.Emplace("target_probes_total")) {}
 
 void EdgeSteering::OnPacket(const EdgePacket& packet, TimePoint now,
-                            bool targets_recovering) {
+                            const ViewGaps& gaps) {
+  gaps_ = gaps;
   ExpireRequests(now);
   const Route* const route = routes_.Find(packet.service);
   if (route == nullptr) {
@@ -48,7 +49,7 @@
     return;
   }
   if (packet.opens) {
-    OnOpening(packet, *route, now, targets_recovering);
+    OnOpening(packet, *route, now);
   } else {
     OnFlowPacket(packet, *route, now);
   }
@@ -84,7 +85,7 @@
       .flow_hash = hash,
       .now = now,
       .excluded = excluded,
-      .exclude_cold = limits_cold_targets_ && spec.cold_flows_per_s.has_value(),
+      .exclude_cold = evacuates_domains_ && spec.cold_flows_per_s.has_value(),
       .objective = route.objective};
 }
 
@@ -92,12 +93,35 @@
                                   const Route& route, TargetKey excluded,
                                   TimePoint now) {
   const PlacementQuery query = QueryFor(client, service, route, excluded, now);
-  return decisions_.placer.Place(
-      targets_.OfService(route.Pick(query.flow_hash)), query);
+  const auto& targets = targets_.OfService(route.Pick(query.flow_hash));
+  const EdgePlacement placement = decisions_.placer.Place(targets, query);
+  if (placement.tier < PlacementTier::kUnproven ||
+      !gaps_.evacuations_unconfirmed) {
+    return placement;
+  }
+  const EdgePlacement evacuated = PlaceAtEvacuated(targets, query);
+  return evacuated.tier < placement.tier ? evacuated : placement;
+}
+
+EdgePlacement EdgeSteering::PlaceAtEvacuated(
+    const std::vector<EdgeTarget*>& targets, PlacementQuery query) {
+  std::vector<EdgeTarget*> local;
+  bool has_other = false;
+  for (EdgeTarget* const target : targets) {
+    if (target->evacuated) {
+      if (target->is_local) local.push_back(target);
+    } else {
+      has_other |= target->presence == TargetPresence::kListed;
+    }
+  }
+  // If all domains are evacuated, new flows are not wanted anywhere.
+  if (!has_other) return {};
+  query.allow_evacuated = true;
+  return PlaceFlow(local, query);
 }
 
 void EdgeSteering::OnOpening(const EdgePacket& packet, const Route& route,
-                             TimePoint now, bool targets_recovering) {
+                             TimePoint now) {
   if (CachedFlow* const flow = flows_.Find(packet.client, packet.service);
       flow != nullptr && packet.acknowledged > 0) {
     OnRepeatedOpening(packet, route, *flow, now);
@@ -112,7 +136,7 @@
   const EdgePlacement placement =
       Place(packet.client, packet.service, route, TargetKey{}, now);
   if (placement.target == nullptr) {
-    OnNoTarget(packet, route, now, targets_recovering);
+    OnNoTarget(packet, route, now);
     return;
   }
   CachedFlow& flow = TrackFlow(packet, placement.target->record.key, now);
@@ -142,8 +166,8 @@
 }
 
 void EdgeSteering::OnNoTarget(const EdgePacket& packet, const Route& route,
-                              TimePoint now, bool targets_recovering) {
-  if (targets_recovering || WillBeWarm(packet, route, now)) {
+                              TimePoint now) {
+  if (gaps_.targets_recovering || WillBeWarm(packet, route, now)) {
     // A target may be available when the client retransmits; a reset would use
     // up one of the client's attempts.
     unplaced_.Add();
@@ -184,7 +208,8 @@
   const bool must_move =
       target == nullptr ||
       (flow.phase == FlowPhase::kOpening &&
-       (target->evacuated || IsUnreachable(*target))) ||
+       (IsUnreachable(*target) ||
+        (target->evacuated && !gaps_.evacuations_unconfirmed))) ||
       (flow.phase == FlowPhase::kOpening &&
        target->health.state() == Reachability::kUnresponsive);
   if (must_move) {
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -21,6 +21,7 @@
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/counter.h"
 #include "sapphirestream/edge/admission_control.h"
+#include "sapphirestream/edge/domain_reachability.h"
 #include "sapphirestream/edge/edge_log.h"
 #include "sapphirestream/edge/edge_packet.h"
 #include "sapphirestream/edge/edge_placement.h"
@@ -43,9 +44,19 @@
 
 struct SteeringOptions {
   std::size_t flow_capacity = 0;
-  // Whether cold targets of services that limit their flows get no new flows;
-  // see docs/design/cold-targets.md.
-  bool limits_cold_targets = false;
+  // Whether failure domains are evacuated, and cold targets of services that
+  // limit their flows get no new flows; see docs/design/evacuation.md and
+  // docs/design/cold-targets.md.
+  bool evacuates_domains = false;
+};
+
+// What an instance cannot know at the moment, because of its view of the store.
+struct ViewGaps {
+  // Targets are registering again after a store outage, so that a service
+  // without targets may have some shortly.
+  bool targets_recovering = false;
+  // The store cannot be reached, so that an evacuation may have ended.
+  bool evacuations_unconfirmed = false;
 };
 
 class EdgeSteering {
@@ -79,10 +90,8 @@
                const SteeringDecisions& decisions,
                const SteeringOptions& options);
 
-  // `targets_recovering`: targets are registering again after a store outage,
-  // so a service without targets may have some shortly.
   void OnPacket(const EdgePacket& packet, TimePoint now,
-                bool targets_recovering = false);
+                const ViewGaps& gaps = {});
   // Drops an opening packet that arrived before the view was read again after a
   // pause; the client retransmits it.
   void DropOpening(const EdgePacket& packet, TimePoint now);
@@ -124,10 +133,8 @@
   void OnNoRoute(const EdgePacket& packet, TimePoint now);
 
   // Opening packets (SYN).
-  void OnOpening(const EdgePacket& packet, const Route& route, TimePoint now,
-                 bool targets_recovering);
-  void OnNoTarget(const EdgePacket& packet, const Route& route, TimePoint now,
-                  bool targets_recovering);
+  void OnOpening(const EdgePacket& packet, const Route& route, TimePoint now);
+  void OnNoTarget(const EdgePacket& packet, const Route& route, TimePoint now);
   [[nodiscard]] PlacementQuery QueryFor(V4Endpoint client, V4Endpoint service,
                                         const Route& route, TargetKey excluded,
                                         TimePoint now) const;
@@ -142,6 +149,14 @@
   [[nodiscard]] EdgePlacement Place(V4Endpoint client, V4Endpoint service,
                                     const Route& route, TargetKey excluded,
                                     TimePoint now);
+  // Selects an evacuated target of this instance's domain if the domain is cut
+  // off, so that no other target can be reached and the evacuation may have
+  // ended.
+  [[nodiscard]] EdgePlacement PlaceAtEvacuated(
+      const std::vector<EdgeTarget*>& targets, PlacementQuery query);
+  // Update what is known of the reachability of a target's domain.
+  void OnDomainSilent(const EdgeTarget& target, TimePoint begun, TimePoint now);
+  void OnDomainAnswer(const EdgeTarget& target, TimePoint now);
   void SendOpening(CachedFlow& flow, EdgeTarget& target,
                    std::span<const std::byte> packet);
   void MoveOpening(CachedFlow& flow, const Route& route,
@@ -218,7 +233,10 @@
   EdgeSink& sink_;
   EdgeLog& log_;
   SteeringDecisions decisions_;
-  bool limits_cold_targets_;
+  bool evacuates_domains_;
+  DomainReachability domains_;
+  // As of the last packet.
+  ViewGaps gaps_;
   FlowCache flows_;
   // Ordered by the time they were sent.
   std::deque<Opening> openings_;
--- a/src/sapphirestream/edge/edge_steering_failover.cc
+++ b/src/sapphirestream/edge/edge_steering_failover.cc
@@ -30,7 +30,24 @@
        .control = needs_control ? ControlFor(target, now) : std::nullopt});
 }
 
+void EdgeSteering::OnDomainSilent(const EdgeTarget& target, TimePoint begun,
+                                  TimePoint now) {
+  if (!evacuates_domains_ || target.is_local) return;
+  const std::string& domain = target.record.domain;
+  domains_.OnSilent(domain, target.record.key, begun);
+  if (domains_.IsCutOff(domain, now)) {
+    targets_.SetCutOff(domain, now + DomainReachability::kMaxEvidenceAge);
+  }
+}
+
+void EdgeSteering::OnDomainAnswer(const EdgeTarget& target, TimePoint now) {
+  if (!evacuates_domains_ || target.is_local) return;
+  domains_.OnAnswer(target.record.domain, now);
+  targets_.SetCutOff(target.record.domain, TimePoint{});
+}
+
 void EdgeSteering::OnTargetProgress(EdgeTarget& target, TimePoint now) {
+  OnDomainAnswer(target, now);
   target.health.OnFlowProgress(now);
   if (progress_[0].target != target.record.key) progress_[1] = progress_[0];
   progress_[0] = {target.record.key, target.record.address, now};
@@ -57,12 +74,17 @@
   const bool was_unreachable = IsUnreachable(*target);
   const bool became_unreachable = target->health.OnProbe(outcome, begun, now);
   if (outcome == ProbeOutcome::kStranger) targets_.Retire(*target, now);
+  if (outcome == ProbeOutcome::kSilent) {
+    OnDomainSilent(*target, begun, now);
+  } else if (outcome != ProbeOutcome::kFailed) {
+    OnDomainAnswer(*target, now);
+  }
   if (!was_unreachable || !IsUnreachable(*target)) {
     log_.Probed(*target, outcome, begun, now);
   }
   if (IsUnreachable(*target)) {
     AddUnreachable(key, now);
-  } else if (was_unreachable && limits_cold_targets_) {
+  } else if (was_unreachable && evacuates_domains_) {
     // It may have restarted, which its entry may not show yet.
     targets_.SetCold(*target, now);
   }
--- a/src/sapphirestream/edge/evacuations.cc
+++ b/src/sapphirestream/edge/evacuations.cc
@@ -1,53 +1,83 @@
 #include "sapphirestream/edge/evacuations.h"
 
-#include <utility>
+#include <algorithm>
 
 #include "sapphirestream/edge/target_directory.h"
 
 namespace sapphirestream {
 
 Evacuations::Changes Evacuations::Set(const std::string& domain, bool evacuated,
-                                      TimePoint now) {
-  missing_.erase(domain);
-  const bool changed =
-      evacuated ? domains_.insert(domain).second : domains_.erase(domain) > 0;
-  if (!changed) return {};
-  targets_.SetEvacuated(domain, evacuated, now);
+                                      StoreRevision revision, TimePoint now) {
+  Entry& entry = entries_[domain];
+  if (revision < entry.revision) return {};
+  if (!Update(domain, entry, evacuated, revision, now)) return {};
   return {{domain, evacuated}};
 }
 
-Evacuations::Changes Evacuations::Replace(const std::set<std::string>& domains,
-                                          bool is_restored, TimePoint now) {
+Evacuations::Changes Evacuations::Replace(
+    const std::map<std::string, StoreRevision>& entries, StoreRevision revision,
+    TimePoint now) {
   Changes changes;
-  const auto apply = [&](const std::string& domain, bool evacuated) {
-    for (Change& change : Set(domain, evacuated, now)) {
-      changes.push_back(std::move(change));
+  for (const auto& [domain, entry_revision] : entries) {
+    for (const Change& change : Set(domain, true, entry_revision, now)) {
+      changes.push_back(change);
+    }
+  }
+  for (auto it = entries_.begin(); it != entries_.end();) {
+    auto& [domain, entry] = *it;
+    if (entries.contains(domain) || revision < entry.revision) {
+      ++it;
+      continue;
     }
-  };
-  const std::set<std::string> before = domains_;
-  for (const std::string& domain : before) {
-    if (domains.contains(domain) || missing_.contains(domain)) continue;
-    if (is_restored) {
-      missing_.emplace(domain, now);
-    } else {
-      apply(domain, false);
+    if (!entry.evacuated) {
+      it = entries_.erase(it);
+      continue;
     }
+    if (entry.revision.era < revision.era) {
+      entry.missing_since = now;
+      entry.revision = revision;
+    } else if (entry.missing_since == TimePoint{}) {
+      Update(domain, entry, false, revision, now);
+      changes.push_back({domain, false});
+    }
+    ++it;
   }
-  for (const std::string& domain : domains) apply(domain, true);
   return changes;
 }
 
 Evacuations::Changes Evacuations::Expire(TimePoint complete_until,
                                          TimePoint now) {
   Changes changes;
-  const std::map<std::string, TimePoint> missing = missing_;
-  for (const auto& [domain, since] : missing) {
-    if (complete_until - since < kRewriteTime) continue;
-    for (Change& change : Set(domain, false, now)) {
-      changes.push_back(std::move(change));
+  for (auto& [domain, entry] : entries_) {
+    if (entry.missing_since == TimePoint{} ||
+        complete_until - entry.missing_since < kRewriteTime) {
+      continue;
     }
+    Update(domain, entry, false, entry.revision, now);
+    changes.push_back({domain, false});
   }
   return changes;
 }
 
+bool Evacuations::Update(const std::string& domain, Entry& entry,
+                         bool evacuated, StoreRevision revision,
+                         TimePoint now) {
+  entry.revision = revision;
+  entry.missing_since = {};
+  if (entry.evacuated == evacuated) return false;
+  entry.evacuated = evacuated;
+  targets_.SetEvacuated(domain, evacuated, now);
+  return true;
+}
+
+void Evacuations::ForgetRevisions() noexcept {
+  for (auto& [domain, entry] : entries_) entry.revision = {};
+}
+
+std::size_t Evacuations::size() const noexcept {
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(),
+                    [](const auto& item) { return item.second.evacuated; }));
+}
+
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge/evacuations.h
+++ b/src/sapphirestream/edge/evacuations.h
@@ -2,12 +2,13 @@
 #ifndef SAPPHIRESTREAM_EDGE_EVACUATIONS_H_
 #define SAPPHIRESTREAM_EDGE_EVACUATIONS_H_
 
+#include <cstddef>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/store_revision.h"
 #include "sapphirestream/edge/fwd.h"
 
 namespace sapphirestream {
@@ -34,27 +35,41 @@
   // `targets` must outlive this object.
   explicit Evacuations(TargetDirectory& targets) : targets_(targets) {}
 
-  // Applies an entry or its removal.
-  Changes Set(const std::string& domain, bool evacuated, TimePoint now);
-  // Applies a complete list. `is_restored`: it is the first one since the store
-  // was restored, and may lack entries that were written after the copy.
-  Changes Replace(const std::set<std::string>& domains, bool is_restored,
-                  TimePoint now);
+  // Applies an entry or its removal, unless a later revision is known.
+  Changes Set(const std::string& domain, bool evacuated, StoreRevision revision,
+              TimePoint now);
+  // Applies a complete list: the revisions of the entries by domain, and that
+  // of the list. What is known from later revisions stays. The first list after
+  // the store was restored may lack entries that were written after the copy.
+  Changes Replace(const std::map<std::string, StoreRevision>& entries,
+                  StoreRevision revision, TimePoint now);
   // Ends evacuations whose entry was not written again. `complete_until`: the
   // view contains every change acknowledged before.
   Changes Expire(TimePoint complete_until, TimePoint now);
 
-  // The evacuated domains, in order.
-  [[nodiscard]] const std::set<std::string>& domains() const noexcept {
-    return domains_;
-  }
+  // Makes the next entry of each domain count, whatever its revision; for use
+  // when another store is read.
+  void ForgetRevisions() noexcept;
+
+  // Number of evacuated domains.
+  [[nodiscard]] std::size_t size() const noexcept;
 
  private:
+  struct Entry {
+    bool evacuated = false;
+    // Of the entry, or of the removal or the list that ended it.
+    StoreRevision revision;
+    // When the entry was found missing from a restored store; unset otherwise.
+    TimePoint missing_since{};
+  };
+
+  // Returns whether this is a change.
+  bool Update(const std::string& domain, Entry& entry, bool evacuated,
+              StoreRevision revision, TimePoint now);
+
   TargetDirectory& targets_;
-  std::set<std::string> domains_;
-  // Domains whose entry was missing from a restored store, and since when. All
-  // are in domains_.
-  std::map<std::string, TimePoint> missing_;
+  // By domain. Ended ones stay until a list is read that is younger.
+  std::map<std::string, Entry> entries_;
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -59,6 +59,9 @@
   target.presence = TargetPresence::kListed;
   target.is_local = record.domain == domain_;
   target.evacuated = IsEvacuated(record.domain);
+  const auto cut_off = cut_off_.find(record.domain);
+  target.cut_off_until =
+      cut_off == cut_off_.end() ? TimePoint{} : cut_off->second;
   target.cold_until = now + record.cold_remaining;
   AddToIndexes(target);
   TakeAddress(target, now);
@@ -116,6 +119,16 @@
   return true;
 }
 
+void TargetDirectory::SetCutOff(const std::string& domain, TimePoint until) {
+  const auto it = cut_off_.find(domain);
+  const TimePoint before = it == cut_off_.end() ? TimePoint{} : it->second;
+  if (until == before) return;
+  cut_off_.insert_or_assign(domain, until);
+  for (auto& [key, target] : targets_) {
+    if (target.record.domain == domain) target.cut_off_until = until;
+  }
+}
+
 void TargetDirectory::SetCold(EdgeTarget& target, TimePoint now) const {
   target.cold_until = std::max(target.cold_until,
                                now + routes_.SpecOf(target.service).cold_start);
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -48,6 +48,8 @@
   bool is_local = false;
   // Whether its failure domain is evacuated: it gets no new flows.
   bool evacuated = false;
+  // Until then its failure domain seems to be cut off from this instance.
+  TimePoint cut_off_until{};
   // When the other instances have read the entry as well.
   TimePoint usable_from{};
   TimePoint cold_until{};
@@ -108,6 +110,9 @@
   // domain's targets count as cold: they may have become so without an entry
   // that shows it yet. Returns whether this is a change.
   bool SetEvacuated(const std::string& domain, bool evacuated, TimePoint now);
+  // Sets until when a failure domain seems to be cut off from this instance;
+  // unset if it does not.
+  void SetCutOff(const std::string& domain, TimePoint until);
   // Marks a target as cold for the start time of its service. For a target that
   // may have restarted without a known entry.
   void SetCold(EdgeTarget& target, TimePoint now) const;
@@ -160,6 +165,7 @@
   std::string domain_;
   Duration entry_lifetime_;
   std::unordered_set<std::string> evacuated_;
+  std::unordered_map<std::string, TimePoint> cut_off_;
   // The indexes point into this node-based map; pointers to its elements stay
   // valid when other elements change.
   std::unordered_map<TargetKey, EdgeTarget> targets_;
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -90,7 +90,7 @@
       steering_(routes_, targets_, *this, flow_log_, counters_,
                 {.placer = tier_placer_},
                 {.flow_capacity = settings.flow_capacity,
-                 .limits_cold_targets = settings.EvacuatesDomains()}),
+                 .evacuates_domains = settings.EvacuatesDomains()}),
       view_(routes_, targets_, flow_log_, log, clock, counters_,
             platform.key_of(),
             {.on_read = [this] { CheckAges(); },
@@ -202,8 +202,11 @@
     steering_.DropOpening(packet, now);
     return;
   }
-  steering_.OnPacket(packet, now,
-                     view_.is_recovering() || !view_.is_complete());
+  steering_.OnPacket(
+      packet, now,
+      {.targets_recovering = view_.is_recovering() || !view_.is_complete(),
+       .evacuations_unconfirmed =
+           evacuation_reader_ && evacuation_reader_->IsAway()});
   ArmSteering();
 }
 
@@ -312,7 +315,7 @@
       next->config_bound != settings_.config_bound ||
       next->evacuation_bound != settings_.evacuation_bound ||
       ConfigWatchInterval(*next) != ConfigWatchInterval(settings_);
-  if (next->store != settings_.store) targets_.ForgetRevisions();
+  if (next->store != settings_.store) view_.ForgetRevisions();
   settings_ = *next;
   lines_.set_threshold(settings_.log_level);
   if (watches_changed) StartReaders();
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
-#include <set>
+#include <map>
 #include <string>
 #include <unordered_set>
 #include <utility>
@@ -115,14 +115,12 @@
     const std::vector<CollectionItem<Evacuation>>& items,
     StoreRevision revision) {
   if (has_evacuations_) ReportList("evacuations", items.size(), revision);
-  const bool is_restored = has_evacuations_ && evacuations_era_ < revision.era;
-  evacuations_era_ = revision.era;
   has_evacuations_ = true;
-  std::set<std::string> domains;
+  std::map<std::string, StoreRevision> entries;
   for (const auto& item : items) {
-    if (!item.name.empty()) domains.insert(item.name);
+    if (!item.name.empty()) entries.emplace(item.name, item.revision);
   }
-  ReportEvacuations(evacuations_.Replace(domains, is_restored, clock_.Now()));
+  ReportEvacuations(evacuations_.Replace(entries, revision, clock_.Now()));
 }
 
 void EdgeView::ApplyChanges(
@@ -130,10 +128,16 @@
   for (const auto& item : items) {
     // The name alone counts: an entry that cannot be decoded is in force.
     if (item.name.empty()) continue;
-    ReportEvacuations(evacuations_.Set(item.name, !item.deleted, clock_.Now()));
+    ReportEvacuations(evacuations_.Set(item.name, !item.deleted, item.revision,
+                                       clock_.Now()));
   }
 }
 
+void EdgeView::ForgetRevisions() noexcept {
+  targets_.ForgetRevisions();
+  evacuations_.ForgetRevisions();
+}
+
 void EdgeView::ExpireEvacuations() {
   ReportEvacuations(
       evacuations_.Expire(evacuations_age_.complete_until(), clock_.Now()));
@@ -145,7 +149,7 @@
                evacuated ? "domain_evacuated" : "domain_restored",
                {{"domain", PrintableName(domain)}});
   }
-  evacuated_domains_.Set(evacuations_.domains().size());
+  evacuated_domains_.Set(evacuations_.size());
 }
 
 void EdgeView::ApplyConfig(const ConfigItem& item) {
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -73,6 +73,9 @@
   // `evacuations` is unset if they are not followed.
   void SetCompleteUntil(TimePoint targets, TimePoint routes,
                         TimePoint evacuations = {}) noexcept;
+  // Makes the next entry of each collection count; see
+  // TargetDirectory::ForgetRevisions.
+  void ForgetRevisions() noexcept;
   // Ends evacuations whose entry a restored store has lost.
   void ExpireEvacuations();
   // Marks the view as outdated until all collections have been read again,
@@ -200,8 +203,6 @@
   Evacuations evacuations_;
   bool follows_evacuations_ = false;
   bool has_evacuations_ = false;
-  // Era of the last list of evacuations.
-  StoreEra evacuations_era_ = kUnknownEra;
   bool has_targets_ = false;
   // Era of the last list of targets.
   StoreEra targets_era_ = kUnknownEra;
--- a/test/edge/edge_steering_domains_test.cc
+++ b/test/edge/edge_steering_domains_test.cc
@@ -111,6 +111,45 @@
   BOOST_TEST((targets.Find(TargetKey{1})->cold_until == clock.Now() + 2s));
 }
 
+// Moving an opening packet through all targets of a domain that is cut off
+// takes longer than its client waits.
+BOOST_AUTO_TEST_CASE(targets_of_a_domain_that_is_cut_off_come_last) {
+  for (std::uint64_t key : {11, 12, 13, 14}) Add(sample::Target(key, "b"));
+  for (std::uint64_t key : {11, 12, 13}) MakeUnreachable(TargetKey{key});
+  const EdgeTarget& other = *targets.Find(TargetKey{14});
+  const PlacementQuery query{.now = clock.Now()};
+  BOOST_TEST((TierOf(other, query) == PlacementTier::kUnproven));
+  BOOST_TEST((TierOf(*targets.Find(TargetKey{1}), query) ==
+              PlacementTier::kLocalSlot));
+  Open(1);
+  targets.SetEvacuated("a", true, clock.Now());
+  const TargetKey target = Open(2);
+  BOOST_TEST((target == TargetKey{14}));
+  BOOST_TEST(
+      (TierOf(other, {.now = clock.Now()}) == PlacementTier::kRemoteSlot));
+}
+
+// Each failure domain serves on when it is cut off from the others and from the
+// store, where the evacuation may have ended meanwhile.
+BOOST_AUTO_TEST_CASE(a_domain_that_is_cut_off_uses_its_evacuated_targets) {
+  Add(sample::Target(11, "b"));
+  targets.SetEvacuated("a", true, clock.Now());
+  MakeUnreachable(TargetKey{11});
+  steering.OnPacket(Syn(1, sample::kFeed), clock.Now());
+  BOOST_TEST(resets.size() == 1U);
+  steering.OnPacket(Syn(2, sample::kFeed), clock.Now(),
+                    {.evacuations_unconfirmed = true});
+  BOOST_REQUIRE(!sent.empty());
+  BOOST_TEST(targets.Find(sent.back().target)->is_local);
+}
+
+BOOST_AUTO_TEST_CASE(no_flow_is_wanted_if_all_domains_are_evacuated) {
+  targets.SetEvacuated("a", true, clock.Now());
+  steering.OnPacket(Syn(1, sample::kFeed), clock.Now(),
+                    {.evacuations_unconfirmed = true});
+  BOOST_TEST(resets.size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/edge/edge_steering_fixture.h
+++ b/test/edge/edge_steering_fixture.h
@@ -98,7 +98,7 @@
   CounterSet counters;
   TierPlacer placer;
   SteeringDecisions decisions{.placer = placer};
-  SteeringOptions options{.flow_capacity = 256, .limits_cold_targets = true};
+  SteeringOptions options{.flow_capacity = 256, .evacuates_domains = true};
   EdgeSteering steering{routes,   targets,   *this,  flow_log,
                         counters, decisions, options};
   std::uint64_t revision = 0;
--- a/test/edge/edge_steering_test.cc
+++ b/test/edge/edge_steering_test.cc
@@ -73,13 +73,13 @@
                   clock.Now());
   }
   steering.OnPacket(Syn(1, sample::kFeed), clock.Now(),
-                    /*targets_recovering=*/true);
+                    {.targets_recovering = true});
   BOOST_TEST(sent.empty());
   BOOST_TEST(resets.empty());
   Add(sample::Target(4, "a"));
   clock.Advance(200ms);
   steering.OnPacket(Syn(1, sample::kFeed, 1), clock.Now(),
-                    /*targets_recovering=*/true);
+                    {.targets_recovering = true});
   BOOST_TEST(sent.size() == 1U);
 }
 
--- a/test/edge/evacuations_test.cc
+++ b/test/edge/evacuations_test.cc
@@ -12,6 +12,8 @@
 
 using namespace std::chrono_literals;
 
+StoreRevision At(std::uint64_t number) { return {StoreEra{1}, number}; }
+
 struct Fixture {
   Fixture() {
     RouteConfig config = sample::Routes(1);
@@ -33,10 +35,10 @@
 BOOST_FIXTURE_TEST_SUITE(evacuations, Fixture)
 
 BOOST_AUTO_TEST_CASE(all_targets_of_the_domain_are_evacuated) {
-  BOOST_TEST(evacuations.Set("a", true, now).size() == 1U);
+  BOOST_TEST(evacuations.Set("a", true, At(5), now).size() == 1U);
   BOOST_TEST(IsEvacuated(1));
   BOOST_TEST(!IsEvacuated(2));
-  BOOST_TEST(evacuations.Set("a", true, now).empty());
+  BOOST_TEST(evacuations.Set("a", true, At(5), now).empty());
   // A target that registers later belongs to the domain as well.
   targets.Upsert(sample::Target(3, "a"), {StoreEra{1}, 3}, true, now);
   BOOST_TEST(IsEvacuated(3));
@@ -44,29 +46,29 @@
 
 // The targets' entries may not yet show that they have become cold.
 BOOST_AUTO_TEST_CASE(the_targets_are_cold_when_an_evacuation_ends) {
-  evacuations.Set("a", true, now);
+  evacuations.Set("a", true, At(5), now);
   now += 10s;
-  BOOST_TEST(evacuations.Set("a", false, now).size() == 1U);
+  BOOST_TEST(evacuations.Set("a", false, At(8), now).size() == 1U);
   BOOST_TEST(!IsEvacuated(1));
   BOOST_TEST((targets.Find(TargetKey{1})->cold_until == now + 2s));
   BOOST_TEST((targets.Find(TargetKey{2})->cold_until <= now));
 }
 
 BOOST_AUTO_TEST_CASE(a_list_replaces_what_is_known) {
-  evacuations.Set("a", true, now);
-  const auto changes = evacuations.Replace({"b"}, /*is_restored=*/false, now);
+  evacuations.Set("a", true, At(5), now);
+  const auto changes = evacuations.Replace({{"b", At(6)}}, At(7), now);
   BOOST_TEST(changes.size() == 2U);
   BOOST_TEST(!IsEvacuated(1));
   BOOST_TEST(IsEvacuated(2));
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_that_a_restored_store_lost_stays_in_force) {
-  evacuations.Set("a", true, now);
-  evacuations.Replace({}, /*is_restored=*/true, now);
+  evacuations.Set("a", true, At(5), now);
+  evacuations.Replace({}, {StoreEra{2}, 3}, now);
   BOOST_TEST(IsEvacuated(1));
   // Neither a further list nor an old view ends it before the entry can have
   // been written again.
-  evacuations.Replace({}, /*is_restored=*/false, now + 1s);
+  evacuations.Replace({}, {StoreEra{2}, 4}, now + 1s);
   evacuations.Expire(now + 1s, now + 10s);
   BOOST_TEST(IsEvacuated(1));
   evacuations.Expire(now + Evacuations::kRewriteTime, now + 10s);
@@ -74,17 +76,29 @@
 }
 
 BOOST_AUTO_TEST_CASE(an_entry_that_is_written_again_does_not_expire) {
-  evacuations.Set("a", true, now);
-  evacuations.Replace({}, /*is_restored=*/true, now);
-  evacuations.Set("a", true, now + 1s);
+  evacuations.Set("a", true, At(5), now);
+  evacuations.Replace({}, {StoreEra{2}, 3}, now);
+  evacuations.Set("a", true, {StoreEra{2}, 4}, now + 1s);
   evacuations.Expire(now + 20s, now + 20s);
   BOOST_TEST(IsEvacuated(1));
 }
 
 BOOST_AUTO_TEST_CASE(a_removal_ends_it_at_once_after_a_restoration) {
-  evacuations.Set("a", true, now);
-  evacuations.Replace({}, /*is_restored=*/true, now);
-  BOOST_TEST(evacuations.Set("a", false, now).size() == 1U);
+  evacuations.Set("a", true, At(5), now);
+  evacuations.Replace({}, {StoreEra{2}, 3}, now);
+  BOOST_TEST(evacuations.Set("a", false, {StoreEra{2}, 5}, now).size() == 1U);
+  BOOST_TEST(!IsEvacuated(1));
+}
+
+// A list may be read from a cache after a watch has brought a later change.
+BOOST_AUTO_TEST_CASE(an_older_list_changes_nothing) {
+  evacuations.Set("a", true, At(5), now);
+  evacuations.Set("b", true, At(5), now);
+  evacuations.Set("b", false, At(6), now);
+  BOOST_TEST(evacuations.Replace({{"b", At(5)}}, At(4), now).empty());
+  BOOST_TEST(IsEvacuated(1));
+  BOOST_TEST(!IsEvacuated(2));
+  evacuations.Replace({}, At(7), now);
   BOOST_TEST(!IsEvacuated(1));
 }
 
