Do not penalise full targets for rejecting requests

Cause: a full target rejects requests, which looks like a failure. Penalties for it moved load to targets that were nearly full as well.

Change: a failure counts by the free part of the target's slots. A peer's count is bounded by the slots, so that it cannot make a failing target look full.

--- a/src/sapphirestream/edge/performance_table.cc
+++ b/src/sapphirestream/edge/performance_table.cc
@@ -16,6 +16,18 @@
          !target.evacuated;
 }
 
+std::uint32_t SlotsOf(const EdgeTarget& target) {
+  return std::clamp(target.record.slots, 1U, 1024U);
+}
+
+// Part of the slots that is free. A request that has just failed may still be
+// counted.
+double IdlePart(const EdgeTarget& target, const PeerReports& peers) {
+  const std::uint32_t outstanding = target.outstanding + peers.outstanding();
+  const double others = std::max(outstanding, 1U) - 1;
+  return std::max(0.0, 1 - others / SlotsOf(target));
+}
+
 double Share(double relative_time, double allowance, double penalty_factor) {
   return std::pow(relative_time, -kTimeExponent) *
          (1 - (1 - allowance) * penalty_factor);
@@ -51,7 +63,8 @@
   const RequestVerdict verdict =
       route->second.Judge(observation.took, observation.answer_bytes, now);
   if (verdict.failed) {
-    entry->performance.AddFailures(1, now);
+    entry->performance.AddFailures(
+        1, IdlePart(*targets_.Find(observation.target), entry->peers), now);
   } else {
     entry->performance.AddAnswers(
         1, std::max(verdict.relative_time, kMinRelativeTime), now);
@@ -96,8 +109,7 @@
                                         TimePoint now) {
   Entry* const entry = EntryOf(samples.target, samples.incarnation, now);
   if (entry == nullptr) return;
-  const std::uint32_t slots =
-      std::clamp(targets_.Find(samples.target)->record.slots, 1U, 1024U);
+  const EdgeTarget& target = *targets_.Find(samples.target);
   const std::uint32_t claimed_failures =
       std::min(samples.failures, samples.count);
   const std::uint32_t claimed_answers = samples.count - claimed_failures;
@@ -105,7 +117,9 @@
   const std::uint32_t answers =
       std::min(claimed_answers, kMaxPeerRequests - failures);
   const std::uint32_t accepted = entry->peers.Add(
-      peer, std::min(samples.outstanding, slots * kMaxPeerOutstandingPerSlot),
+      peer,
+      std::min(samples.outstanding,
+               SlotsOf(target) * kMaxPeerOutstandingPerSlot),
       answers + failures, entry->performance.Evidence(now), now);
   const std::uint32_t accepted_failures = std::min(failures, accepted);
   if (answers > 0) {
@@ -115,7 +129,8 @@
         accepted - accepted_failures,
         std::clamp(mean, kMinRelativeTime, kMaxRelativeTime), now);
   }
-  entry->performance.AddFailures(accepted_failures, now);
+  entry->performance.AddFailures(accepted_failures,
+                                 IdlePart(target, entry->peers), now);
 }
 
 void PerformanceTable::ErasePeer(PeerId peer) {
--- a/src/sapphirestream/edge/performance_table.h
+++ b/src/sapphirestream/edge/performance_table.h
@@ -48,8 +48,9 @@
   static constexpr std::uint32_t kMaxPeerFailures = 2;
   static constexpr double kMinRelativeTime = 1.0 / 8;
   static constexpr double kMaxRelativeTime = RouteBaseline::kMaxRelativeTime;
-  // Bound of a peer's outstanding requests at a target, per slot.
-  static constexpr std::uint32_t kMaxPeerOutstandingPerSlot = 2;
+  // Bound of a peer's outstanding requests at a target, per slot: one instance
+  // rarely has more, and a false count must not make a target look full.
+  static constexpr std::uint32_t kMaxPeerOutstandingPerSlot = 1;
 
   explicit PerformanceTable(TargetDirectory& targets) : targets_(targets) {}
 
--- a/src/sapphirestream/edge/target_performance.cc
+++ b/src/sapphirestream/edge/target_performance.cc
@@ -41,14 +41,15 @@
   allowance_ = std::min(1.0, allowance_ * std::pow(kOnAnswer, count));
 }
 
-void TargetPerformance::AddFailures(std::uint32_t count, TimePoint now) {
+void TargetPerformance::AddFailures(std::uint32_t count, double idle,
+                                    TimePoint now) {
   if (count == 0) return;
   Advance(now);
   failure_share_ += (1 - failure_share_) * Step(count, evidence_, kShortPart);
   evidence_ += count;
   allowance_ =
-      std::max(kMinAllowance, allowance_ * std::pow(kOnFailure, count));
-  last_failure_ = now;
+      std::max(kMinAllowance, allowance_ * std::pow(kOnFailure, count * idle));
+  if (idle > 0) last_failure_ = now;
 }
 
 double TargetPerformance::LogTime() const {
--- a/src/sapphirestream/edge/target_performance.h
+++ b/src/sapphirestream/edge/target_performance.h
@@ -30,7 +30,10 @@
 
   // Adds requests that did not fail. `relative_time` is their mean.
   void AddAnswers(std::uint32_t count, double relative_time, TimePoint now);
-  void AddFailures(std::uint32_t count, TimePoint now);
+  // `idle`: free part of the target's slots, 0 to 1. A full target that rejects
+  // requests is not at fault, and its count of outstanding requests already
+  // keeps load away; a target that fails while it is idle is.
+  void AddFailures(std::uint32_t count, double idle, TimePoint now);
 
   // Mean request time relative to the routes, as a logarithm. The larger one of
   // a short and a long average, so that it rises faster than it falls.
--- a/test/edge/performance_table_test.cc
+++ b/test/edge/performance_table_test.cc
@@ -96,6 +96,28 @@
   BOOST_TEST(Of(1).outstanding == 3U);
 }
 
+// Otherwise a new target would get much more, or less, than the others.
+BOOST_AUTO_TEST_CASE(an_unknown_target_counts_as_a_normal_one) {
+  failing = 3;
+  Serve(10s);
+  Add(kTargets + 1);
+  Wait(100ms);
+  const double ratio = Of(kTargets + 1).weight / Of(kTargets).weight;
+  BOOST_TEST(ratio > 0.8);
+  BOOST_TEST(ratio < 1.25);
+}
+
+BOOST_AUTO_TEST_CASE(the_path_to_another_domain_is_not_a_fault) {
+  const TargetRecord remote = sample::Target(20, "b");
+  targets.Upsert(remote, {StoreEra{1}, ++revision}, true, now);
+  for (int i = 0; i < 50; ++i) {
+    Serve(200ms);
+    Answer(20, 60ms, kNormalBytes);
+  }
+  BOOST_TEST(Of(20).weight == 1);
+  BOOST_TEST(Of(1).weight > 0.8);
+}
+
 BOOST_AUTO_TEST_CASE(equal_targets_have_about_equal_weights) {
   Serve(20s);
   for (std::uint64_t key = 1; key <= kTargets; ++key) {
@@ -172,6 +194,16 @@
   BOOST_TEST(Of(1).weight < 0.15);
 }
 
+// Otherwise a peak of demand takes capacity away for seconds.
+BOOST_AUTO_TEST_CASE(a_full_target_that_rejects_requests_is_not_at_fault) {
+  Serve(10s);
+  At(1).outstanding = 4;
+  for (int i = 0; i < 4; ++i) Fail(1);
+  Wait(100ms);
+  BOOST_TEST(Of(1).weight > 0.8);
+  BOOST_TEST(Of(1).failure_share > 0.1);
+}
+
 BOOST_AUTO_TEST_CASE(requests_that_clients_give_up_are_failures) {
   Serve(10s);
   for (int i = 0; i < 4; ++i) Answer(1, 1400ms, 0);
