Add control of the share of flows that leave a failure domain

Cause: an instance places new flows in other failure domains only on its own counts, which nearly always show free slots. Change: SpillControl raises the share of flows that may cross while the local wait exceeds a crossing, and lowers it otherwise. The change per time is limited, the flows are selected by hash, and the share stays low unless the other domains are known to be faster.

--- /dev/null
+++ b/src/sapphirestream/edge/spill_control.h
@@ -0,0 +1,77 @@
+// Controls which share of a service's new flows may go to other failure
+// domains. Addresses demand that exceeds the capacity of the instance's own
+// domain while other domains have spare capacity; see
+// docs/design/placement-under-load.md.
+#ifndef SAPPHIRESTREAM_EDGE_SPILL_CONTROL_H_
+#define SAPPHIRESTREAM_EDGE_SPILL_CONTROL_H_
+
+#include <cstdint>
+
+#include "sapphirestream/base/clock.h"
+
+namespace sapphirestream {
+
+// Load of the eligible targets of one or more failure domains.
+struct DomainLoad {
+  // Time for which a new request waits for a slot, in units of the time of an
+  // average request.
+  double expected_wait = 0;
+  // Request time relative to the average of all targets, including the
+  // repetition of failed requests.
+  double relative_time = 1;
+};
+
+class SpillControl {
+ public:
+  // One-way time between failure domains. It is not known to an instance; the
+  // larger of the deployments' values is assumed, since traffic between domains
+  // is expensive.
+  static constexpr Duration kOneWayTime = std::chrono::milliseconds(5);
+  // An opening packet, its answer, the request and its answer each cross once.
+  static constexpr Duration kCrossingTime = 4 * kOneWayTime;
+  // Time of an average request, for which only relative times are known.
+  static constexpr Duration kRequestTime = std::chrono::milliseconds(20);
+  // A crossing in units of the time of an average request.
+  static constexpr double kCrossingCost =
+      std::chrono::duration<double>(kCrossingTime) / kRequestTime;
+
+  // Time after which a change of the share shows in the counts of all
+  // instances: two intervals of the exchange and a request.
+  static constexpr Duration kEffectDelay = std::chrono::milliseconds(300);
+  // Largest change of the share within kEffectDelay, so that an overshoot
+  // remains small against the capacity of the other domains.
+  static constexpr double kMaxStep = 0.15;
+
+  // Limit of the share while the other domains are not known to be faster. It
+  // is enough for 1.5 times the capacity of the domain.
+  static constexpr double kUnprovenShare = 0.35;
+  // Share that remains while the other domains are known to be slower, so that
+  // their recovery is seen.
+  static constexpr double kProbeShare = 0.02;
+  // Share at which the flows that stay suffice to see that the domain has
+  // recovered.
+  static constexpr double kMaxShare = 0.95;
+
+  // Adjusts the share to the current loads. The share changes gradually; a call
+  // after a pause does not raise it by more than kMaxStep.
+  void Update(const DomainLoad& local, const DomainLoad& remote,
+              TimePoint now) noexcept;
+
+  // Whether a flow may go to another domain. The flows that may at a given
+  // share are the same on all instances, and remain so when the share rises.
+  [[nodiscard]] bool MayCross(std::uint64_t flow_hash) const noexcept;
+
+  // 0 to kMaxShare.
+  [[nodiscard]] double share() const noexcept { return share_; }
+
+ private:
+  [[nodiscard]] static double Limit(const DomainLoad& local,
+                                    const DomainLoad& remote) noexcept;
+
+  double share_ = 0;
+  TimePoint updated_{};
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_EDGE_SPILL_CONTROL_H_
