Add placement by observed load and performance

Cause: TierPlacer sees only the requests of its own instance; with 76 instances its choice is a plain hash. Change: BalancedPlacer weights targets, compares the cost of the two best ones on the counts of all instances of the domain, and uses other domains as SpillControl allows. SlotLimit becomes public for it; PlaceFlow and TierOf are unchanged.

--- /dev/null
+++ b/src/sapphirestream/edge/balanced_placement.cc
@@ -0,0 +1,168 @@
+#include "sapphirestream/edge/balanced_placement.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+
+#include "sapphirestream/edge/rendezvous.h"
+
+namespace sapphirestream {
+namespace {
+
+// Costs are expected times, in thousandths of the time of an average request.
+// They are integers, so that all instances compare them alike.
+using Cost = std::uint64_t;
+constexpr Cost kCostUnit = 1000;
+
+// Range of relative times; values outside are clamped.
+constexpr double kMinRelativeTime = 1.0 / 64;
+constexpr double kMaxRelativeTime = 64;
+// Failure shares above this are not distinguished.
+constexpr double kMaxFailureShare = 0.9;
+
+double Clamp(double value, double low, double high) noexcept {
+  // Also true for a value that is not a number.
+  if (!(value > low)) return low;
+  return std::min(value, high);
+}
+
+// Request time relative to an average target. A failed request is repeated.
+double EffectiveTime(const TargetEstimate& estimate) noexcept {
+  return Clamp(estimate.relative_time, kMinRelativeTime, kMaxRelativeTime) /
+         (1 - Clamp(estimate.failure_share, 0, kMaxFailureShare));
+}
+
+struct Candidate {
+  EdgeTarget* target = nullptr;
+  RendezvousScore score;
+  Cost cost = 0;
+  bool has_slot = false;
+};
+
+// The candidates with the best scores, best first.
+class Shortlist {
+ public:
+  void Add(Candidate candidate) noexcept {
+    for (Candidate& listed : best_) {
+      if (listed.target == nullptr || candidate.score < listed.score) {
+        std::swap(candidate, listed);
+      }
+      if (candidate.target == nullptr) return;
+    }
+  }
+  [[nodiscard]] bool empty() const noexcept {
+    return best_[0].target == nullptr;
+  }
+  // Returns the first candidate, unless a later one has a sufficient advantage.
+  [[nodiscard]] const Candidate& Cheapest() const noexcept {
+    const Candidate* cheapest = &best_[0];
+    for (const Candidate& other : best_) {
+      if (other.target == nullptr) break;
+      if (other.cost * 100 <
+          cheapest->cost * (100 - BalancedPlacer::kMinAdvantagePercent)) {
+        cheapest = &other;
+      }
+    }
+    return *cheapest;
+  }
+
+ private:
+  std::array<Candidate, BalancedPlacer::kCandidates> best_;
+};
+
+// The eligible targets of the own or of the other failure domains.
+class DomainView {
+ public:
+  void Add(EdgeTarget& target, const TargetEstimate& estimate,
+           const PlacementQuery& query) {
+    const std::uint32_t limit = SlotLimit(target, query);
+    const std::uint32_t slots =
+        std::min(limit, std::max(1U, target.record.slots));
+    const std::uint32_t outstanding =
+        std::max(target.outstanding, estimate.outstanding);
+    const double time = EffectiveTime(estimate);
+    const Cost cost = (Cost{outstanding} + 1) *
+                      static_cast<Cost>(std::llround(time * kCostUnit)) / slots;
+    const bool has_slot = outstanding < limit;
+    candidates_.Add({&target,
+                     {query.flow_hash, target.record.key, estimate.weight},
+                     cost,
+                     has_slot});
+    const double weight = Clamp(estimate.weight, RendezvousScore::kMinWeight,
+                                RendezvousScore::kMaxWeight);
+    weight_ += weight;
+    time_ += weight * time;
+    if (!has_slot) wait_ += weight * time * (outstanding + 1 - limit) / slots;
+  }
+  [[nodiscard]] bool empty() const noexcept { return candidates_.empty(); }
+  // Precondition: not empty.
+  [[nodiscard]] const Candidate& Best() const noexcept {
+    return candidates_.Cheapest();
+  }
+  [[nodiscard]] DomainLoad Load() const noexcept {
+    return {.expected_wait = wait_ / weight_, .relative_time = time_ / weight_};
+  }
+
+ private:
+  Shortlist candidates_;
+  // Sums over the targets; waits and times are weighted by the targets'
+  // weights.
+  double weight_ = 0;
+  double time_ = 0;
+  double wait_ = 0;
+};
+
+EdgePlacement LocalPlacement(const Candidate& best) {
+  return {best.target, best.has_slot ? PlacementTier::kLocalSlot
+                                     : PlacementTier::kLocalQueue};
+}
+
+EdgePlacement RemotePlacement(const Candidate& best) {
+  return {best.target, best.has_slot ? PlacementTier::kRemoteSlot
+                                     : PlacementTier::kRemoteQueue};
+}
+
+}  // namespace
+
+EdgePlacement BalancedPlacer::Place(const std::vector<EdgeTarget*>& targets,
+                                    const PlacementQuery& query) {
+  DomainView local;
+  DomainView remote;
+  Shortlist unproven;
+  for (EdgeTarget* const target : targets) {
+    const PlacementTier tier = TierOf(*target, query);
+    if (tier == PlacementTier::kNone) continue;
+    if (tier == PlacementTier::kUnproven) {
+      unproven.Add({target, {query.flow_hash, target->record.key, 1}});
+      continue;
+    }
+    (target->is_local ? local : remote)
+        .Add(*target, performance_.Estimate(*target, query.now), query);
+  }
+  if (local.empty() && remote.empty()) {
+    if (unproven.empty()) return {};
+    return {unproven.Cheapest().target, PlacementTier::kUnproven};
+  }
+  if (local.empty()) return RemotePlacement(remote.Best());
+  if (remote.empty()) return LocalPlacement(local.Best());
+
+  const Candidate& near = local.Best();
+  const Candidate& far = remote.Best();
+  SpillControl& spill =
+      spill_[{near.target->service, query.kind == RequestKind::kUpload}];
+  spill.Update(local.Load(), remote.Load(), query.now);
+  constexpr auto crossing =
+      static_cast<Cost>(SpillControl::kCrossingCost * kCostUnit);
+  const bool crosses = !near.has_slot && spill.MayCross(query.flow_hash) &&
+                       far.cost + crossing < near.cost;
+  return crosses ? RemotePlacement(far) : LocalPlacement(near);
+}
+
+double BalancedPlacer::SpillShare(ServiceNumber service,
+                                  RequestKind kind) const noexcept {
+  const auto it = spill_.find({service, kind == RequestKind::kUpload});
+  return it == spill_.end() ? 0 : it->second.share();
+}
+
+}  // namespace sapphirestream
--- a/src/sapphirestream/edge/edge_placement.cc
+++ b/src/sapphirestream/edge/edge_placement.cc
@@ -11,15 +11,6 @@
 namespace sapphirestream {
 namespace {
 
-// Number of outstanding requests below which a target counts as free. A cold
-// target handles about half of its usual load.
-std::uint32_t SlotLimit(const EdgeTarget& target, const PlacementQuery& query) {
-  const std::uint32_t slots = std::max(1U, target.record.slots);
-  if (query.now < target.cold_until) return std::max(1U, slots / 2);
-  return slots +
-         (query.kind == RequestKind::kUpload ? kUploadQueueAllowance : 0);
-}
-
 // Requests beyond the slots; 0 for all targets with a free slot.
 std::uint32_t QueueLength(const EdgeTarget& target) {
   const std::uint32_t slots = std::max(1U, target.record.slots);
@@ -35,6 +26,14 @@
   return names[static_cast<std::size_t>(tier)];
 }
 
+std::uint32_t SlotLimit(const EdgeTarget& target, const PlacementQuery& query) {
+  const std::uint32_t slots = std::max(1U, target.record.slots);
+  // A cold target handles about half of its usual load.
+  if (query.now < target.cold_until) return std::max(1U, slots / 2);
+  return slots +
+         (query.kind == RequestKind::kUpload ? kUploadQueueAllowance : 0);
+}
+
 PlacementTier TierOf(const EdgeTarget& target, const PlacementQuery& query) {
   if (target.presence == TargetPresence::kGone || target.record.draining ||
       target.record.key == query.excluded) {
--- a/src/sapphirestream/edge/edge_placement.h
+++ b/src/sapphirestream/edge/edge_placement.h
@@ -56,6 +56,11 @@
 [[nodiscard]] PlacementTier TierOf(const EdgeTarget& target,
                                    const PlacementQuery& query);
 
+// Returns the number of outstanding requests below which a target counts as
+// free.
+[[nodiscard]] std::uint32_t SlotLimit(const EdgeTarget& target,
+                                      const PlacementQuery& query);
+
 // Returns when the first target that is excluded only because it is cold can be
 // selected, or nothing if there is no such target.
 [[nodiscard]] std::optional<TimePoint> NextWarm(
