Let outdated counts of peers move only a part of the flows

Change: the share of flows that leave a target by these counts grows with the difference in time. Three candidates instead of two, so that few flows have only slow ones.

--- a/src/sapphirestream/edge/balanced_placement.cc
+++ b/src/sapphirestream/edge/balanced_placement.cc
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <utility>
 
+#include "sapphirestream/edge/flow_share.h"
 #include "sapphirestream/edge/rendezvous.h"
 
 namespace sapphirestream {
@@ -36,10 +37,28 @@
 struct Candidate {
   EdgeTarget* target = nullptr;
   RendezvousScore score;
+  // On the counts of all instances.
   Cost cost = 0;
+  // On the instance's own counts.
+  Cost own_cost = 0;
   bool has_slot = false;
 };
 
+// Returns the difference in cost, by the counts of peers, above which a flow
+// avoids a target.
+Cost PeerMargin(std::uint64_t flow_hash) noexcept {
+  constexpr auto largest = static_cast<Cost>(
+      kCostUnit * (std::chrono::duration<double>(BalancedPlacer::kCountAge) /
+                   SpillControl::kRequestTime));
+  return FlowPosition(flow_hash, FlowShare::kPeerCounts) * largest >> 32U;
+}
+
+bool IsCheaper(const Candidate& a, const Candidate& b, Cost margin) noexcept {
+  if (a.cost + margin < b.cost) return true;
+  constexpr Cost kept = 100 - BalancedPlacer::kMinAdvantagePercent;
+  return a.own_cost * 100 < b.own_cost * kept && a.cost <= b.cost + margin;
+}
+
 // The candidates with the best scores, best first.
 class Shortlist {
  public:
@@ -54,15 +73,12 @@
   [[nodiscard]] bool empty() const noexcept {
     return best_[0].target == nullptr;
   }
-  // Returns the first candidate, unless a later one has a sufficient advantage.
-  [[nodiscard]] const Candidate& Cheapest() const noexcept {
+  // Returns the first candidate, unless a later one is cheaper.
+  [[nodiscard]] const Candidate& Cheapest(Cost margin) const noexcept {
     const Candidate* cheapest = &best_[0];
     for (const Candidate& other : best_) {
       if (other.target == nullptr) break;
-      if (other.cost * 100 <
-          cheapest->cost * (100 - BalancedPlacer::kMinAdvantagePercent)) {
-        cheapest = &other;
-      }
+      if (IsCheaper(other, *cheapest, margin)) cheapest = &other;
     }
     return *cheapest;
   }
@@ -82,23 +98,29 @@
     const std::uint32_t outstanding =
         std::max(target.outstanding, estimate.outstanding);
     const double time = EffectiveTime(estimate);
-    const Cost cost = (Cost{outstanding} + 1) *
-                      static_cast<Cost>(std::llround(time * kCostUnit)) / slots;
-    const bool has_slot = outstanding < limit;
-    candidates_.Add({&target,
-                     {query.flow_hash, target.record.key, estimate.weight},
-                     cost,
-                     has_slot});
+    const auto cost = [&](std::uint32_t count) {
+      return (Cost{count} + 1) *
+             static_cast<Cost>(std::llround(time * kCostUnit)) / slots;
+    };
+    const Candidate candidate{
+        &target,
+        {query.flow_hash, target.record.key, estimate.weight},
+        cost(outstanding),
+        cost(target.outstanding),
+        outstanding < limit};
+    candidates_.Add(candidate);
     const double weight = Clamp(estimate.weight, RendezvousScore::kMinWeight,
                                 RendezvousScore::kMaxWeight);
     weight_ += weight;
     time_ += weight * time;
-    if (!has_slot) wait_ += weight * time * (outstanding + 1 - limit) / slots;
+    if (!candidate.has_slot) {
+      wait_ += weight * time * (outstanding + 1 - limit) / slots;
+    }
   }
   [[nodiscard]] bool empty() const noexcept { return candidates_.empty(); }
   // Precondition: not empty.
-  [[nodiscard]] const Candidate& Best() const noexcept {
-    return candidates_.Cheapest();
+  [[nodiscard]] const Candidate& Best(Cost margin) const noexcept {
+    return candidates_.Cheapest(margin);
   }
   [[nodiscard]] DomainLoad Load() const noexcept {
     return {.expected_wait = wait_ / weight_, .relative_time = time_ / weight_};
@@ -140,15 +162,16 @@
     (target->is_local ? local : remote)
         .Add(*target, performance_.Estimate(*target, query.now), query);
   }
+  const Cost margin = PeerMargin(query.flow_hash);
   if (local.empty() && remote.empty()) {
     if (unproven.empty()) return {};
-    return {unproven.Cheapest().target, PlacementTier::kUnproven};
+    return {unproven.Cheapest(0).target, PlacementTier::kUnproven};
   }
-  if (local.empty()) return RemotePlacement(remote.Best());
-  if (remote.empty()) return LocalPlacement(local.Best());
+  if (local.empty()) return RemotePlacement(remote.Best(margin));
+  if (remote.empty()) return LocalPlacement(local.Best(margin));
 
-  const Candidate& near = local.Best();
-  const Candidate& far = remote.Best();
+  const Candidate& near = local.Best(margin);
+  const Candidate& far = remote.Best(margin);
   SpillControl& spill =
       spill_[{near.target->service, query.kind == RequestKind::kUpload}];
   spill.Update(local.Load(), remote.Load(), query.now);
--- a/src/sapphirestream/edge/balanced_placement.h
+++ b/src/sapphirestream/edge/balanced_placement.h
@@ -20,16 +20,22 @@
 // Flows are distributed by weighted rendezvous hashing: of the targets with the
 // best scores, the one with the lowest cost is selected, and the first one if
 // the costs are similar. Copies of an opening packet thus mostly get the same
-// target from instances whose views differ a little, and no target gets more
-// than a multiple of its share on the basis of outdated counts. Targets in
-// other failure domains are used as SpillControl allows, or if there is no
-// local one.
+// target from instances whose views differ a little. Targets in other failure
+// domains are used as SpillControl allows, or if there is no local one.
 class BalancedPlacer final : public FlowPlacer {
  public:
-  // Targets whose costs are compared.
-  static constexpr std::size_t kCandidates = 2;
-  // A later candidate must be cheaper by more than this percentage.
+  // Targets whose costs are compared. With three, one flow in 64 has only slow
+  // ones if a quarter of the targets is slow.
+  static constexpr std::size_t kCandidates = 3;
+  // By the instance's own counts, a later candidate must be cheaper by more
+  // than this percentage.
   static constexpr std::uint32_t kMinAdvantagePercent = 25;
+  // Age up to which the counts of peers are used: the interval of the exchange.
+  // By these counts, a later candidate is selected for a share of the flows: as
+  // large as the share of this time by which it is faster. If all flows avoided
+  // the targets that looked loaded, the others would get more additional
+  // requests until the next counts than they can serve.
+  static constexpr Duration kCountAge = std::chrono::milliseconds(100);
 
   // `performance` must outlive this object.
   explicit BalancedPlacer(const PerformanceSource& performance) noexcept
--- a/src/sapphirestream/edge/spill_control.cc
+++ b/src/sapphirestream/edge/spill_control.cc
@@ -2,14 +2,11 @@
 
 #include <algorithm>
 
-#include "sapphirestream/base/hash.h"
+#include "sapphirestream/edge/flow_share.h"
 
 namespace sapphirestream {
 namespace {
 
-// Makes the selection of flows independent of the selection of targets.
-constexpr std::uint64_t kFlowSalt = 0x7370696c6c;
-
 // Gain of a crossing, as a share of the local request time, at which the share
 // is limited by kMaxShare alone.
 constexpr double kFullGain = 0.3;
@@ -42,9 +39,7 @@
 }
 
 bool SpillControl::MayCross(std::uint64_t flow_hash) const noexcept {
-  const double position =
-      static_cast<double>(HashPair(flow_hash, kFlowSalt) >> 11U) * 0x1.0p-53;
-  return position < share_;
+  return FlowPosition(flow_hash, FlowShare::kSpill) < share_ * 0x1.0p32;
 }
 
 }  // namespace sapphirestream
