Judge the gain of a crossing by requests in progress

Cause: PerformanceTable compares targets only within the own, or within the other domains, so its times do not show whether a crossing gains anything. Change: SpillControl derives the time of local and remote requests from the requests in progress and the flows placed (Little).

--- a/src/sapphirestream/edge/balanced_placement.cc
+++ b/src/sapphirestream/edge/balanced_placement.cc
@@ -112,7 +112,8 @@
     const double weight = Clamp(estimate.weight, RendezvousScore::kMinWeight,
                                 RendezvousScore::kMaxWeight);
     weight_ += weight;
-    time_ += weight * time;
+    outstanding_ += outstanding;
+    failures_ += weight * Clamp(estimate.failure_share, 0, 1);
     if (!candidate.has_slot) {
       wait_ += weight * time * (outstanding + 1 - limit) / slots;
     }
@@ -123,16 +124,19 @@
     return candidates_.Cheapest(margin);
   }
   [[nodiscard]] DomainLoad Load() const noexcept {
-    return {.expected_wait = wait_ / weight_, .relative_time = time_ / weight_};
+    return {.expected_wait = wait_ / weight_,
+            .outstanding = outstanding_,
+            .failure_share = failures_ / weight_};
   }
 
  private:
   Shortlist candidates_;
-  // Sums over the targets; waits and times are weighted by the targets'
+  // Sums over the targets; waits and failures are weighted by the targets'
   // weights.
   double weight_ = 0;
-  double time_ = 0;
   double wait_ = 0;
+  double failures_ = 0;
+  double outstanding_ = 0;
 };
 
 EdgePlacement LocalPlacement(const Candidate& best) {
@@ -179,6 +183,7 @@
       static_cast<Cost>(SpillControl::kCrossingCost * kCostUnit);
   const bool crosses = !near.has_slot && spill.MayCross(query.flow_hash) &&
                        far.cost + crossing < near.cost;
+  spill.OnPlaced(crosses);
   return crosses ? RemotePlacement(far) : LocalPlacement(near);
 }
 
--- a/src/sapphirestream/edge/spill_control.cc
+++ b/src/sapphirestream/edge/spill_control.cc
@@ -1,43 +1,79 @@
 #include "sapphirestream/edge/spill_control.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "sapphirestream/edge/flow_share.h"
 
 namespace sapphirestream {
 namespace {
 
-// Gain of a crossing, as a share of the local request time, at which the share
-// is limited by kMaxShare alone.
-constexpr double kFullGain = 0.3;
+// Failure shares above this are not distinguished.
+constexpr double kMaxFailureShare = 0.9;
+
+double Seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
 
 }  // namespace
 
-double SpillControl::Limit(const DomainLoad& local,
-                           const DomainLoad& remote) noexcept {
-  const double gain = 1 - remote.relative_time / local.relative_time;
-  const double slope = (kMaxShare - kUnprovenShare) / kFullGain;
-  return std::clamp(kUnprovenShare + slope * gain, kProbeShare, kMaxShare);
+void SpillControl::Traffic::Decay(double seconds) noexcept {
+  const double retained = std::exp(-seconds / Seconds(kMemory));
+  flows *= retained;
+  outstanding *= retained;
+}
+
+void SpillControl::Traffic::Add(const DomainLoad& load,
+                                double seconds) noexcept {
+  outstanding += load.outstanding * seconds;
+  failure_share = std::clamp(load.failure_share, 0.0, kMaxFailureShare);
+}
+
+double SpillControl::Traffic::RequestTime() const noexcept {
+  // Failed requests end early and are repeated.
+  const double successful = 1 - failure_share;
+  return outstanding / std::max(flows, 1e-3) / (successful * successful);
+}
+
+double SpillControl::Limit() const noexcept {
+  const double local_time = local_.RequestTime();
+  if (local_time <= 0) return kUnprovenShare;
+  const double gain = 1 - remote_.RequestTime() / local_time;
+  const double proven =
+      std::clamp(kMaxShare * gain / kFullGain, kProbeShare, kMaxShare);
+  const double confidence = remote_.flows / (remote_.flows + kNeutralRequests);
+  return confidence * proven + (1 - confidence) * kUnprovenShare;
 }
 
 void SpillControl::Update(const DomainLoad& local, const DomainLoad& remote,
                           TimePoint now) noexcept {
   const Duration elapsed = std::max(Duration::zero(), now - updated_);
+  const bool was_saturated = saturated_;
   updated_ = std::max(updated_, now);
-  if (share_ == 0 && local.expected_wait <= kCrossingCost) return;
-  const double steps = std::chrono::duration<double>(elapsed) / kEffectDelay;
+  local_.Decay(Seconds(elapsed));
+  remote_.Decay(Seconds(elapsed));
+  const double steps = Seconds(elapsed) / Seconds(kEffectDelay);
   const double error =
       std::clamp(local.expected_wait / kCrossingCost - 1, -1.0, 1.0);
-  if (error <= 0) {
+  saturated_ = error > 0;
+  if (!saturated_) {
     share_ = std::max(0.0, share_ + error * steps * kMaxStep);
     return;
   }
-  const double limit = Limit(local, remote);
+  if (was_saturated) {
+    local_.Add(local, Seconds(elapsed));
+    remote_.Add(remote, Seconds(elapsed));
+  }
+  const double limit = Limit();
   const double step = kMaxStep * std::min(1.0, steps);
   share_ = share_ > limit ? std::max(limit, share_ - step)
                           : std::min(limit, share_ + error * step);
 }
 
+void SpillControl::OnPlaced(bool crossed) noexcept {
+  if (saturated_) ++(crossed ? remote_ : local_).flows;
+}
+
 bool SpillControl::MayCross(std::uint64_t flow_hash) const noexcept {
   return FlowPosition(flow_hash, FlowShare::kSpill) < share_ * 0x1.0p32;
 }
--- a/src/sapphirestream/edge/spill_control.h
+++ b/src/sapphirestream/edge/spill_control.h
@@ -16,9 +16,10 @@
   // Time for which a new request waits for a slot, in units of the time of an
   // average request.
   double expected_wait = 0;
-  // Request time relative to the average of all targets, including the
-  // repetition of failed requests.
-  double relative_time = 1;
+  // Requests in progress at all targets.
+  double outstanding = 0;
+  // Mean share of requests that fail.
+  double failure_share = 0;
 };
 
 class SpillControl {
@@ -42,21 +43,33 @@
   // remains small against the capacity of the other domains.
   static constexpr double kMaxStep = 0.15;
 
-  // Limit of the share while the other domains are not known to be faster. It
-  // is enough for 1.5 times the capacity of the domain.
+  // Limit of the share while it is not known whether requests are faster in
+  // other domains. It is enough for 1.5 times the capacity of the domain.
   static constexpr double kUnprovenShare = 0.35;
-  // Share that remains while the other domains are known to be slower, so that
+  // Share that remains while requests are slower in other domains, so that
   // their recovery is seen.
   static constexpr double kProbeShare = 0.02;
   // Share at which the flows that stay suffice to see that the domain has
   // recovered.
   static constexpr double kMaxShare = 0.95;
+  // Gain of a crossing, as a share of the local request time, from which on the
+  // share is limited by kMaxShare alone.
+  static constexpr double kFullGain = 0.3;
+  // Requests in other domains that give half of the full confidence in the
+  // gain.
+  static constexpr double kNeutralRequests = 2;
+  // Time constant of the averages from which the gain is derived. Covers a few
+  // requests in other domains even if only kProbeShare of the flows cross.
+  static constexpr Duration kMemory = std::chrono::seconds(5);
 
   // Adjusts the share to the current loads. The share changes gradually; a call
   // after a pause does not raise it by more than kMaxStep.
   void Update(const DomainLoad& local, const DomainLoad& remote,
               TimePoint now) noexcept;
 
+  // A flow was placed, in another domain if `crossed`.
+  void OnPlaced(bool crossed) noexcept;
+
   // Whether a flow may go to another domain. The flows that may at a given
   // share are the same on all instances, and remain so when the share rises.
   [[nodiscard]] bool MayCross(std::uint64_t flow_hash) const noexcept;
@@ -65,11 +78,30 @@
   [[nodiscard]] double share() const noexcept { return share_; }
 
  private:
-  [[nodiscard]] static double Limit(const DomainLoad& local,
-                                    const DomainLoad& remote) noexcept;
+  // Decaying sums. Their ratio is proportional to the time of a request
+  // (Little's law): the requests in progress are those of all instances, but
+  // all place about the same share of their flows in other domains. Only times
+  // at which the local wait is long are included, since the gain at other times
+  // does not matter.
+  struct Traffic {
+    double flows = 0;
+    // Requests in progress times seconds.
+    double outstanding = 0;
+    double failure_share = 0;
+
+    void Decay(double seconds) noexcept;
+    void Add(const DomainLoad& load, double seconds) noexcept;
+    [[nodiscard]] double RequestTime() const noexcept;
+  };
+
+  [[nodiscard]] double Limit() const noexcept;
 
   double share_ = 0;
+  // Whether the local wait was longer than a crossing at the last update.
+  bool saturated_ = false;
   TimePoint updated_{};
+  Traffic local_;
+  Traffic remote_;
 };
 
 }  // namespace sapphirestream
