--- /dev/null
+++ b/src/sapphirestream/edge/client_shares.h
@@ -0,0 +1,52 @@
+// Recent openings of each client, so that the retries of a few clients do not
+// crowd out the others under overload.
+#ifndef SAPPHIRESTREAM_EDGE_CLIENT_SHARES_H_
+#define SAPPHIRESTREAM_EDGE_CLIENT_SHARES_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "sapphirestream/base/clock.h"
+
+namespace sapphirestream {
+
+// Counts openings by client address; ports change with each attempt. Clients
+// that open rarely may be missing.
+class ClientShares {
+ public:
+  static constexpr std::size_t kSets = 256;
+  static constexpr std::size_t kWays = 2;
+  // Counts are halved after each period, about the time for which a client
+  // keeps sending an opening packet.
+  static constexpr Duration kPeriod = std::chrono::seconds(1);
+  // A client with three attempts at one request is never limited.
+  static constexpr double kMinFairCount = 3;
+  // A client is limited above this multiple of the average client's openings.
+  static constexpr double kFairMultiple = 2;
+
+  // Counts an opening and returns the part of it, above 0 and at most 1, that
+  // lies within the client's fair share.
+  double OnOpening(std::uint32_t client_address, TimePoint now);
+
+ private:
+  struct Entry {
+    std::uint32_t address = 0;
+    // Zero if the entry is free.
+    float openings = 0;
+  };
+
+  void Age(TimePoint now);
+  // Returns the client's entry, which replaces that with fewest openings.
+  [[nodiscard]] Entry& EntryOf(std::uint32_t client_address);
+
+  std::array<std::array<Entry, kWays>, kSets> sets_{};
+  // Sums over all entries.
+  double openings_ = 0;
+  std::size_t clients_ = 0;
+  TimePoint period_began_{};
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_EDGE_CLIENT_SHARES_H_
--- /dev/null
+++ b/src/sapphirestream/edge/service_load.h
@@ -0,0 +1,38 @@
+// Load of a service as far as this instance and its peers know it.
+#ifndef SAPPHIRESTREAM_EDGE_SERVICE_LOAD_H_
+#define SAPPHIRESTREAM_EDGE_SERVICE_LOAD_H_
+
+#include <vector>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/edge/target_directory.h"
+#include "sapphirestream/edge/target_estimate.h"
+
+namespace sapphirestream {
+
+struct ServiceLoad {
+  // Requests in progress per slot over all targets that can be selected; zero
+  // if there is none.
+  double requests_per_slot = 0;
+  // Whether the slots of this domain, and those known of other domains, are
+  // busy, so that failures and late answers may be due to load.
+  bool is_busy = false;
+  // Median over the targets. A few failing targets do not raise it.
+  double failure_share = 0;
+};
+
+// Load of a single target above which it does not count further: one long queue
+// must not make a service look full while other targets are idle.
+inline constexpr double kMaxCountedLoad = 4;
+// A target that fails at least this share of its requests while its slots are
+// idle has a fault and is not counted as capacity.
+inline constexpr double kFaultyFailureShare = 0.5;
+
+// Cold, unproven and faulty targets are not counted: placement avoids them.
+[[nodiscard]] ServiceLoad LoadOf(const std::vector<EdgeTarget*>& targets,
+                                 const PerformanceSource& source,
+                                 TimePoint now);
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_EDGE_SERVICE_LOAD_H_
