Estimate the load of other domains' targets from request times

Cause: only instances of one domain exchange their counts.

Change: OverloadAdmission observes requests and compares their times with the usual ones of the route, per group of targets, local and remote. Signals count only while at least half of the targets have all slots in use. The constructor takes the target directory.

--- a/src/sapphirestream/edge/overload_admission.cc
+++ b/src/sapphirestream/edge/overload_admission.cc
@@ -7,8 +7,6 @@
 namespace sapphirestream {
 namespace {
 
-// Smoothing of the observed request times.
-constexpr double kLatenessWeight = 1.0 / 16;
 constexpr double kMaxPressure = 2;
 // Pressure while full targets reject requests.
 constexpr double kRejectingPressure = 1.5;
@@ -26,10 +24,19 @@
          0x1.0p-53;
 }
 
+// Pressure below which request times are those without load.
+constexpr double kCalmPressure = 0.5;
+
+// Whether the slots of at least half of the targets are in use, so that
+// failures and late answers may be due to load.
+bool IsBusy(const ServiceLoad& load) {
+  return load.median_requests_per_slot >= 1;
+}
+
 // Whether busy targets reject requests because they are full.
 bool IsRejecting(const ServiceLoad& load) {
-  return load.is_busy &&
-         load.failure_share >= OverloadAdmission::kRejectingShare;
+  return IsBusy(load) &&
+         load.median_failure_share >= OverloadAdmission::kRejectingShare;
 }
 
 }  // namespace
@@ -40,10 +47,10 @@
   if (query.copies > 0 || objective <= Duration::zero()) {
     return AdmissionVerdict::kAdmit;
   }
-  TrackRoute(query, objective);
+  times_.SetObjective(query.route, objective);
   ServiceState& state = services_[query.service];
   if (query.now - state.refreshed >= kRefreshInterval) {
-    Refresh(state, targets, query.now);
+    Refresh(query.service, state, targets, query.now);
   }
   const std::size_t priority =
       PriorityShares::ClassOf(query.objective.priority);
@@ -60,17 +67,15 @@
 }
 
 void OverloadAdmission::OnRequest(const RequestObservation& observation) {
-  const auto route = routes_.find(observation.route);
-  if (route == routes_.end() || route->second.is_shared) return;
   if (observation.answer_bytes == 0) return;
-  ServiceState& state = services_[route->second.service];
-  const double lateness =
-      std::min(std::chrono::duration<double>(observation.took) /
-                   std::chrono::duration<double>(route->second.objective),
-               kMaxPressure);
-  if (observation.at - state.lateness_at >= kTimesExpiry) state.lateness = 0;
-  state.lateness += (lateness - state.lateness) * kLatenessWeight;
-  state.lateness_at = observation.at;
+  const EdgeTarget* const target = targets_.Find(observation.target);
+  if (target == nullptr) return;
+  const auto state = services_.find(target->service);
+  if (state == services_.end()) return;
+  times_.Add(target->service,
+             target->is_local ? TargetGroup::kLocal : TargetGroup::kRemote,
+             observation.route, observation.took,
+             state->second.pressure < kCalmPressure, observation.at);
 }
 
 double OverloadAdmission::AdmittedShareOf(ServiceNumber service) const {
@@ -78,23 +83,16 @@
   return state == services_.end() ? 1 : state->second.admitted.value();
 }
 
-void OverloadAdmission::TrackRoute(const AdmissionQuery& query,
-                                   Duration objective) {
-  auto route = routes_.find(query.route);
-  if (route == routes_.end()) {
-    if (routes_.size() >= kMaxRoutes) return;
-    route =
-        routes_.emplace(query.route, RouteState{query.service, {}, {}}).first;
-  }
-  route->second.objective = objective;
-  if (route->second.service != query.service) route->second.is_shared = true;
-}
-
-void OverloadAdmission::Refresh(ServiceState& state,
+void OverloadAdmission::Refresh(ServiceNumber service, ServiceState& state,
                                 const std::vector<EdgeTarget*>& targets,
                                 TimePoint now) const {
-  const ServiceLoad load = LoadOf(targets, source_, now);
-  const double pressure = PressureOf(state, load, now);
+  const ServiceLoad load =
+      LoadOf(targets, source_,
+             {.local = times_.StretchOf(service, TargetGroup::kLocal, now),
+              .remote = times_.StretchOf(service, TargetGroup::kRemote, now)},
+             now);
+  const double pressure = PressureOf(service, load, now);
+  state.pressure = pressure;
   state.refreshed = now;
   if (pressure < 1) state.pressed_since.reset();
   if (pressure >= 1 && !state.pressed_since) state.pressed_since = now;
@@ -112,15 +110,13 @@
   }
 }
 
-double OverloadAdmission::PressureOf(const ServiceState& state,
-                                     const ServiceLoad& load, TimePoint now) {
+double OverloadAdmission::PressureOf(ServiceNumber service,
+                                     const ServiceLoad& load,
+                                     TimePoint now) const {
   double pressure = load.requests_per_slot / kFullLoad;
-  if (IsRejecting(load)) {
-    pressure = std::max(pressure, kRejectingPressure);
-  }
-  if (load.is_busy && now - state.lateness_at < kTimesExpiry) {
-    pressure = std::max(pressure, state.lateness);
-  }
+  if (!IsBusy(load)) return std::min(pressure, kCalmPressure);
+  if (IsRejecting(load)) pressure = std::max(pressure, kRejectingPressure);
+  pressure = std::max(pressure, times_.LatenessOf(service, now));
   return std::min(pressure, kMaxPressure);
 }
 
--- a/src/sapphirestream/edge/overload_admission.h
+++ b/src/sapphirestream/edge/overload_admission.h
@@ -19,13 +19,14 @@
 #include "sapphirestream/edge/client_shares.h"
 #include "sapphirestream/edge/fwd.h"
 #include "sapphirestream/edge/request_observation.h"
+#include "sapphirestream/edge/request_times.h"
 #include "sapphirestream/edge/service_load.h"
 #include "sapphirestream/edge/target_estimate.h"
 
 namespace sapphirestream {
 
-// The observed requests are optional: they show late answers of targets in
-// other domains, whose load is known only in part.
+// Also observes requests, since the load that other domains cause is known only
+// from request times. Without that, it judges by the estimates alone.
 class OverloadAdmission final : public AdmissionControl,
                                 public RequestObserver {
  public:
@@ -41,14 +42,9 @@
   // Pressure that ends before the clients' first retransmission is a peak that
   // the targets' queues absorb.
   static constexpr Duration kMaxQueueTime = std::chrono::milliseconds(200);
-  // Observed request times are used for this time.
-  static constexpr Duration kTimesExpiry = std::chrono::milliseconds(500);
-  // Bound of the number of routes whose request times are tracked.
-  static constexpr std::size_t kMaxRoutes = 1024;
-
-  // `source` must outlive this object.
-  explicit OverloadAdmission(const PerformanceSource& source)
-      : source_(source) {}
+  // The references must outlive this object.
+  OverloadAdmission(const PerformanceSource& source, TargetDirectory& targets)
+      : source_(source), targets_(targets) {}
 
   // Routes without a latency objective or timeout are always admitted.
   [[nodiscard]] AdmissionVerdict Admit(const std::vector<EdgeTarget*>& targets,
@@ -64,33 +60,22 @@
     PriorityShares priorities;
     // Allocated while flows are refused.
     std::unique_ptr<ClientShares> clients;
-    // Recent request times relative to their objective; smoothed.
-    double lateness = 0;
-    TimePoint lateness_at{};
     TimePoint refreshed{};
+    // 1 or more if the service has less capacity than is demanded.
+    double pressure = 0;
     // Unset while there is no pressure.
     std::optional<TimePoint> pressed_since;
   };
-  struct RouteState {
-    ServiceNumber service{};
-    Duration objective{};
-    // Whether flows of the route go to several services, so that its request
-    // times cannot be attributed.
-    bool is_shared = false;
-  };
-
-  void TrackRoute(const AdmissionQuery& query, Duration objective);
-  void Refresh(ServiceState& state, const std::vector<EdgeTarget*>& targets,
-               TimePoint now) const;
-  // 1 or more if the service has less capacity than is demanded.
-  [[nodiscard]] static double PressureOf(const ServiceState& state,
-                                         const ServiceLoad& load,
-                                         TimePoint now);
+  void Refresh(ServiceNumber service, ServiceState& state,
+               const std::vector<EdgeTarget*>& targets, TimePoint now) const;
+  [[nodiscard]] double PressureOf(ServiceNumber service,
+                                  const ServiceLoad& load, TimePoint now) const;
 
   const PerformanceSource& source_;
+  TargetDirectory& targets_;
+  RequestTimes times_;
   // As many entries as services in the configuration.
   std::unordered_map<ServiceNumber, ServiceState> services_;
-  std::unordered_map<V4Endpoint, RouteState, V4EndpointHash> routes_;
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge/service_load.cc
+++ b/src/sapphirestream/edge/service_load.cc
@@ -8,28 +8,43 @@
 namespace sapphirestream {
 namespace {
 
-// Only the instances of one domain exchange their counts, so that the load of
-// a target in another domain is known in part.
-constexpr double kBusyLocal = 1;
-constexpr double kBusyRemote = 0.5;
+// Returns the requests per slot at which requests take `stretch` times as long
+// as without load. Requests that find all slots in use for the time of one
+// request take twice as long; beyond that, the time grows with the queue.
+double ImpliedLoad(double stretch) {
+  return std::max(0.0, std::min(stretch, 2 * (stretch - 1)));
+}
 
-struct SlotSum {
-  double requests = 0;
-  double slots = 0;
-
-  [[nodiscard]] double PerSlot() const {
-    return slots > 0 ? requests / slots : 0;
-  }
-  [[nodiscard]] bool IsBusy(double per_slot) const {
-    return slots <= 0 || PerSlot() >= per_slot;
-  }
-};
+constexpr double kIdleLoad = 0.5;
 
 bool IsSelectable(const EdgeTarget& target, TimePoint now) {
   const PlacementTier tier = TierOf(target, {.now = now, .exclude_cold = true});
   return tier != PlacementTier::kNone && tier != PlacementTier::kUnproven;
 }
 
+double SlotsOf(const EdgeTarget& target) {
+  return std::max(1U, target.record.slots);
+}
+
+// Whether other domains may use the same targets. While slots of this domain
+// are free, its flows stay here, and so do those of the others.
+bool HasUnknownLoad(const std::vector<EdgeTarget*>& targets,
+                    const PerformanceSource& source, TimePoint now) {
+  double local_requests = 0;
+  double local_slots = 0;
+  bool has_remote = false;
+  for (const EdgeTarget* const target : targets) {
+    if (!IsSelectable(*target, now)) continue;
+    if (target->is_local) {
+      local_requests += source.Estimate(*target, now).outstanding;
+      local_slots += SlotsOf(*target);
+    } else {
+      has_remote = true;
+    }
+  }
+  return has_remote && local_requests >= local_slots;
+}
+
 double Median(std::vector<double>& values) {
   if (values.empty()) return 0;
   const auto middle =
@@ -41,30 +56,36 @@
 }  // namespace
 
 ServiceLoad LoadOf(const std::vector<EdgeTarget*>& targets,
-                   const PerformanceSource& source, TimePoint now) {
-  SlotSum local;
-  SlotSum remote;
+                   const PerformanceSource& source,
+                   const RequestStretch& stretch, TimePoint now) {
+  double requests = 0;
+  double all_slots = 0;
+  const bool uses_stretch = HasUnknownLoad(targets, source, now);
+  std::vector<double> loads;
   std::vector<double> failure_shares;
+  loads.reserve(targets.size());
   failure_shares.reserve(targets.size());
   for (const EdgeTarget* const target : targets) {
     if (!IsSelectable(*target, now)) continue;
     const TargetEstimate estimate = source.Estimate(*target, now);
-    const double slots = std::max(1U, target->record.slots);
-    const double load = std::min(estimate.outstanding / slots, kMaxCountedLoad);
-    if (estimate.failure_share >= kFaultyFailureShare && load < kBusyRemote) {
+    const double slots = SlotsOf(*target);
+    const double known = estimate.outstanding / slots;
+    if (estimate.failure_share >= kFaultyFailureShare && known < kIdleLoad) {
       continue;
     }
-    SlotSum& sum = target->is_local ? local : remote;
-    sum.requests += load * slots;
-    sum.slots += slots;
+    const double implied =
+        uses_stretch
+            ? ImpliedLoad(target->is_local ? stretch.local : stretch.remote)
+            : 0;
+    const double load = std::min(std::max(known, implied), kMaxCountedLoad);
+    requests += load * slots;
+    all_slots += slots;
+    loads.push_back(load);
     failure_shares.push_back(estimate.failure_share);
   }
-  const SlotSum all{local.requests + remote.requests,
-                    local.slots + remote.slots};
-  return {.requests_per_slot = all.PerSlot(),
-          .is_busy = all.slots > 0 && local.IsBusy(kBusyLocal) &&
-                     remote.IsBusy(kBusyRemote),
-          .failure_share = Median(failure_shares)};
+  return {.requests_per_slot = all_slots > 0 ? requests / all_slots : 0,
+          .median_requests_per_slot = Median(loads),
+          .median_failure_share = Median(failure_shares)};
 }
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge/service_load.h
+++ b/src/sapphirestream/edge/service_load.h
@@ -14,11 +14,16 @@
   // Requests in progress per slot over all targets that can be selected; zero
   // if there is none.
   double requests_per_slot = 0;
-  // Whether the slots of this domain, and those known of other domains, are
-  // busy, so that failures and late answers may be due to load.
-  bool is_busy = false;
-  // Median over the targets. A few failing targets do not raise it.
-  double failure_share = 0;
+  // Medians over these targets: a few failing, full or idle targets say nothing
+  // about the service.
+  double median_requests_per_slot = 0;
+  double median_failure_share = 0;
+};
+
+// Recent request times relative to those without load.
+struct RequestStretch {
+  double local = 1;
+  double remote = 1;
 };
 
 // Load of a single target above which it does not count further: one long queue
@@ -28,10 +33,12 @@
 // idle has a fault and is not counted as capacity.
 inline constexpr double kFaultyFailureShare = 0.5;
 
-// Cold, unproven and faulty targets are not counted: placement avoids them.
+// Cold, unproven and faulty targets are not counted: placement avoids them. The
+// instances of other domains do not tell their counts, so a target's load is at
+// least what `stretch` implies for its domain.
 [[nodiscard]] ServiceLoad LoadOf(const std::vector<EdgeTarget*>& targets,
                                  const PerformanceSource& source,
-                                 TimePoint now);
+                                 const RequestStretch& stretch, TimePoint now);
 
 }  // namespace sapphirestream
 
--- a/test/edge/overload_admission_load_test.cc
+++ b/test/edge/overload_admission_load_test.cc
@@ -42,6 +42,26 @@
   BOOST_TEST(with.recovery.count() < Duration(1s).count());
 }
 
+// Instances know only what their own domain sends to the others.
+BOOST_AUTO_TEST_CASE(urgent_requests_are_preferred_in_four_domains) {
+  const OverloadResult with = Play({.peak = 3, .domains = 4});
+  const OverloadResult without =
+      Play({.admission = false, .peak = 3, .domains = 4});
+  BOOST_TEST(with.peak[0].Share() > 0.5);
+  BOOST_TEST(with.peak[0].Share() > 5 * without.peak[0].Share());
+  BOOST_TEST(with.rejected * 10 < without.rejected);
+  BOOST_TEST(with.recovery.count() < Duration(1s).count());
+}
+
+// The targets of the other domains have enough free slots.
+BOOST_AUTO_TEST_CASE(a_peak_in_one_domain_is_served_by_the_others) {
+  const OverloadResult result =
+      Play({.peak = 0.8, .domains = 4, .first_domain = 4});
+  for (const std::size_t priority : {0, 1, 2}) {
+    BOOST_TEST(result.peak.at(priority).Share() > 0.95);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(usual_load_is_never_refused) {
   BOOST_TEST(Play({.usual = 0.8, .peak = 0.8}).refused == 0);
 }
--- a/test/edge/overload_admission_test.cc
+++ b/test/edge/overload_admission_test.cc
@@ -43,6 +43,17 @@
                                           .outstanding = outstanding};
     }
   }
+  // Finishes a request each ms while flows are opened.
+  void Observe(std::uint64_t target, Duration took, int count) {
+    for (int i = 0; i < count; ++i) {
+      admission.OnRequest({.target = TargetKey{target},
+                           .route = sample::kFeed,
+                           .took = took,
+                           .answer_bytes = 100,
+                           .at = now});
+      RefusedShare(1ms);
+    }
+  }
   AdmissionQuery Query(std::uint64_t number, std::uint32_t priority = 1) const {
     return {.client = {static_cast<std::uint32_t>(number), 1024},
             .route = sample::kFeed,
@@ -75,7 +86,7 @@
   TargetDirectory targets{routes, "a"};
   ServiceNumber service{};
   FakeSource source;
-  OverloadAdmission admission{source};
+  OverloadAdmission admission{source, targets};
 };
 
 BOOST_FIXTURE_TEST_SUITE(overload_admission, Fixture)
@@ -118,23 +129,33 @@
   BOOST_TEST(RefusedShare() > 0.5);
 }
 
-// Only a part of the load of other domains' targets is known.
 BOOST_AUTO_TEST_CASE(busy_targets_that_reject_cause_refusals) {
-  Load({1, 2}, 3, 0.3);
-  Load({3, 4}, 1, 0.3);
+  Load({1, 2, 3, 4}, 2, 0.3);
   BOOST_TEST(RefusedShare() > 0.2);
 }
 
 BOOST_AUTO_TEST_CASE(late_answers_of_busy_targets_cause_refusals) {
-  Load({1, 2}, 2);
-  Load({3, 4}, 1);
+  Load({1, 2, 3, 4}, 2);
   BOOST_TEST(RefusedShare() == 0);
+  Observe(1, 160ms, 1000);
+  BOOST_TEST(RefusedShare(100ms) > 0.2);
+}
+
+// The load that the instances of another domain cause is seen only in request
+// times.
+BOOST_AUTO_TEST_CASE(slow_targets_of_another_domain_are_not_taken_for_idle) {
+  RefusedShare();
+  for (std::uint64_t key : {1, 3}) Observe(key, 10ms, 500);
+  Load({1, 2}, 4);
+  Load({3, 4}, 1);
+  for (int i = 0; i < 1000; ++i) {
+    Observe(1, 40ms, 1);
+    Observe(3, 10ms, 1);
+  }
+  BOOST_TEST(RefusedShare(100ms) == 0);
   for (int i = 0; i < 1000; ++i) {
-    admission.OnRequest({.route = sample::kFeed,
-                         .took = 160ms,
-                         .answer_bytes = 100,
-                         .at = now});
-    RefusedShare(1ms);
+    Observe(1, 40ms, 1);
+    Observe(3, 40ms, 1);
   }
   BOOST_TEST(RefusedShare(100ms) > 0.2);
 }
@@ -202,7 +223,7 @@
 // Otherwise the share that is admitted would depend on how the network spreads
 // packets over instances.
 BOOST_AUTO_TEST_CASE(instances_with_equal_views_decide_alike) {
-  OverloadAdmission other(source);
+  OverloadAdmission other(source, targets);
   Load({1, 2, 3, 4}, 6);
   int equal = 0;
   for (std::uint64_t i = 0; i < 2000; ++i) {
--- a/test/edge/overload_simulation.h
+++ b/test/edge/overload_simulation.h
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <deque>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "sapphirestream/base/hash.h"
@@ -26,6 +27,11 @@
   double peak = 3;
   // Share of the openings of the peak that one client sends.
   double greedy_share = 0;
+  // Failure domains; instances know the counts of their own domain's instances
+  // only.
+  std::size_t domains = 1;
+  // Demand of the first domain in the peak, relative to that of the others.
+  double first_domain = 1;
   // Targets that fail at once.
   std::size_t faulty = 0;
   std::uint64_t seed = 1;
@@ -56,7 +62,7 @@
 class OverloadSimulation {
  public:
   static constexpr std::size_t kTargets = 12;
-  static constexpr std::size_t kInstances = 4;
+  static constexpr std::size_t kInstances = 8;
   static constexpr std::size_t kQueueLimit = 8;
   static constexpr double kServiceTimeMs = 20;
   static constexpr Duration kObjective = 100ms;
@@ -69,11 +75,6 @@
     for (std::size_t i = 0; i < kInstances; ++i) {
       instances_.push_back(std::make_unique<Instance>(*this, i));
     }
-    for (std::size_t i = 0; i < kTargets; ++i) {
-      targets_.at(i).record = sample::Target(i, "a");
-      targets_.at(i).is_local = true;
-      pointers_.push_back(&targets_.at(i));
-    }
   }
 
   OverloadResult Run() {
@@ -110,25 +111,51 @@
   // exchange.
   struct Instance final : PerformanceSource {
     Instance(OverloadSimulation& owner, std::size_t number)
-        : simulation(owner), index(number) {}
+        : simulation(owner),
+          index(number),
+          targets(routes, DomainName(owner.DomainOf(number))) {
+      routes.Apply(sample::Routes(1));
+      for (std::size_t key = 0; key < kTargets; ++key) {
+        targets.Upsert(
+            sample::Target(key, DomainName(simulation.DomainOf(key))),
+            {StoreEra{1}, 1}, /*propagated=*/true, simulation.time_.Now());
+      }
+    }
+    [[nodiscard]] const std::vector<EdgeTarget*>& All() {
+      return targets.OfService(routes.Number("desk"));
+    }
     [[nodiscard]] TargetEstimate Estimate(const EdgeTarget& target,
                                           TimePoint /*now*/) const override {
       const std::size_t key = Value(target.record.key);
       TargetEstimate estimate;
       estimate.outstanding = own.at(key);
       for (const auto& other : simulation.instances_) {
-        if (other->index != index) estimate.outstanding += other->sent.at(key);
+        if (other->index != index &&
+            simulation.DomainOf(other->index) == simulation.DomainOf(index)) {
+          estimate.outstanding += other->sent.at(key);
+        }
       }
       estimate.failure_share = simulation.servers_.at(key).failure_share;
       return estimate;
     }
+    [[nodiscard]] std::uint32_t Outstanding(std::size_t key) {
+      return Estimate(*targets.Find(TargetKey{key}), {}).outstanding;
+    }
     OverloadSimulation& simulation;
     std::size_t index;
+    RouteTable routes;
+    TargetDirectory targets;
     std::array<std::uint32_t, kTargets> own{};
     std::array<std::uint32_t, kTargets> sent{};
-    OverloadAdmission admission{*this};
+    OverloadAdmission admission{*this, targets};
   };
 
+  static std::string DomainName(std::size_t domain) {
+    return std::string(1, static_cast<char>('a' + domain));
+  }
+  [[nodiscard]] std::size_t DomainOf(std::size_t number) const {
+    return number % plan_.domains;
+  }
   [[nodiscard]] bool IsPeak(TimePoint at) const {
     return at - start_ >= kPeakBegin && at - start_ < kPeakEnd;
   }
@@ -174,7 +201,7 @@
 
   void Attempt(Request request) {
     const std::uint64_t hash = random_.Next();
-    Instance& instance = *instances_[random_.Below(kInstances)];
+    Instance& instance = SelectInstance();
     ++request.attempts;
     if (plan_.admission && !IsAdmitted(instance, request, hash)) {
       Retry(request);
@@ -195,17 +222,28 @@
     StartNext(key);
   }
 
+  Instance& SelectInstance() {
+    const double others = static_cast<double>(plan_.domains - 1);
+    const double first = IsPeak(time_.Now()) ? plan_.first_domain : 1;
+    const bool is_first = random_.Unit() * (first + others) < first;
+    const std::size_t domain =
+        is_first ? 0 : 1 + random_.Below(plan_.domains - 1);
+    const std::size_t row = random_.Below(kInstances / plan_.domains);
+    return *instances_[row * plan_.domains + domain];
+  }
+
   bool IsAdmitted(Instance& instance, const Request& request,
                   std::uint64_t hash) {
     const AdmissionVerdict verdict = instance.admission.Admit(
-        pointers_, {.client = {request.client, 0},
-                    .route = {1, static_cast<std::uint16_t>(request.group % 3)},
-                    .service = ServiceNumber{1},
-                    .objective = {.target_latency = kObjective,
-                                  .priority = static_cast<std::uint32_t>(
-                                      request.group % 3)},
-                    .flow_hash = hash,
-                    .now = time_.Now()});
+        instance.All(),
+        {.client = {request.client, 0},
+         .route = {1, static_cast<std::uint16_t>(request.group % 3)},
+         .service = instance.routes.Number("desk"),
+         .objective = {.target_latency = kObjective,
+                       .priority =
+                           static_cast<std::uint32_t>(request.group % 3)},
+         .flow_hash = hash,
+         .now = time_.Now()});
     if (verdict == AdmissionVerdict::kAdmit) return true;
     ++result_.refused;
     if (time_.Now() - start_ < kPeakBegin) ++result_.refused_before;
@@ -215,13 +253,25 @@
     return false;
   }
 
-  std::size_t Choose(const Instance& instance, std::uint64_t hash) {
-    const std::size_t a = HashPair(hash, 1) % kTargets;
-    const std::size_t b = HashPair(hash, 2) % kTargets;
-    return instance.Estimate(targets_.at(a), {}).outstanding <=
-                   instance.Estimate(targets_.at(b), {}).outstanding
-               ? a
-               : b;
+  // The less loaded one of two targets; flows leave a domain the more often,
+  // the longer its queues are.
+  std::size_t Choose(Instance& instance, std::uint64_t hash) {
+    std::uint32_t local = 0;
+    for (std::size_t key = DomainOf(instance.index); key < kTargets;
+         key += plan_.domains) {
+      local += instance.Outstanding(key);
+    }
+    const double per_slot = static_cast<double>(local * plan_.domains) /
+                            static_cast<double>(2 * kTargets);
+    const bool leaves =
+        static_cast<double>(HashPair(hash, 3) % 1000) < (per_slot - 1) * 1000;
+    const auto candidate = [&](std::uint64_t draw) -> std::size_t {
+      const std::size_t key = HashPair(hash, draw) % kTargets;
+      return leaves ? key : key - DomainOf(key) + DomainOf(instance.index);
+    };
+    const std::size_t a = candidate(1);
+    const std::size_t b = candidate(2);
+    return instance.Outstanding(a) <= instance.Outstanding(b) ? a : b;
   }
 
   void Retry(const Request& request) {
@@ -270,8 +320,6 @@
   SeededRandom random_;
   testing::VirtualTime time_;
   TimePoint start_{};
-  std::array<EdgeTarget, kTargets> targets_{};
-  std::vector<EdgeTarget*> pointers_;
   std::array<Server, kTargets> servers_{};
   std::vector<std::unique_ptr<Instance>> instances_;
   OverloadResult result_;
