Add previews of placement and admission without side effects

Cause: an explanation of a decision must not count as an opening or change the state of a placer, and Place and Admit are not const.

Change: FlowPlacer::Preview and AdmissionControl::Preview are const. A placer that does not implement its preview returns nothing. TierPlacer and OverloadAdmission implement theirs.

--- a/src/sapphirestream/edge/admission_control.h
+++ b/src/sapphirestream/edge/admission_control.h
@@ -38,6 +38,12 @@
   // refusal could be false.
   [[nodiscard]] virtual AdmissionVerdict Admit(
       const std::vector<EdgeTarget*>& targets, const AdmissionQuery& query) = 0;
+  // Returns the verdict on the query according to the last call of Admit,
+  // without any effect on later decisions.
+  [[nodiscard]] virtual AdmissionVerdict Preview(
+      const AdmissionQuery& /*query*/) const {
+    return AdmissionVerdict::kAdmit;
+  }
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge/client_shares.cc
+++ b/src/sapphirestream/edge/client_shares.cc
@@ -11,11 +11,28 @@
   Entry& entry = EntryOf(client_address);
   entry.openings += 1;
   openings_ += 1;
+  return PartOf(entry);
+}
+
+double ClientShares::PartOf(std::uint32_t client_address) const {
+  for (const Entry& entry : sets_.at(SetOf(client_address))) {
+    if (entry.openings > 0 && entry.address == client_address) {
+      return PartOf(entry);
+    }
+  }
+  return 1;
+}
+
+double ClientShares::PartOf(const Entry& entry) const {
   const double average = openings_ / static_cast<double>(clients_);
   const double fair = std::max(kMinFairCount, kFairMultiple * average);
   return std::min(1.0, fair / entry.openings);
 }
 
+std::size_t ClientShares::SetOf(std::uint32_t client_address) {
+  return HashPair(client_address, kSets) % kSets;
+}
+
 void ClientShares::Age(TimePoint now) {
   const Duration elapsed = now - period_began_;
   if (elapsed < kPeriod) return;
@@ -35,7 +52,7 @@
 }
 
 ClientShares::Entry& ClientShares::EntryOf(std::uint32_t client_address) {
-  auto& set = sets_.at(HashPair(client_address, kSets) % kSets);
+  auto& set = sets_.at(SetOf(client_address));
   for (Entry& entry : set) {
     if (entry.openings > 0 && entry.address == client_address) return entry;
   }
--- a/src/sapphirestream/edge/client_shares.h
+++ b/src/sapphirestream/edge/client_shares.h
@@ -28,6 +28,9 @@
   // Counts an opening and returns the part of it, above 0 and at most 1, that
   // lies within the client's fair share.
   double OnOpening(std::uint32_t client_address, TimePoint now);
+  // Returns the part of the client's last opening that was within its fair
+  // share; 1 if there is none.
+  [[nodiscard]] double PartOf(std::uint32_t client_address) const;
 
  private:
   struct Entry {
@@ -37,6 +40,8 @@
   };
 
   void Age(TimePoint now);
+  [[nodiscard]] static std::size_t SetOf(std::uint32_t client_address);
+  [[nodiscard]] double PartOf(const Entry& entry) const;
   // Returns the client's entry, which replaces that with fewest openings.
   [[nodiscard]] Entry& EntryOf(std::uint32_t client_address);
 
--- a/src/sapphirestream/edge/flow_placer.h
+++ b/src/sapphirestream/edge/flow_placer.h
@@ -2,6 +2,7 @@
 #ifndef SAPPHIRESTREAM_EDGE_FLOW_PLACER_H_
 #define SAPPHIRESTREAM_EDGE_FLOW_PLACER_H_
 
+#include <optional>
 #include <vector>
 
 #include "sapphirestream/edge/edge_placement.h"
@@ -16,6 +17,13 @@
   // service.
   [[nodiscard]] virtual EdgePlacement Place(
       const std::vector<EdgeTarget*>& targets, const PlacementQuery& query) = 0;
+  // Returns what Place would return, without any effect on later decisions;
+  // nothing if the placer cannot tell.
+  [[nodiscard]] virtual std::optional<EdgePlacement> Preview(
+      const std::vector<EdgeTarget*>& /*targets*/,
+      const PlacementQuery& /*query*/) const {
+    return std::nullopt;
+  }
 };
 
 // Places flows by tier, on the load of this instance alone; see PlaceFlow.
@@ -25,6 +33,11 @@
                                     const PlacementQuery& query) override {
     return PlaceFlow(targets, query);
   }
+  [[nodiscard]] std::optional<EdgePlacement> Preview(
+      const std::vector<EdgeTarget*>& targets,
+      const PlacementQuery& query) const override {
+    return PlaceFlow(targets, query);
+  }
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge/overload_admission.cc
+++ b/src/sapphirestream/edge/overload_admission.cc
@@ -24,6 +24,11 @@
          0x1.0p-53;
 }
 
+AdmissionVerdict VerdictOf(const AdmissionQuery& query, double share) {
+  return PositionOf(query.flow_hash) < share ? AdmissionVerdict::kAdmit
+                                             : AdmissionVerdict::kRefuse;
+}
+
 // Pressure below which request times are those without load.
 constexpr double kCalmPressure = 0.5;
 
@@ -60,10 +65,27 @@
           : state.clients->OnOpening(query.client.address, query.now);
   state.priorities.AddDemand(priority, client_part);
   if (state.admitted.value() >= 1) return AdmissionVerdict::kAdmit;
-  return PositionOf(query.flow_hash) <
-                 state.priorities.Of(priority) * client_part
-             ? AdmissionVerdict::kAdmit
-             : AdmissionVerdict::kRefuse;
+  return VerdictOf(query, state.priorities.Of(priority) * client_part);
+}
+
+AdmissionVerdict OverloadAdmission::Preview(const AdmissionQuery& query) const {
+  const auto it = services_.find(query.service);
+  if (query.copies > 0 || it == services_.end() ||
+      ObjectiveOf(query.objective) <= Duration::zero()) {
+    return AdmissionVerdict::kAdmit;
+  }
+  const ServiceState& state = it->second;
+  // The next opening would end the refusals.
+  if (state.admitted.value() >= 1 ||
+      query.now - state.refreshed >= AdmittedShare::kExpiry) {
+    return AdmissionVerdict::kAdmit;
+  }
+  const double client_part = state.clients == nullptr
+                                 ? 1
+                                 : state.clients->PartOf(query.client.address);
+  const std::size_t priority =
+      PriorityShares::ClassOf(query.objective.priority);
+  return VerdictOf(query, state.priorities.Of(priority) * client_part);
 }
 
 void OverloadAdmission::OnRequest(const RequestObservation& observation) {
--- a/src/sapphirestream/edge/overload_admission.h
+++ b/src/sapphirestream/edge/overload_admission.h
@@ -49,6 +49,8 @@
   // Routes without a latency objective or timeout are always admitted.
   [[nodiscard]] AdmissionVerdict Admit(const std::vector<EdgeTarget*>& targets,
                                        const AdmissionQuery& query) override;
+  [[nodiscard]] AdmissionVerdict Preview(
+      const AdmissionQuery& query) const override;
   void OnRequest(const RequestObservation& observation) override;
 
   // Share of the service's new flows that is admitted now, for metrics.
--- a/test/edge/overload_admission_test.cc
+++ b/test/edge/overload_admission_test.cc
@@ -233,6 +233,22 @@
   BOOST_TEST(equal == 2000);
 }
 
+BOOST_AUTO_TEST_CASE(a_preview_is_the_next_verdict_and_has_no_effect) {
+  Load({1, 2, 3, 4}, 6);
+  RefusedShare(500ms);
+  for (std::uint64_t i = 0; i < 500; ++i) {
+    const AdmissionQuery query = Query(5000 + i);
+    const bool preview = admission.Preview(query) == AdmissionVerdict::kAdmit;
+    BOOST_REQUIRE(Admit(admission, query) == preview);
+  }
+  const double share = admission.AdmittedShareOf(service);
+  for (int i = 0; i < 500; ++i) {
+    now += 1ms;
+    (void)admission.Preview(Query(1));
+  }
+  BOOST_TEST(admission.AdmittedShareOf(service) == share);
+}
+
 // Clients that are refused after a peak lose one of their attempts for nothing.
 BOOST_AUTO_TEST_CASE(recovery_takes_less_than_a_second) {
   Load({1, 2, 3, 4}, 10);
