Exchange observations between the instances of a failure domain

Cause: an instance opens a flow to a given target about every six seconds, so its own observations say little about the target.

No sockets, clock or threads.

--- /dev/null
+++ b/src/sapphirestream/edge/peer_exchange.h
@@ -0,0 +1,168 @@
+// Exchange of observations between the instances of a failure domain.
+#ifndef SAPPHIRESTREAM_EDGE_PEER_EXCHANGE_H_
+#define SAPPHIRESTREAM_EDGE_PEER_EXCHANGE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/counter.h"
+#include "sapphirestream/base/event_log.h"
+#include "sapphirestream/base/random.h"
+#include "sapphirestream/edge/peer_counters.h"
+#include "sapphirestream/edge/peer_directory.h"
+#include "sapphirestream/edge/peer_introductions.h"
+#include "sapphirestream/edge/peer_message.h"
+#include "sapphirestream/edge/peer_seeds.h"
+#include "sapphirestream/edge/sample_backlog.h"
+#include "sapphirestream/edge/target_samples.h"
+#include "sapphirestream/edge/v4_endpoint.h"
+
+namespace sapphirestream {
+
+class PeerSink {
+ public:
+  virtual ~PeerSink() = default;
+  // Sends a datagram. It may be lost, duplicated or reordered.
+  virtual void Send(V4Endpoint to, std::span<const std::byte> datagram) = 0;
+};
+
+struct PeerExchangeOptions {
+  // Address of this instance as seen by others.
+  V4Endpoint own;
+  // Random; each process selects a new one.
+  PeerId id{};
+  // Name of the failure domain.
+  std::string domain;
+  // Addresses of some instances of any domain; may be stale, and may include
+  // the own one.
+  std::vector<V4Endpoint> seeds;
+};
+
+class PeerExchange {
+ public:
+  // Interval at which Tick() has to be called; the shortest time between two
+  // messages to a neighbor.
+  static constexpr Duration kTickInterval = std::chrono::milliseconds(100);
+  // Longest time between two messages to a neighbor, also when idle: two of
+  // them may be lost before the neighbor misses them.
+  static constexpr Duration kMaxSendInterval = std::chrono::milliseconds(500);
+  // A message that waited longer was queued while this process was not running,
+  // and its counts of outstanding requests are out of date.
+  static constexpr Duration kMaxMessageAge = std::chrono::milliseconds(500);
+  // If two ticks are further apart, the process was not running; the requests
+  // that it observed seemed longer than they were.
+  static constexpr Duration kMaxTickGap = std::chrono::seconds(1);
+  // Bytes per second sent to all others, headers included. An instance receives
+  // about as much, so that both together stay below 26 KB/s.
+  static constexpr std::size_t kMaxSendRate = 12'000;
+  // Bytes per second sent to each neighbor. Covers the samples of 20 requests
+  // per second; limits the traffic of small domains.
+  static constexpr std::size_t kMaxNeighborRate = 500;
+  // Addresses in a message, except in answers of seeds. All samples messages
+  // hold some soon after the neighbors have changed, and one in four otherwise.
+  static constexpr std::size_t kAddressesPerMessage = 4;
+  static constexpr std::uint32_t kAddressesEvery = 4;
+  static constexpr Duration kSettlingTime = std::chrono::seconds(1);
+  // Limits of what is accepted about one target in one message. An instance
+  // does not handle more requests in half a second.
+  static constexpr std::uint32_t kMaxRequests = 10'000;
+  // A request that took a thousand times as long as expected is as bad as one
+  // that took longer.
+  static constexpr std::uint64_t kMaxRelativeTimePermille = 1'000'000;
+
+  // The references must outlive the exchange.
+  PeerExchange(const PeerExchangeOptions& options, SampleStore& store,
+               PeerSink& sink, Random& random, EventLog& log,
+               CounterSet& counters);
+
+  // Sends what is due. To be called every kTickInterval.
+  void Tick(TimePoint now);
+  // A datagram was read that arrived `age` ago.
+  void OnDatagram(V4Endpoint from, std::span<const std::byte> datagram,
+                  Duration age, TimePoint now);
+
+  // Addresses known in this domain, not counting the own one.
+  [[nodiscard]] std::size_t known_peers() const noexcept {
+    return directory_.size();
+  }
+  // Instances that receive the samples of this one.
+  [[nodiscard]] std::size_t neighbors() const noexcept {
+    return neighbors_.size();
+  }
+
+ private:
+  using Rejection = std::optional<PeerRejection>;
+  // Bytes of introductions and their answers, sent or received.
+  struct IntroductionBytes {
+    std::size_t current = 0;   // in the current period
+    std::size_t previous = 0;  // in the period before
+    TimePoint period_end{};
+  };
+
+  // Return the reason if the message is ignored.
+  Rejection Handle(V4Endpoint from, const EdgePeerMessage& message,
+                   TimePoint arrived, TimePoint now);
+  Rejection OnIntroduction(V4Endpoint from, const EdgePeerMessage& message,
+                           TimePoint arrived, TimePoint now);
+  Rejection OnAddresses(V4Endpoint from, const EdgePeerMessage& message,
+                        TimePoint arrived, TimePoint now);
+  Rejection OnSamples(V4Endpoint from, const EdgePeerMessage& message,
+                      TimePoint arrived, TimePoint now);
+  // Updates the directory. Discards the counts of a former process.
+  std::variant<PeerEntry*, PeerRejection> OnHeard(V4Endpoint from, PeerId id,
+                                                  std::uint32_t sequence,
+                                                  TimePoint arrived);
+  void Expire(TimePoint now);
+  void CollectSamples(TimePoint now);
+  void ContactOthers(TimePoint now);
+  // Contacts addresses that others have mentioned.
+  void ContactMentioned(TimePoint now);
+  // Whether the budget of this period allows further introductions.
+  [[nodiscard]] bool MayIntroduce() const noexcept;
+  void SendSamplesIfDue(TimePoint now);
+  // Returns the size of the datagrams with their headers.
+  std::size_t SendSamples(TimePoint now);
+  // Bytes of samples that fit into the next message to each neighbor.
+  [[nodiscard]] std::size_t RoomForSamples(std::size_t addresses) const;
+  // Bytes per second that may be sent to all neighbors together.
+  [[nodiscard]] std::size_t SamplesRate() const noexcept;
+  void SendIntroduction(V4Endpoint to, std::size_t wanted);
+  void SendAddresses(V4Endpoint to, DomainHash domain, std::size_t limit,
+                     TimePoint now);
+  // Returns the size of the datagram with its headers.
+  std::size_t Send(V4Endpoint to, const EdgePeerMessage& message);
+  void LogLost(V4Endpoint address, PeerId id, std::string_view reason,
+               Duration silent);
+
+  PeerId id_;
+  DomainHash domain_;
+  SampleStore& store_;
+  PeerSink& sink_;
+  Random& random_;
+  EventLog& log_;
+  PeerCounters counters_;
+  PeerDirectory directory_;
+  PeerSeeds seeds_;
+  PeerIntroductions introductions_;
+  SampleBacklog backlog_;
+  // As of the last tick.
+  std::vector<V4Endpoint> neighbors_;
+  TimePoint neighbors_changed_{};
+  std::uint32_t sequence_ = 0;
+  IntroductionBytes introduction_bytes_;
+  std::optional<TimePoint> last_tick_;
+  // Next samples messages: earliest time with samples, and without.
+  TimePoint send_at_{};
+  TimePoint send_idle_at_{};
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_EDGE_PEER_EXCHANGE_H_
