Add the UDP port for messages between instances

Cause: PeerExchange has no socket.

Change: PeerPort sends and receives datagrams, at most 64 per turn of the event loop, and passes the time that each one has waited in the socket, as recorded by the kernel, so that messages queued during a pause are recognized.

--- /dev/null
+++ b/src/sapphirestream/edge_io/peer_port.cc
@@ -0,0 +1,125 @@
+#include "sapphirestream/edge_io/peer_port.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <sys/uio.h>
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <cerrno>
+#include <chrono>
+#include <cstring>
+#include <ctime>
+#include <utility>
+
+namespace sapphirestream {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using boost::system::error_code;
+
+namespace {
+
+using ReceiveTimestamps =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_TIMESTAMPNS>;
+
+Duration SinceEpoch(const std::timespec& time) {
+  return std::chrono::seconds(time.tv_sec) +
+         std::chrono::nanoseconds(time.tv_nsec);
+}
+
+// Returns how long ago a datagram arrived; zero if unknown, or if the time of
+// day was set back meanwhile.
+Duration AgeOf(const msghdr& header) {
+  for (cmsghdr* item = CMSG_FIRSTHDR(&header); item != nullptr;
+       item = CMSG_NXTHDR(const_cast<msghdr*>(&header), item)) {
+    if (item->cmsg_level != SOL_SOCKET || item->cmsg_type != SCM_TIMESTAMPNS) {
+      continue;
+    }
+    std::timespec arrived{};
+    std::memcpy(&arrived, CMSG_DATA(item), sizeof(arrived));
+    std::timespec now{};
+    if (::clock_gettime(CLOCK_REALTIME, &now) != 0) break;
+    return std::max(Duration::zero(), SinceEpoch(now) - SinceEpoch(arrived));
+  }
+  return Duration::zero();
+}
+
+}  // namespace
+
+leaf::result<std::unique_ptr<PeerPort>> PeerPort::Open(
+    asio::io_context& context, const Endpoint& local, CounterSet& counters,
+    Handler handler) {
+  error_code error;
+  udp::socket socket(context);
+  socket.open(udp::v4(), error);
+  if (!error) socket.non_blocking(true, error);
+  if (!error) socket.set_option(ReceiveTimestamps(true), error);
+  if (!error) {
+    socket.bind({asio::ip::make_address(ToString(local.address)), local.port},
+                error);
+  }
+  if (error) {
+    return MakeError(ErrorKind::kInternal,
+                     "bind " + ToString(local) + ": " + error.message());
+  }
+  std::unique_ptr<PeerPort> port(
+      new PeerPort(std::move(socket), counters, std::move(handler)));
+  return port;
+}
+
+PeerPort::PeerPort(udp::socket socket, CounterSet& counters, Handler handler)
+    : socket_(std::move(socket)),
+      handler_(std::move(handler)),
+      send_errors_(counters.Emplace("peer_send_errors_total")) {}
+
+void PeerPort::Start() { Wait(); }
+
+void PeerPort::Wait() {
+  socket_.async_wait(udp::socket::wait_read, [this](const error_code& error) {
+    if (error == asio::error::operation_aborted) return;
+    ReadBatch();
+    Wait();
+  });
+}
+
+void PeerPort::ReadBatch() {
+  for (int i = 0; i < kMaxBatch; ++i) {
+    if (!ReadOne()) return;
+  }
+}
+
+bool PeerPort::ReadOne() {
+  sockaddr_in from{};
+  iovec buffer{in_.data(), in_.size()};
+  alignas(cmsghdr) std::array<std::byte, 64> control{};
+  msghdr header{};
+  header.msg_name = &from;
+  header.msg_namelen = sizeof(from);
+  header.msg_iov = &buffer;
+  header.msg_iovlen = 1;
+  header.msg_control = control.data();
+  header.msg_controllen = control.size();
+  const ssize_t size = ::recvmsg(socket_.native_handle(), &header, 0);
+  // Other errors are ICMP errors caused by datagrams sent earlier.
+  if (size < 0) return errno != EAGAIN && errno != EWOULDBLOCK;
+  handler_({ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)},
+           {in_.data(), static_cast<std::size_t>(size)}, AgeOf(header));
+  return true;
+}
+
+void PeerPort::Send(V4Endpoint to, std::span<const std::byte> datagram) {
+  error_code error;
+  socket_.send_to(asio::buffer(datagram.data(), datagram.size()),
+                  {asio::ip::address_v4(to.address), to.port}, 0, error);
+  if (error) send_errors_.Add();
+}
+
+V4Endpoint PeerPort::local() const {
+  error_code error;
+  const udp::endpoint local = socket_.local_endpoint(error);
+  return {local.address().to_v4().to_uint(), local.port()};
+}
+
+}  // namespace sapphirestream
--- /dev/null
+++ b/test/edge_io/peer_port_test.cc
@@ -0,0 +1,76 @@
+// Guards against datagrams between instances that are lost in the port, and
+// against messages that were queued for a while but look new.
+#include "sapphirestream/edge_io/peer_port.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace sapphirestream {
+namespace {
+
+using namespace std::chrono_literals;
+
+struct Received {
+  V4Endpoint from;
+  std::size_t size = 0;
+  Duration age{};
+};
+
+struct Fixture {
+  std::unique_ptr<PeerPort> Open(const std::string& address) {
+    auto port = PeerPort::Open(
+        context, *ParseEndpoint(address), counters,
+        [this](V4Endpoint from, std::span<const std::byte> datagram,
+               Duration age) {
+          received.push_back({from, datagram.size(), age});
+        });
+    return port ? std::move(*port) : nullptr;
+  }
+
+  boost::asio::io_context context{1};
+  CounterSet counters;
+  std::vector<Received> received;
+};
+
+BOOST_FIXTURE_TEST_SUITE(peer_port, Fixture)
+
+BOOST_AUTO_TEST_CASE(a_queued_datagram_carries_its_age) {
+  const auto a = Open("127.0.0.1:0");
+  const auto b = Open("127.0.0.1:0");
+  BOOST_REQUIRE(a);
+  BOOST_REQUIRE(b);
+  const std::vector<std::byte> bytes(kMaxPeerMessageBytes);
+  a->Send(b->local(), bytes);
+  std::this_thread::sleep_for(20ms);
+  b->Start();
+  while (received.empty()) context.run_one();
+  BOOST_TEST((received[0].from == a->local()));
+  BOOST_TEST(received[0].size == bytes.size());
+  BOOST_TEST((received[0].age >= 20ms));
+}
+
+BOOST_AUTO_TEST_CASE(an_address_in_use_is_an_error) {
+  const auto a = Open("127.0.0.1:0");
+  BOOST_REQUIRE(a);
+  BOOST_TEST(!Open(ToString(a->local())));
+}
+
+// An ICMP error of an earlier datagram must not end the reading.
+BOOST_AUTO_TEST_CASE(a_closed_port_of_a_peer_does_no_harm) {
+  const auto a = Open("127.0.0.1:0");
+  BOOST_REQUIRE(a);
+  const V4Endpoint closed = Open("127.0.0.1:0")->local();
+  const std::vector<std::byte> bytes(10);
+  a->Start();
+  a->Send(closed, bytes);
+  a->Send(a->local(), bytes);
+  while (received.empty()) context.run_one();
+  BOOST_TEST(received[0].size == bytes.size());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace sapphirestream
