Use the load decisions and the exchange of observations where rules call for it

Cause: the parts were not connected. Change: LoadDecisions bundles performance, placement and admission for EdgeSteering, PeerLink connects the exchange to its socket, LoadReport logs targets that are penalised and services that spill or refuse. All only with the rule `health`.

--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -87,8 +87,15 @@
       targets_(routes_, settings.domain,
                kMissedHeartbeats * settings.heartbeat),
       flow_log_(log, routes_),
+      load_(settings.IsInForce(PlatformRule::kTargetHealth)
+                ? std::make_unique<LoadDecisions>(targets_)
+                : nullptr),
+      load_report_(load_ ? std::make_unique<LoadReport>(*load_, targets_,
+                                                        routes_, log, counters_)
+                         : nullptr),
       steering_(routes_, targets_, *this, flow_log_, counters_,
-                {.placer = tier_placer_},
+                load_ ? load_->decisions()
+                      : SteeringDecisions{.placer = tier_placer_},
                 {.flow_capacity = settings.flow_capacity,
                  .evacuates_domains = settings.EvacuatesDomains()}),
       view_(routes_, targets_, flow_log_, log, clock, counters_,
@@ -121,6 +128,11 @@
                                             const HttpServer::Reply& reply) {
                                        reply(HandleMetrics(request));
                                      }));
+  if (load_ && settings_.peer) {
+    BOOST_LEAF_ASSIGN(peers_,
+                      PeerLink::Open(context_, settings_, load_->performance(),
+                                     random_, clock_, log_, counters_));
+  }
   return {};
 }
 
@@ -132,6 +144,7 @@
               {"store", ToString(settings_.store)}});
   WatchSignals();
   StartReaders();
+  if (peers_) peers_->Start();
   initial_load_timer_.expires_after(kInitialLoadTimeout);
   initial_load_timer_.async_wait([this](const error_code& error) {
     if (!error) port_->Start();
@@ -237,6 +250,7 @@
   view_.targets_age().Report(now);
   view_.routes_age().Report(now);
   view_.evacuations_age().Report(now);
+  if (load_report_) load_report_->Report(now);
   StopWhenDrained(now);
   lines_.Flush();
   if (lifecycle_.state() == EdgeState::kStopped) {
@@ -304,7 +318,8 @@
       next->ready != settings_.ready || next->metrics != settings_.metrics ||
       next->heartbeat != settings_.heartbeat ||
       next->EvacuatesDomains() != settings_.EvacuatesDomains() ||
-      next->peer != settings_.peer ||
+      next->IsInForce(PlatformRule::kTargetHealth) != (load_ != nullptr) ||
+      next->peer != settings_.peer || next->seeds != settings_.seeds ||
       next->flow_capacity != settings_.flow_capacity;
   const bool watches_changed =
       next->store != settings_.store ||
--- a/src/sapphirestream/edge_io/edge_instance.h
+++ b/src/sapphirestream/edge_io/edge_instance.h
@@ -20,11 +20,14 @@
 #include "sapphirestream/edge/drain_timer.h"
 #include "sapphirestream/edge/edge_lifecycle.h"
 #include "sapphirestream/edge/edge_steering.h"
+#include "sapphirestream/edge/load_decisions.h"
 #include "sapphirestream/edge/suspend_detector.h"
 #include "sapphirestream/edge_io/edge_settings.h"
 #include "sapphirestream/edge_io/edge_view.h"
 #include "sapphirestream/edge_io/line_writer.h"
+#include "sapphirestream/edge_io/load_report.h"
 #include "sapphirestream/edge_io/packet_port.h"
+#include "sapphirestream/edge_io/peer_link.h"
 #include "sapphirestream/edge_io/target_prober.h"
 #include "sapphirestream/store/asio_timer.h"
 #include "sapphirestream/store/collection_checker.h"
@@ -131,6 +134,9 @@
   TargetDirectory targets_;
   EdgeLog flow_log_;
   TierPlacer tier_placer_;
+  // Null unless targets are judged by what their flows show.
+  std::unique_ptr<LoadDecisions> load_;
+  std::unique_ptr<LoadReport> load_report_;
   EdgeSteering steering_;
   EdgeView view_;
   EdgeLifecycle lifecycle_;
@@ -143,6 +149,8 @@
   boost::asio::steady_timer initial_load_timer_;
   boost::asio::signal_set signals_;
   std::unique_ptr<PacketPort> port_;
+  // Null unless observations are exchanged with other instances.
+  std::unique_ptr<PeerLink> peers_;
   std::unique_ptr<HttpServer> ready_server_;
   std::unique_ptr<HttpServer> metrics_server_;
   StoreClients clients_;
--- /dev/null
+++ b/src/sapphirestream/edge_io/peer_link.h
@@ -0,0 +1,45 @@
+// Connects PeerExchange to its socket and timer.
+#ifndef SAPPHIRESTREAM_EDGE_IO_PEER_LINK_H_
+#define SAPPHIRESTREAM_EDGE_IO_PEER_LINK_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/counter.h"
+#include "sapphirestream/base/error.h"
+#include "sapphirestream/base/event_log.h"
+#include "sapphirestream/base/random.h"
+#include "sapphirestream/edge/peer_exchange.h"
+#include "sapphirestream/edge_io/edge_settings.h"
+#include "sapphirestream/edge_io/peer_port.h"
+
+namespace sapphirestream {
+
+class PeerLink {
+ public:
+  // Errors: kInternal if the address cannot be opened. `settings.peer` must be
+  // set. The references must outlive the link.
+  [[nodiscard]] static leaf::result<std::unique_ptr<PeerLink>> Open(
+      boost::asio::io_context& context, const EdgeSettings& settings,
+      SampleStore& store, Random& random, const Clock& clock, EventLog& log,
+      CounterSet& counters);
+
+  // Starts to exchange messages.
+  void Start();
+
+ private:
+  PeerLink(boost::asio::io_context& context, const Clock& clock)
+      : clock_(clock), timer_(context) {}
+  void Tick();
+
+  const Clock& clock_;
+  boost::asio::steady_timer timer_;
+  std::unique_ptr<PeerPort> port_;
+  std::unique_ptr<PeerExchange> exchange_;
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_EDGE_IO_PEER_LINK_H_
