--- a/src/sapphirestream/edge/balanced_placement.cc
+++ b/src/sapphirestream/edge/balanced_placement.cc
@@ -98,21 +98,23 @@
     const std::uint32_t outstanding =
         std::max(target.outstanding, estimate.outstanding);
     const double time = EffectiveTime(estimate);
-    const auto cost = [&](std::uint32_t count) {
+    const auto cost = [slots](std::uint32_t count, double request_time) {
       return (Cost{count} + 1) *
-             static_cast<Cost>(std::llround(time * kCostUnit)) / slots;
+             static_cast<Cost>(std::llround(request_time * kCostUnit)) / slots;
     };
+    // By its few requests, this instance sees nearly all targets as free: fast
+    // ones count as average, so that not all flows prefer them.
     const Candidate candidate{
         &target,
         {query.flow_hash, target.record.key, estimate.weight},
-        cost(outstanding),
-        cost(target.outstanding),
+        cost(outstanding, time),
+        cost(target.outstanding, std::max(1.0, time)),
         outstanding < limit};
     candidates_.Add(candidate);
     const double weight = Clamp(estimate.weight, RendezvousScore::kMinWeight,
                                 RendezvousScore::kMaxWeight);
     weight_ += weight;
-    outstanding_ += outstanding;
+    own_outstanding_ += target.outstanding;
     failures_ += weight * Clamp(estimate.failure_share, 0, 1);
     if (!candidate.has_slot) {
       wait_ += weight * time * (outstanding + 1 - limit) / slots;
@@ -125,7 +127,7 @@
   }
   [[nodiscard]] DomainLoad Load() const noexcept {
     return {.expected_wait = wait_ / weight_,
-            .outstanding = outstanding_,
+            .outstanding = own_outstanding_,
             .failure_share = failures_ / weight_};
   }
 
@@ -136,7 +138,7 @@
   double weight_ = 0;
   double wait_ = 0;
   double failures_ = 0;
-  double outstanding_ = 0;
+  double own_outstanding_ = 0;
 };
 
 EdgePlacement LocalPlacement(const Candidate& best) {
--- a/src/sapphirestream/edge/spill_control.cc
+++ b/src/sapphirestream/edge/spill_control.cc
@@ -30,15 +30,18 @@
 }
 
 double SpillControl::Traffic::RequestTime() const noexcept {
-  // Failed requests end early and are repeated.
-  const double successful = 1 - failure_share;
-  return outstanding / std::max(flows, 1e-3) / (successful * successful);
+  return outstanding / std::max(flows, 1e-3);
 }
 
 double SpillControl::Limit() const noexcept {
   const double local_time = local_.RequestTime();
   if (local_time <= 0) return kUnprovenShare;
-  const double gain = 1 - remote_.RequestTime() / local_time;
+  // Rejected requests end early and are repeated. Local ones are not corrected
+  // for: the failures of the other domains are known less well, and a domain
+  // must not appear better than its equals.
+  const double successful = 1 - remote_.failure_share;
+  const double remote_time = remote_.RequestTime() / (successful * successful);
+  const double gain = 1 - remote_time / local_time;
   const double proven =
       std::clamp(kMaxShare * gain / kFullGain, kProbeShare, kMaxShare);
   const double confidence = remote_.flows / (remote_.flows + kNeutralRequests);
--- a/src/sapphirestream/edge/spill_control.h
+++ b/src/sapphirestream/edge/spill_control.h
@@ -16,7 +16,7 @@
   // Time for which a new request waits for a slot, in units of the time of an
   // average request.
   double expected_wait = 0;
-  // Requests in progress at all targets.
+  // Requests of this instance that are in progress.
   double outstanding = 0;
   // Mean share of requests that fail.
   double failure_share = 0;
@@ -78,11 +78,9 @@
   [[nodiscard]] double share() const noexcept { return share_; }
 
  private:
-  // Decaying sums. Their ratio is proportional to the time of a request
-  // (Little's law): the requests in progress are those of all instances, but
-  // all place about the same share of their flows in other domains. Only times
-  // at which the local wait is long are included, since the gain at other times
-  // does not matter.
+  // Decaying sums. Their ratio is the mean time of a request (Little's law).
+  // Only times at which the local wait is long are included, since the gain at
+  // other times does not matter.
   struct Traffic {
     double flows = 0;
     // Requests in progress times seconds.
