Bound the traffic of introductions and of one peer

Samples of one peer are limited per second, and unchanged counts are repeated every 450 ms instead of with every message. A peer that is lost because nearer ones took its place is logged as such.

--- /dev/null
+++ b/src/sapphirestream/edge/introduction_budget.h
@@ -0,0 +1,56 @@
+// Limits the traffic of introductions.
+#ifndef SAPPHIRESTREAM_EDGE_INTRODUCTION_BUDGET_H_
+#define SAPPHIRESTREAM_EDGE_INTRODUCTION_BUDGET_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <utility>
+
+#include "sapphirestream/base/clock.h"
+
+namespace sapphirestream {
+
+// A token bucket for what is sent, so that many instances can start at the same
+// time. What is received is not charged: otherwise a seed that many instances
+// ask would stop answering, and they would go on asking.
+class IntroductionBudget {
+ public:
+  // Bytes per second. With answers of four addresses, three seeds introduce 170
+  // instances per second.
+  static constexpr std::int64_t kRate = 4'000;
+  // Answers an introduction of each instance of a domain of 76 that starts at
+  // once.
+  static constexpr std::int64_t kBurst = 16'000;
+  static constexpr Duration kPeriod = std::chrono::milliseconds(500);
+
+  void OnReceived(std::size_t bytes) noexcept { current_ += bytes; }
+  void OnSent(std::size_t bytes) noexcept {
+    tokens_ -= static_cast<std::int64_t>(bytes);
+    current_ += bytes;
+  }
+  void Advance(TimePoint now) noexcept {
+    if (now < period_end_) return;
+    tokens_ = std::min(
+        kBurst, tokens_ + kRate * kPeriod.count() / Duration::period::den);
+    previous_ = std::exchange(current_, 0);
+    period_end_ = now + kPeriod;
+  }
+
+  // Whether further introductions may be sent or answered.
+  [[nodiscard]] bool is_available() const noexcept { return tokens_ > 0; }
+  // Whether answers should be short, so that more instances get one.
+  [[nodiscard]] bool is_short() const noexcept { return tokens_ < kBurst / 2; }
+  // Bytes sent and received in the last complete period.
+  [[nodiscard]] std::size_t previous() const noexcept { return previous_; }
+
+ private:
+  std::int64_t tokens_ = kBurst;
+  std::size_t current_ = 0;
+  std::size_t previous_ = 0;
+  TimePoint period_end_{};
+};
+
+}  // namespace sapphirestream
+
+#endif  // SAPPHIRESTREAM_EDGE_INTRODUCTION_BUDGET_H_
--- a/src/sapphirestream/edge/peer_directory.cc
+++ b/src/sapphirestream/edge/peer_directory.cc
@@ -54,7 +54,7 @@
     if (!peer.samples_heard) continue;
     const Duration silent = now - *peer.samples_heard;
     if (silent < kSilenceTimeout) continue;
-    lost.push_back({peer.address, peer.id, silent});
+    lost.push_back({peer.address, peer.id, silent, peer.is_neighbor});
     peer.samples_heard.reset();
   }
   std::erase_if(peers_, [now](const PeerEntry& peer) {
--- a/src/sapphirestream/edge/peer_directory.h
+++ b/src/sapphirestream/edge/peer_directory.h
@@ -16,6 +16,23 @@
 
 namespace sapphirestream {
 
+// Counts messages per second.
+class MessageRate {
+ public:
+  // Returns whether at most `limit` messages arrived in this second.
+  [[nodiscard]] bool Accept(std::uint32_t limit, TimePoint now) noexcept {
+    if (now - second_ >= std::chrono::seconds(1)) {
+      second_ = now;
+      count_ = 0;
+    }
+    return ++count_ <= limit;
+  }
+
+ private:
+  TimePoint second_{};
+  std::uint32_t count_ = 0;
+};
+
 struct PeerEntry {
   V4Endpoint address;
   // Distance on the ring from the own address.
@@ -29,6 +46,8 @@
   // Arrival of its last samples; not set unless it sends samples now.
   std::optional<TimePoint> samples_heard;
   std::uint32_t last_sequence = 0;
+  // Messages with samples.
+  MessageRate rate;
   // Whether own samples are sent to it.
   bool is_neighbor = false;
   // Time of the next introduction, and the delay after that one.
@@ -65,6 +84,9 @@
     PeerId id{};
     // Time since its last samples.
     Duration silent{};
+    // Whether it was expected to send samples: otherwise nearer peers may have
+    // taken its place.
+    bool was_neighbor = false;
   };
   struct HeardPeer {
     // Valid until the next call that is not const.
--- a/src/sapphirestream/edge/peer_exchange.cc
+++ b/src/sapphirestream/edge/peer_exchange.cc
@@ -12,7 +12,8 @@
 // Ticks of a busy process are a little late or early.
 constexpr Duration kTickTolerance = PeerExchange::kTickInterval / 2;
 // Period over which bytes are budgeted.
-constexpr Duration kPeriod = PeerExchange::kMaxSendInterval;
+constexpr Duration kPeriod = IntroductionBudget::kPeriod;
+static_assert(kPeriod == PeerExchange::kMaxSendInterval);
 // A peer that is no neighbor of this instance, but sends samples, lacks the
 // addresses of nearer peers; it gets some at most this often.
 constexpr Duration kAddressesInterval = std::chrono::seconds(1);
@@ -65,6 +66,10 @@
       directory_(options.own, random),
       seeds_(Without(options.seeds, options.own), random) {}
 
+void PeerExchange::SetSeeds(std::vector<V4Endpoint> seeds) {
+  seeds_ = PeerSeeds(Without(std::move(seeds), directory_.own()), random_);
+}
+
 void PeerExchange::Tick(TimePoint now) {
   Expire(now);
   directory_.UpdateNeighbors(now);
@@ -90,7 +95,7 @@
   Rejection rejection;
   if (const auto* message = std::get_if<EdgePeerMessage>(&decoded)) {
     if (!std::holds_alternative<PeerSamples>(message->body)) {
-      introduction_bytes_.current += size;
+      introduction_budget_.OnReceived(size);
     }
     rejection = age > kMaxMessageAge ? PeerRejection::kStale
                                      : Handle(from, *message, now - age, now);
@@ -132,7 +137,7 @@
       return *rejection;
     }
   }
-  if (!MayIntroduce()) return PeerRejection::kOverload;
+  if (!introduction_budget_.is_available()) return PeerRejection::kOverload;
   SendAddresses(from, message.domain, body.wanted, now);
   return std::nullopt;
 }
@@ -166,6 +171,9 @@
     return *rejection;
   }
   PeerEntry& peer = *std::get<PeerEntry*>(heard);
+  if (!peer.rate.Accept(kMaxMessagesPerSecond, now)) {
+    return PeerRejection::kOverload;
+  }
   if (!peer.samples_heard) {
     log_.Write(LogLevel::kInfo, "peer_joined",
                {{"peer", Value(peer.id)}, {"address", ToString(peer.address)}});
@@ -200,15 +208,12 @@
   const auto lost = directory_.Expire(now);
   for (const PeerDirectory::LostPeer& peer : lost) {
     store_.ErasePeer(peer.id);
-    LogLost(peer.address, peer.id, "silent", peer.silent);
+    LogLost(peer.address, peer.id,
+            peer.was_neighbor ? "silent" : "not_neighbor", peer.silent);
   }
   if (!lost.empty() && directory_.LivePeers(now).empty()) seeds_.Reset();
   introductions_.Expire(now);
-  if (now >= introduction_bytes_.period_end) {
-    introduction_bytes_.previous =
-        std::exchange(introduction_bytes_.current, 0);
-    introduction_bytes_.period_end = now + kPeriod;
-  }
+  introduction_budget_.Advance(now);
 }
 
 void PeerExchange::CollectSamples(TimePoint now) {
@@ -220,24 +225,21 @@
 void PeerExchange::ContactOthers(TimePoint now) {
   const bool needs_seeds = neighbors_.size() < PeerDirectory::kMaxNeighbors ||
                            directory_.IsRepresentative();
-  if (const auto seed = seeds_.Take(needs_seeds, now)) {
+  const bool is_alone = directory_.LivePeers(now).empty();
+  if (const auto seed = seeds_.Take(needs_seeds, is_alone, now)) {
     SendIntroduction(*seed, kMaxPeerAddresses);
   }
   ContactMentioned(now);
 }
 
 void PeerExchange::ContactMentioned(TimePoint now) {
-  if (!MayIntroduce()) return;
+  if (!introduction_budget_.is_available()) return;
   for (const V4Endpoint address :
        directory_.TakeContacts(kMaxPeerAddresses, now)) {
     SendIntroduction(address, kAddressesPerMessage);
   }
 }
 
-bool PeerExchange::MayIntroduce() const noexcept {
-  return introduction_bytes_.current <= BytesPerPeriod(kMaxSendRate);
-}
-
 void PeerExchange::SendSamplesIfDue(TimePoint now) {
   if (neighbors_.empty()) return;
   const TimePoint due = backlog_.has_changes() ? send_at_ : send_idle_at_;
@@ -278,14 +280,15 @@
 
 std::size_t PeerExchange::SamplesRate() const noexcept {
   constexpr std::size_t per_period = BytesPerPeriod(kMaxSendRate);
-  const std::size_t used = std::min(introduction_bytes_.previous, per_period);
+  const std::size_t used =
+      std::min(introduction_budget_.previous(), per_period);
   const std::size_t left = (per_period - used) * kMaxSendRate / per_period;
   return std::clamp<std::size_t>(left, 1, kMaxNeighborRate * neighbors_.size());
 }
 
 void PeerExchange::SendIntroduction(V4Endpoint to, std::size_t wanted) {
-  introduction_bytes_.current += Send(
-      to, {id_, domain_, PeerIntroduction{static_cast<std::uint8_t>(wanted)}});
+  introduction_budget_.OnSent(Send(
+      to, {id_, domain_, PeerIntroduction{static_cast<std::uint8_t>(wanted)}}));
 }
 
 void PeerExchange::SendAddresses(V4Endpoint to, DomainHash domain,
@@ -299,10 +302,12 @@
       }
     }
   }
-  SelectAddressesFor(to, std::min(limit, kMaxPeerAddresses), random_,
-                     addresses);
-  introduction_bytes_.current +=
-      Send(to, {id_, domain_, PeerAddresses{std::move(addresses)}});
+  const std::size_t max_addresses = introduction_budget_.is_short()
+                                        ? kAddressesPerMessage
+                                        : kMaxPeerAddresses;
+  SelectAddressesFor(to, std::min(limit, max_addresses), random_, addresses);
+  introduction_budget_.OnSent(
+      Send(to, {id_, domain_, PeerAddresses{std::move(addresses)}}));
 }
 
 std::size_t PeerExchange::Send(V4Endpoint to, const EdgePeerMessage& message) {
--- a/src/sapphirestream/edge/peer_exchange.h
+++ b/src/sapphirestream/edge/peer_exchange.h
@@ -15,6 +15,7 @@
 #include "sapphirestream/base/counter.h"
 #include "sapphirestream/base/event_log.h"
 #include "sapphirestream/base/random.h"
+#include "sapphirestream/edge/introduction_budget.h"
 #include "sapphirestream/edge/peer_counters.h"
 #include "sapphirestream/edge/peer_directory.h"
 #include "sapphirestream/edge/peer_introductions.h"
@@ -70,6 +71,9 @@
   static constexpr std::size_t kAddressesPerMessage = 4;
   static constexpr std::uint32_t kAddressesEvery = 4;
   static constexpr Duration kSettlingTime = std::chrono::seconds(1);
+  // Messages with samples that are accepted from one peer per second; twice as
+  // many as it may send.
+  static constexpr std::uint32_t kMaxMessagesPerSecond = 20;
   // Limits of what is accepted about one target in one message. An instance
   // does not handle more requests in half a second.
   static constexpr std::uint32_t kMaxRequests = 10'000;
@@ -88,6 +92,9 @@
   void OnDatagram(V4Endpoint from, std::span<const std::byte> datagram,
                   Duration age, TimePoint now);
 
+  // Replaces the addresses of the seeds.
+  void SetSeeds(std::vector<V4Endpoint> seeds);
+
   // Addresses known in this domain, not counting the own one.
   [[nodiscard]] std::size_t known_peers() const noexcept {
     return directory_.size();
@@ -99,13 +106,6 @@
 
  private:
   using Rejection = std::optional<PeerRejection>;
-  // Bytes of introductions and their answers, sent or received.
-  struct IntroductionBytes {
-    std::size_t current = 0;   // in the current period
-    std::size_t previous = 0;  // in the period before
-    TimePoint period_end{};
-  };
-
   // Return the reason if the message is ignored.
   Rejection Handle(V4Endpoint from, const EdgePeerMessage& message,
                    TimePoint arrived, TimePoint now);
@@ -124,8 +124,6 @@
   void ContactOthers(TimePoint now);
   // Contacts addresses that others have mentioned.
   void ContactMentioned(TimePoint now);
-  // Whether the budget of this period allows further introductions.
-  [[nodiscard]] bool MayIntroduce() const noexcept;
   void SendSamplesIfDue(TimePoint now);
   // Returns the size of the datagrams with their headers.
   std::size_t SendSamples(TimePoint now);
@@ -156,7 +154,7 @@
   std::vector<V4Endpoint> neighbors_;
   TimePoint neighbors_changed_{};
   std::uint32_t sequence_ = 0;
-  IntroductionBytes introduction_bytes_;
+  IntroductionBudget introduction_budget_;
   std::optional<TimePoint> last_tick_;
   // Next samples messages: earliest time with samples, and without.
   TimePoint send_at_{};
--- a/src/sapphirestream/edge/peer_introductions.h
+++ b/src/sapphirestream/edge/peer_introductions.h
@@ -21,7 +21,7 @@
   static constexpr std::size_t kMaxAddresses = 64;
   // Exceeds the time between two introductions of an instance that represents
   // its neighbors at three seeds in turn.
-  static constexpr Duration kMaxAge = std::chrono::seconds(60);
+  static constexpr Duration kMaxAge = std::chrono::seconds(120);
 
   void Add(DomainHash domain, V4Endpoint address, TimePoint now);
   // Erases old introductions.
--- a/src/sapphirestream/edge/peer_message.h
+++ b/src/sapphirestream/edge/peer_message.h
@@ -79,7 +79,7 @@
   kFormerProcess,
   kForeignId,  // another address uses this sender id
   kTooFar,     // the directory is full of nearer instances
-  kOverload,   // too many introductions
+  kOverload,   // too many messages
 };
 inline constexpr std::size_t kPeerRejections = 10;
 
--- a/src/sapphirestream/edge/sample_backlog.cc
+++ b/src/sapphirestream/edge/sample_backlog.cc
@@ -45,7 +45,9 @@
                                                TimePoint now) {
   std::vector<Entry*> order;
   order.reserve(entries_.size());
-  for (auto& [key, entry] : entries_) order.push_back(&entry);
+  for (auto& [key, entry] : entries_) {
+    if (entry.IsDue(now)) order.push_back(&entry);
+  }
   std::stable_sort(order.begin(), order.end(),
                    [](const Entry* a, const Entry* b) {
                      if (a->changed != b->changed) return a->changed;
@@ -66,6 +68,7 @@
     if (!entry->changed && entry->zero_repeats > 0) --entry->zero_repeats;
     entry->changed = false;
     entry->left_out = 0;
+    entry->sent = now;
   }
   EraseFinished(now);
   std::sort(taken.begin(), taken.end(),
--- a/src/sapphirestream/edge/sample_backlog.h
+++ b/src/sapphirestream/edge/sample_backlog.h
@@ -20,6 +20,9 @@
   // Repetitions of a count of zero; a nonzero count is repeated until it
   // changes.
   static constexpr std::uint8_t kZeroRepeats = 2;
+  // Time between two repetitions. A third of the time after which peers drop a
+  // count that they no longer hear, less the tolerance of a timer.
+  static constexpr Duration kRepeatInterval = std::chrono::milliseconds(450);
   // A count that was not reported for this time is no longer repeated: its
   // target may have been removed.
   static constexpr Duration kMaxReportAge = std::chrono::seconds(60);
@@ -29,9 +32,9 @@
   void Merge(const std::vector<TargetSamples>& samples, TimePoint now);
   // Drops sums, but not counts of outstanding requests.
   void ClearSums();
-  // Returns samples that occupy at most `max_bytes`, sorted by target, and
-  // removes their sums. Targets with many requests come first; each call raises
-  // the priority of those left out.
+  // Returns samples to send now that occupy at most `max_bytes`, sorted by
+  // target, and removes their sums. Targets with many requests come first; each
+  // call raises the priority of those left out.
   [[nodiscard]] std::vector<TargetSamples> Take(std::size_t max_bytes,
                                                 TimePoint now);
 
@@ -48,6 +51,11 @@
     // Remaining repetitions of a count of zero.
     std::uint8_t zero_repeats = 0;
     TimePoint reported;
+    TimePoint sent;
+
+    [[nodiscard]] bool IsDue(TimePoint now) const noexcept {
+      return changed || now - sent >= kRepeatInterval;
+    }
   };
 
   static std::uint64_t Priority(const Entry& entry) noexcept;
