--- a/src/sapphirestream/edge/introduction_budget.h
+++ b/src/sapphirestream/edge/introduction_budget.h
@@ -19,9 +19,9 @@
   // Bytes per second. With answers of four addresses, three seeds introduce 170
   // instances per second.
   static constexpr std::int64_t kRate = 4'000;
-  // Answers an introduction of each instance of a domain of 76 that starts at
-  // once.
-  static constexpr std::int64_t kBurst = 16'000;
+  // When many instances start at the same time: 28 full answers and 58 short
+  // ones.
+  static constexpr std::int64_t kBurst = 8'000;
   static constexpr Duration kPeriod = std::chrono::milliseconds(500);
 
   void OnReceived(std::size_t bytes) noexcept { current_ += bytes; }
@@ -41,8 +41,11 @@
   [[nodiscard]] bool is_available() const noexcept { return tokens_ > 0; }
   // Whether answers should be short, so that more instances get one.
   [[nodiscard]] bool is_short() const noexcept { return tokens_ < kBurst / 2; }
-  // Bytes sent and received in the last complete period.
-  [[nodiscard]] std::size_t previous() const noexcept { return previous_; }
+  // Bytes sent and received in this period or the one before, whichever is
+  // more.
+  [[nodiscard]] std::size_t used() const noexcept {
+    return std::max(previous_, current_);
+  }
 
  private:
   std::int64_t tokens_ = kBurst;
--- a/src/sapphirestream/edge/peer_counters.h
+++ b/src/sapphirestream/edge/peer_counters.h
@@ -18,9 +18,9 @@
       : known(counters.Emplace("peers_known")),
         neighbors(counters.Emplace("peers_neighbors")),
         sent(counters.Emplace("peer_messages_sent_total")),
-        sent_bytes(counters.Emplace("peer_bytes_sent_total")),
+        sent_bytes(counters.Emplace("peer_sent_bytes_total")),
         received(counters.Emplace("peer_messages_received_total")),
-        received_bytes(counters.Emplace("peer_bytes_received_total")) {
+        received_bytes(counters.Emplace("peer_received_bytes_total")) {
     for (std::size_t i = 0; i < kPeerRejections; ++i) {
       const auto reason = static_cast<PeerRejection>(i);
       rejected[i] = &counters.Emplace("peer_messages_rejected_total{reason=\"" +
--- a/src/sapphirestream/edge/peer_exchange.cc
+++ b/src/sapphirestream/edge/peer_exchange.cc
@@ -280,8 +280,7 @@
 
 std::size_t PeerExchange::SamplesRate() const noexcept {
   constexpr std::size_t per_period = BytesPerPeriod(kMaxSendRate);
-  const std::size_t used =
-      std::min(introduction_budget_.previous(), per_period);
+  const std::size_t used = std::min(introduction_budget_.used(), per_period);
   const std::size_t left = (per_period - used) * kMaxSendRate / per_period;
   return std::clamp<std::size_t>(left, 1, kMaxNeighborRate * neighbors_.size());
 }
--- a/test/edge/peer_directory_test.cc
+++ b/test/edge/peer_directory_test.cc
@@ -9,7 +9,7 @@
 #include "sapphirestream/edge/peer_introductions.h"
 #include "sapphirestream/edge/peer_ring.h"
 #include "sapphirestream/edge/peer_seeds.h"
-#include "test/edge/peer_network.h"
+#include "testing/peer_network.h"
 
 namespace sapphirestream {
 namespace {
--- a/test/edge/peer_exchange_test.cc
+++ b/test/edge/peer_exchange_test.cc
@@ -5,7 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "test/edge/peer_network.h"
+#include "testing/peer_network.h"
 
 namespace sapphirestream {
 namespace {
@@ -298,7 +298,7 @@
   network.Run(1s);
   const auto sent = [this] {
     for (const auto& [name, value] : network.At(0).counters.Read()) {
-      if (name == "peer_bytes_sent_total") return value;
+      if (name == "peer_sent_bytes_total") return value;
     }
     return std::uint64_t{0};
   };
--- a/test/edge/peer_message_test.cc
+++ b/test/edge/peer_message_test.cc
@@ -6,7 +6,7 @@
 #include <limits>
 
 #include "sapphirestream/base/random.h"
-#include "test/edge/peer_network.h"
+#include "testing/peer_network.h"
 
 namespace sapphirestream {
 namespace {
--- a/test/edge/sample_backlog_test.cc
+++ b/test/edge/sample_backlog_test.cc
@@ -7,7 +7,7 @@
 #include <set>
 
 #include "sapphirestream/edge/peer_message.h"
-#include "test/edge/peer_network.h"
+#include "testing/peer_network.h"
 
 namespace sapphirestream {
 namespace {
--- a/test/edge/peer_network.h
+++ b/testing/peer_network.h
@@ -1,7 +1,7 @@
 // Many PeerExchange objects connected by an in-memory network with virtual
 // time, loss and partitions.
-#ifndef SAPPHIRESTREAM_TEST_EDGE_PEER_NETWORK_H_
-#define SAPPHIRESTREAM_TEST_EDGE_PEER_NETWORK_H_
+#ifndef SAPPHIRESTREAM_TESTING_PEER_NETWORK_H_
+#define SAPPHIRESTREAM_TESTING_PEER_NETWORK_H_
 
 #include <algorithm>
 #include <chrono>
@@ -127,11 +127,14 @@
         {from, to, {bytes.begin(), bytes.end()}, clock.Now() + 1ms});
   }
 
-  // Bytes per second that a node sent and received since `before`.
+  // Bytes that a node has sent and received.
   [[nodiscard]] static double Bytes(const CounterSet& counters) {
     double bytes = 0;
     for (const auto& [name, value] : counters.Read()) {
-      if (name.starts_with("peer_bytes_")) bytes += static_cast<double>(value);
+      if (name == "peer_sent_bytes_total" ||
+          name == "peer_received_bytes_total") {
+        bytes += static_cast<double>(value);
+      }
     }
     return bytes;
   }
@@ -178,4 +181,4 @@
 
 }  // namespace sapphirestream::testing
 
-#endif  // SAPPHIRESTREAM_TEST_EDGE_PEER_NETWORK_H_
+#endif  // SAPPHIRESTREAM_TESTING_PEER_NETWORK_H_
