Leave room for messages of instances that have just started

Cause: when 60 instances start per second (peer_exchange_table 6000 12 100 110), the busiest instance moved up to 27.0 KB/s: it receives samples of new instances that take it for a neighbor.

Change: an instance sends at most 11 KB/s instead of 12. PeerPort sets the socket option without a detail of Boost.Asio, and its test allows that the kernel begins to record arrivals late.

--- a/src/sapphirestream/edge/peer_exchange.h
+++ b/src/sapphirestream/edge/peer_exchange.h
@@ -61,8 +61,9 @@
   // that it observed seemed longer than they were.
   static constexpr Duration kMaxTickGap = std::chrono::seconds(1);
   // Bytes per second sent to all others, headers included. An instance receives
-  // about as much, so that both together stay below 26 KB/s.
-  static constexpr std::size_t kMaxSendRate = 12'000;
+  // about as much, and a little more from new instances that do not know their
+  // neighbors yet; together this stays below 26 KB/s.
+  static constexpr std::size_t kMaxSendRate = 11'000;
   // Bytes per second sent to each neighbor. Covers the samples of 20 requests
   // per second; limits the traffic of small domains.
   static constexpr std::size_t kMaxNeighborRate = 500;
--- a/src/sapphirestream/edge_io/peer_port.cc
+++ b/src/sapphirestream/edge_io/peer_port.cc
@@ -21,8 +21,15 @@
 
 namespace {
 
-using ReceiveTimestamps =
-    asio::detail::socket_option::boolean<SOL_SOCKET, SO_TIMESTAMPNS>;
+// Makes the kernel record when datagrams arrive.
+error_code EnableTimestamps(udp::socket& socket) {
+  const int on = 1;
+  if (::setsockopt(socket.native_handle(), SOL_SOCKET, SO_TIMESTAMPNS, &on,
+                   sizeof(on)) == 0) {
+    return {};
+  }
+  return {errno, boost::system::system_category()};
+}
 
 Duration SinceEpoch(const std::timespec& time) {
   return std::chrono::seconds(time.tv_sec) +
@@ -55,7 +62,7 @@
   udp::socket socket(context);
   socket.open(udp::v4(), error);
   if (!error) socket.non_blocking(true, error);
-  if (!error) socket.set_option(ReceiveTimestamps(true), error);
+  if (!error) error = EnableTimestamps(socket);
   if (!error) {
     socket.bind({asio::ip::make_address(ToString(local.address)), local.port},
                 error);
--- a/test/edge_io/peer_port_test.cc
+++ b/test/edge_io/peer_port_test.cc
@@ -42,10 +42,16 @@
   BOOST_REQUIRE(a);
   BOOST_REQUIRE(b);
   const std::vector<std::byte> bytes(kMaxPeerMessageBytes);
-  a->Send(b->local(), bytes);
-  std::this_thread::sleep_for(20ms);
   b->Start();
-  while (received.empty()) context.run_one();
+  // The kernel may begin to record arrivals a little after it was asked to.
+  constexpr int attempts = 50;
+  for (int i = 0; i < attempts; ++i) {
+    received.clear();
+    a->Send(b->local(), bytes);
+    std::this_thread::sleep_for(20ms);
+    while (received.empty()) context.run_one();
+    if (received[0].age >= 20ms) break;
+  }
   BOOST_TEST((received[0].from == a->local()));
   BOOST_TEST(received[0].size == bytes.size());
   BOOST_TEST((received[0].age >= 20ms));
