Test the exchange through real ports

Cause: no test covered PeerExchange and PeerPort together. Change: two instances on loopback addresses find each other through a seed.

--- a/test/edge_io/peer_port_test.cc
+++ b/test/edge_io/peer_port_test.cc
@@ -2,11 +2,14 @@
 // against messages that were queued for a while but look new.
 #include "sapphirestream/edge_io/peer_port.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "testing/peer_network.h"
+
 namespace sapphirestream {
 namespace {
 
@@ -76,6 +79,52 @@
   BOOST_TEST(received[0].size == bytes.size());
 }
 
+// Two instances on loopback addresses with the same port, as deployed.
+BOOST_AUTO_TEST_CASE(exchanges_find_each_other_through_ports) {
+  testing::ManualClock clock;
+  testing::NullLogSink sink;
+  EventLog log(sink, clock);
+  SeededRandom random(3);
+  struct Instance {
+    std::unique_ptr<PeerPort> port;
+    testing::FakeSampleStore store;
+    CounterSet counters;
+    std::unique_ptr<PeerExchange> exchange;
+  };
+  std::array<Instance, 2> instances;
+  std::string address = "127.0.0.1:0";
+  std::vector<V4Endpoint> seeds;
+  for (Instance& instance : instances) {
+    auto port = PeerPort::Open(
+        context, *ParseEndpoint(address), instance.counters,
+        [&](V4Endpoint from, std::span<const std::byte> datagram,
+            Duration age) {
+          instance.exchange->OnDatagram(from, datagram, age, clock.Now());
+        });
+    BOOST_REQUIRE(port);
+    instance.port = std::move(*port);
+    const V4Endpoint own = instance.port->local();
+    if (seeds.empty()) seeds.push_back(own);
+    address = "127.0.0.2:" + std::to_string(own.port);
+    instance.exchange = std::make_unique<PeerExchange>(
+        PeerExchangeOptions{own, PeerId{random.Next()}, "a", seeds},
+        instance.store, *instance.port, random, log, instance.counters);
+    instance.port->Start();
+  }
+  instances[0].store.own = {testing::Samples(1, 1, 7)};
+  constexpr int max_ticks = 1000;
+  for (int i = 0; i < max_ticks; ++i) {
+    clock.Advance(PeerExchange::kTickInterval);
+    for (Instance& instance : instances) instance.exchange->Tick(clock.Now());
+    context.poll();
+    if (!instances[1].store.of_peer.empty()) break;
+  }
+  BOOST_REQUIRE(instances[1].store.of_peer.size() == 1U);
+  const auto& samples = instances[1].store.of_peer.begin()->second;
+  BOOST_REQUIRE(samples.size() == 1U);
+  BOOST_TEST(samples.begin()->second.outstanding == 7U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
