Give up early on a list that is read on a silent connection

Cause: the deadline of a call doubles after each one that exceeds it. When the store then rejects calls, the connection stays open and the deadline long. Checks do not run while a list is read.

Change: the reader notes whether its last call was answered. A list that uses the connection of such a call waits max_probe_deadline at most. If it gets no answer, a list that replaces a view is repeated at once: the next call uses a new connection, on which the long deadline still applies, since large replies may be slow to arrive.

--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -101,7 +101,7 @@
   void OnChecksFailed(ErrorKind error) override {
     if (outage_.is_away() || !has_list_) return;
     epoch_.Begin();
-    if (call_in_flight_) client_.Cancel();
+    CancelCall();
     Retry(error, &CollectionReader::Probe);
   }
 
@@ -122,14 +122,22 @@
     call_began_ = Now();
     return epoch_.Bind([handle](CollectionReader& self, Reply reply) {
       self.call_in_flight_ = false;
+      self.ObserveConnection(reply);
       handle(self, std::move(reply));
     });
   }
+  // Abandons the call in flight, if there is one, and its connection.
+  void CancelCall();
+  // Notes whether the store answered a call of client_.
+  void ObserveConnection(const Reply& reply);
   void ReadList(Freshness freshness);
   // Replaces the view. A cached list can be older than the history that the
   // store has kept, so that the watch after it would fail again.
   void ReadCurrentList();
   void ReadPage();
+  // A call on a connection that has answered may wait for a reply that never
+  // comes, and its failure tells nothing about the time that a reply takes.
+  [[nodiscard]] Duration ListDeadline() const;
   void OnPage(Reply reply);
   // Reads the changes since a cached list was made. Without a previous view, a
   // cached list alone may name targets that have left since.
@@ -179,6 +187,11 @@
   bool cache_lags_ = false;
   bool is_refreshing_ = false;
   bool call_in_flight_ = false;
+  // Whether the last call of client_ was answered. The next one then uses the
+  // same connection, which may have gone silent since.
+  bool is_connected_ = false;
+  // Whether the last call of client_ failed on such a connection.
+  bool connection_lost_ = false;
   // Start of the last call of client_.
   TimePoint call_began_{};
   TimePoint last_watch_{};
--- a/src/sapphirestream/store/collection_reader_impl.h
+++ b/src/sapphirestream/store/collection_reader_impl.h
@@ -15,7 +15,7 @@
   epoch_.Begin();
   context_.timer.Cancel(next_timer_);
   retry_ = nullptr;
-  if (call_in_flight_) client_.Cancel();
+  CancelCall();
   list_.Clear();
   list_freshness_ = freshness;
   last_relist_ = Now();
@@ -28,9 +28,32 @@
   ReadList(Freshness::kCurrent);
 }
 
+template <typename Record>
+void CollectionReader<Record>::CancelCall() {
+  if (!std::exchange(call_in_flight_, false)) return;
+  client_.Cancel();
+  is_connected_ = false;
+}
+
+template <typename Record>
+void CollectionReader<Record>::ObserveConnection(const Reply& reply) {
+  const bool is_failure = reply.error == ErrorKind::kStoreUnavailable ||
+                          reply.error == ErrorKind::kTimedOut;
+  const bool is_answered = !is_failure || reply.revision.era != kUnknownEra;
+  connection_lost_ = is_connected_ && !is_answered;
+  is_connected_ = is_answered;
+}
+
+template <typename Record>
+Duration CollectionReader<Record>::ListDeadline() const {
+  const Duration deadline = outage_.call_deadline();
+  return is_connected_ ? std::min(deadline, options_.max_probe_deadline)
+                       : deadline;
+}
+
 template <typename Record>
 void CollectionReader<Record>::ReadPage() {
-  client_.List(list_.last_name(), list_freshness_, outage_.call_deadline(),
+  client_.List(list_.last_name(), list_freshness_, ListDeadline(),
                OnReply([](CollectionReader& self, Reply reply) {
                  self.OnPage(std::move(reply));
                }));
@@ -260,6 +283,10 @@
                            error != ErrorKind::kRateLimited;
   if (takes_turns && !context_.probe_turns.Request(*this)) return;
   if (!takes_turns) context_.probe_turns.Leave(*this);
+  // The next call uses a new connection.
+  if (is_replacing_ && connection_lost_) {
+    return After(Duration::zero(), &CollectionReader::RetryNow);
+  }
   OnTurn();
 }
 
--- a/test/store/collection_reader_era_test.cc
+++ b/test/store/collection_reader_era_test.cc
@@ -167,6 +167,29 @@
   BOOST_TEST(events.back() == "snapshot@9 b c");
 }
 
+// The deadline of calls had doubled while the store did not answer. When it
+// rejected calls again, the connection went silent: the list of the next era
+// took 4 s, and a route was missing for as long.
+BOOST_AUTO_TEST_CASE(a_list_on_a_silent_connection_is_given_up_early) {
+  CollectionReaderOptions options = CachedOptions();
+  options.max_probe_deadline = 1500ms;
+  client.replies = {Reply(7, {"a"}), Failure(ErrorKind::kTimedOut),
+                    Failure(ErrorKind::kTimedOut),
+                    InEra(1, Failure(ErrorKind::kStoreUnavailable))};
+  Start(options);
+  while (client.calls.size() < 4U) time.RunFor(10ms);
+  time.RunFor(10ms);
+  reader->ObserveEra(StoreEra{2});
+  BOOST_TEST(client.calls.back() == "list ");
+  BOOST_TEST((client.deadlines.back() == 1500ms));
+  // A new connection may be slow.
+  client.replies = {InEra(2, Reply(9, {"b"}))};
+  client.unanswered.back()(Failure(ErrorKind::kStoreUnavailable));
+  time.RunFor(10ms);
+  BOOST_TEST((client.deadlines.back() == options.max_call_deadline));
+  BOOST_TEST(events.back() == "snapshot@9 b");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
