Keep the turn of a probe whose connection has gone silent

Cause: readers probe an unavailable store in turns. If the store rejects calls and the connections then go silent, each reader in turn waits for the deadline of a probe on its own connection.

Change: a probe that gets no answer on a connection that had answered before is repeated at once, on a new connection, before the turn passes on. It costs one call per connection that is lost during an outage.

Result: collection_reader/a_probe_on_a_silent_connection_keeps_its_turn fails without the change and passes with it; store_test passes (125 cases). The cause follows from the log of one instance and the times of its calls.

--- a/src/sapphirestream/store/collection_reader_impl.h
+++ b/src/sapphirestream/store/collection_reader_impl.h
@@ -276,17 +276,19 @@
     return After(options_.unusable_pause, &CollectionReader::RetryNow);
   }
   if (error == ErrorKind::kRateLimited) observer_.OnRateLimited();
-  if (outage_.OnFailure(error, Now())) observer_.OnStoreUnavailable(error);
+  const bool outage_begins = outage_.OnFailure(error, Now());
+  if (outage_begins) observer_.OnStoreUnavailable(error);
+  // The next call uses a new connection. The connections of the other readers
+  // may have gone silent as well, so the turn is kept.
+  if (connection_lost_ && (is_replacing_ || !outage_begins)) {
+    return After(Duration::zero(), &CollectionReader::RetryNow);
+  }
   // Without a usable view, a reader does not wait for the others; nor if the
   // store answers.
   const bool takes_turns = outage_.is_away() && has_list_ && !is_replacing_ &&
                            error != ErrorKind::kRateLimited;
   if (takes_turns && !context_.probe_turns.Request(*this)) return;
   if (!takes_turns) context_.probe_turns.Leave(*this);
-  // The next call uses a new connection.
-  if (is_replacing_ && connection_lost_) {
-    return After(Duration::zero(), &CollectionReader::RetryNow);
-  }
   OnTurn();
 }
 
--- a/test/store/collection_reader_outage_test.cc
+++ b/test/store/collection_reader_outage_test.cc
@@ -103,6 +103,31 @@
   BOOST_TEST(events.back() == "changes b");
 }
 
+// Connections went silent in an outage. Each of three readers in turn waited
+// for its own one, so that the outage lasted 5 s longer than that of the store.
+BOOST_AUTO_TEST_CASE(a_probe_on_a_silent_connection_keeps_its_turn) {
+  struct : ProbeTurns::Reader {
+    void OnTurn() override { ++count; }
+    int count = 0;
+  } other;
+  CollectionReply<int> rejection = Failure(ErrorKind::kStoreUnavailable);
+  rejection.revision = At(0);
+  client.replies = {Reply(7, {"a"}), rejection};
+  Start();
+  while (client.calls.size() < 3U) time.RunFor(1ms);
+  BOOST_TEST(!turns.Request(other));
+  client.replies = {Failure(ErrorKind::kStoreUnavailable),
+                    Failure(ErrorKind::kStoreUnavailable)};
+  client.unanswered.back()(Failure(ErrorKind::kStoreUnavailable));
+  time.RunFor(1ms);
+  BOOST_TEST(client.calls.size() == 4U);
+  BOOST_TEST(other.count == 0);
+  // The failure on the new connection ends the turn.
+  time.RunFor(10ms);
+  BOOST_TEST(client.calls.size() == 4U);
+  BOOST_TEST(other.count == 1);
+}
+
 // The calls of one reader failed for a reason of their own, and the other
 // reader waited for its success for 20 s.
 BOOST_AUTO_TEST_CASE(a_reader_whose_probe_failed_gives_its_turn_to_another) {
