Soak: evacuate domains, limit cold targets, slow targets and bursts

Cause: no play of the soak met an evacuation, a limit on cold targets, a target of varying speed or varying demand.

One domain at a time is evacuated; the operator writes its entry again after a restoration. The new faults draw from random sources of their own.

Targets serve in 10 ms instead of 20 ms, so that one target has the capacity for its service.

--- a/testing/flow_ends/flow_target.cc
+++ b/testing/flow_ends/flow_target.cc
@@ -67,6 +67,7 @@
     flow.sequence = flow.opening + 1;
     observer_.OnOpeningReceived(options_.key, packet.from);
   }
+  observer_.OnOpeningPacket(options_.key, packet, is_new);
   flow.token = packet.token;
   if (flow.is_open) return;
   FlowPacket answer;
--- a/testing/flow_ends/flow_target.h
+++ b/testing/flow_ends/flow_target.h
@@ -32,6 +32,10 @@
     // An opening packet of an unknown flow arrived.
     virtual void OnOpeningReceived(TargetKey /*target*/,
                                    V4Endpoint /*client*/) {}
+    // An opening packet arrived. `is_new`: it is the first one of its flow.
+    virtual void OnOpeningPacket(TargetKey /*target*/,
+                                 const FlowPacket& /*packet*/,
+                                 bool /*is_new*/) {}
     virtual void OnOpened(TargetKey target, V4Endpoint client) = 0;
     // A packet of a flow that this target does not have arrived.
     virtual void OnUnknownFlow(TargetKey target, const FlowPacket& packet) = 0;
@@ -49,6 +53,8 @@
   void OnDatagram(std::span<const std::byte> datagram);
   // Closes each flow with its next response.
   void Drain() noexcept { draining_ = true; }
+  // Applies to requests that start from now on.
+  void SetServiceTime(Duration time) noexcept { options_.service_time = time; }
 
   [[nodiscard]] TargetKey key() const noexcept { return options_.key; }
   [[nodiscard]] bool Holds(V4Endpoint client) const {
--- a/testing/soak/edge_process.h
+++ b/testing/soak/edge_process.h
@@ -3,6 +3,7 @@
 #define SAPPHIRESTREAM_TESTING_SOAK_EDGE_PROCESS_H_
 
 #include <boost/process/child.hpp>
+#include <chrono>
 #include <filesystem>
 #include <optional>
 #include <string>
@@ -21,6 +22,11 @@
   V4Endpoint ready;
   V4Endpoint metrics;
   V4Endpoint store;
+  // For messages between instances.
+  V4Endpoint peer;
+  std::chrono::milliseconds evacuation_bound{};
+  // Addresses of other instances, separated by commas.
+  std::string seeds;
 };
 
 class EdgeProcess {
--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -46,6 +46,7 @@
     world.RunFor(kRecoveryTime);
     world.ExpectAllAnswered();
     schedule.DrainAnyTarget();
+    schedule.EvacuateAnyDomain();
     world.RunFor(kVerificationTime);
     world.Stop();
     const SoakCounts& counts = world.counts();
@@ -54,6 +55,9 @@
               << " retried=" << counts.retried
               << " given_up=" << counts.given_up
               << " config_checks=" << counts.config_checks
+              << " evacuation_checks=" << counts.evacuation_checks
+              << " cold_flows=" << counts.limited_cold_flows << "/"
+              << counts.cold_flows << " unserved=" << counts.unserved
               << " violations=" << world.violations().size() << std::endl;
     has_passed = world.violations().empty();
   }
--- a/testing/soak/soak_clients.cc
+++ b/testing/soak/soak_clients.cc
@@ -38,18 +38,23 @@
 
 void SoakWorld::GenerateLoad() {
   if (!load_running_) return;
+  OpenRandomFlow(random_);
+  for (unsigned i = 1; i < load_factor_; ++i) OpenRandomFlow(burst_random_);
+  timer_.After(kLoadPeriod, [this] { GenerateLoad(); });
+}
+
+void SoakWorld::OpenRandomFlow(Random& random) {
   FlowPlan plan;
   plan.id = "f" + std::to_string(++next_flow_);
   constexpr std::uint64_t kinds = 5;
-  const std::uint64_t kind = random_.Below(kinds);
+  const std::uint64_t kind = random.Below(kinds);
   plan.service = kind < 2 ? kFeed : kind < 4 ? kOrders : kPhotos;
   // Half of the clients send several requests per connection.
-  if (random_.Below(2) == 0) {
-    plan.requests = 2 + static_cast<std::uint32_t>(random_.Below(12));
-    plan.pause = std::chrono::milliseconds(50 + random_.Below(350));
+  if (random.Below(2) == 0) {
+    plan.requests = 2 + static_cast<std::uint32_t>(random.Below(12));
+    plan.pause = std::chrono::milliseconds(50 + random.Below(350));
   }
   OpenFlow(std::move(plan), kind >= 2, 1);
-  timer_.After(kLoadPeriod, [this] { GenerateLoad(); });
 }
 
 V4Endpoint SoakWorld::NextClient() {
@@ -111,6 +116,11 @@
 }
 
 void SoakWorld::SendTo(std::size_t index, std::span<const std::byte> packet) {
+  const auto decoded = testing::DecodeFlowPacket(packet);
+  if (const auto it = flows_.find(Value(decoded->from));
+      decoded->opens && it != flows_.end()) {
+    it->second.openings.at(decoded->acknowledged) = clock_.Now();
+  }
   const V4Endpoint to = instances_.at(index).process->options().data;
   boost::system::error_code ignored;  // the process may not run
   clients_socket_.send_to(asio::buffer(packet.data(), packet.size()),
@@ -165,7 +175,12 @@
   }
   const bool is_calm =
       open_faults_ == 0 && flow.began - last_fault_ > kRecoveryLimit;
-  if ((is_calm && !MayUseStaleView(flow)) || all_answered_from_ < flow.began) {
+  const bool must_be_answered =
+      (is_calm && !MayUseStaleView(flow)) || all_answered_from_ < flow.began;
+  if (!must_be_answered) return;
+  if (WasUnserved(flow)) {
+    ++counts_.unserved;
+  } else {
     AddViolation(text + ", without an unplanned fault");
   }
 }
--- a/testing/soak/soak_faults.cc
+++ b/testing/soak/soak_faults.cc
@@ -152,6 +152,7 @@
   --open_faults_;
   RecordFault();
   targets_.at(index).process->Start();
+  SetCold(*targets_.at(index).process);
   WriteEntry(*targets_.at(index).process);
 }
 
--- a/testing/soak/soak_schedule.cc
+++ b/testing/soak/soak_schedule.cc
@@ -47,6 +47,8 @@
 // Entries of another writer.
 constexpr std::uint64_t kEntrySeed = 0xd1b54a32d192ed03;
 constexpr std::uint64_t kMaxEntryGapMs = 2000;
+constexpr std::uint64_t kEvacuationSeed = 0xa0761d6478bd642f;
+constexpr std::uint64_t kLoadSeed = 0xe7037ed1a0b428db;
 
 }  // namespace
 
@@ -54,7 +56,9 @@
     : world_(world),
       restoration_random_(~world.seed()),
       view_random_(world.seed() ^ kViewSeed),
-      entry_random_(world.seed() ^ kEntrySeed) {}
+      entry_random_(world.seed() ^ kEntrySeed),
+      evacuation_random_(world.seed() ^ kEvacuationSeed),
+      load_random_(world.seed() ^ kLoadSeed) {}
 
 SoakSchedule::~SoakSchedule() { EndAllFaults(); }
 
@@ -63,6 +67,8 @@
   ScheduleRestoration();
   ScheduleViewFault();
   ScheduleOddEntry();
+  ScheduleEvacuation();
+  ScheduleLoadFault();
 }
 
 void SoakSchedule::ScheduleNext() {
@@ -78,8 +84,12 @@
   world_.timer().Cancel(next_);
   world_.timer().Cancel(next_restoration_);
   world_.timer().Cancel(next_view_fault_);
+  world_.timer().Cancel(next_evacuation_);
+  world_.timer().Cancel(next_load_fault_);
   // The entries stay: they are no fault that ends.
   world_.timer().Cancel(next_odd_entry_);
+  EndEvacuation();
+  EndLoadFault();
   for (ActiveFault& fault : std::exchange(active_faults_, {})) {
     world_.timer().Cancel(fault.timer);
     fault.end();
@@ -204,6 +214,7 @@
   world_.SetStoreFault(StoreFault::kUnavailable);
   ScheduleEnd(outage, [this, age] {
     world_.RestoreStore(age);
+    ScheduleRewrite();
     world_.timer().After(kRegistrationDelay,
                          [this] { world_.RestoreEntries(); });
     world_.timer().After(kExpiryDelay,
--- a/testing/soak/soak_schedule.h
+++ b/testing/soak/soak_schedule.h
@@ -6,6 +6,8 @@
 #include <cstddef>
 #include <functional>
 #include <list>
+#include <optional>
+#include <string>
 
 #include "testing/soak/soak_world.h"
 
@@ -25,6 +27,8 @@
   // Drains a target until the end. While no fault is active, each instance must
   // learn of it.
   void DrainAnyTarget();
+  // Evacuates a failure domain until the end, if another one can serve.
+  void EvacuateAnyDomain();
 
  private:
   struct ActiveFault {
@@ -53,6 +57,16 @@
   void CutOffTarget();
   // And so have entries that another writer leaves among those of the targets.
   void ScheduleOddEntry();
+  // Evacuations of failure domains, and slow targets and bursts of clients, of
+  // which one is active at a time, each have a random source of their own too.
+  void ScheduleEvacuation();
+  void InjectEvacuation();
+  void EndEvacuation();
+  void ScheduleLoadFault();
+  void InjectLoadFault();
+  void EndLoadFault();
+  // The operator writes evacuations again some time after a restoration.
+  void ScheduleRewrite();
   void InjectTargetFault();
   void DrainAndReplaceRandomTarget();
   // Does nothing if the service needs the target.
@@ -66,13 +80,20 @@
   SeededRandom restoration_random_;
   SeededRandom view_random_;
   SeededRandom entry_random_;
+  SeededRandom evacuation_random_;
+  SeededRandom load_random_;
   TimerId next_ = kNoTimer;
   TimerId next_restoration_ = kNoTimer;
   TimerId next_view_fault_ = kNoTimer;
   TimerId next_odd_entry_ = kNoTimer;
+  TimerId next_evacuation_ = kNoTimer;
+  TimerId next_load_fault_ = kNoTimer;
   std::list<ActiveFault> active_faults_;
   bool store_fault_active_ = false;
   bool packet_loss_active_ = false;
+  // The failure domain that is evacuated; empty if there is none.
+  std::string evacuated_;
+  std::optional<std::size_t> slow_target_;
 };
 
 }  // namespace sapphirestream::soak
--- a/testing/soak/soak_target.cc
+++ b/testing/soak/soak_target.cc
@@ -9,6 +9,13 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+namespace {
+
+// One target has enough capacity for the clients of its service.
+constexpr Duration kServiceTime = std::chrono::milliseconds(10);
+
+}  // namespace
+
 SoakTarget::SoakTarget(asio::io_context& context, const TargetRecord& record,
                        const Udp::endpoint& clients, Timer& timer,
                        testing::FlowTarget::Observer& observer)
@@ -39,7 +46,9 @@
       [](const Error& error) { throw std::runtime_error(error.detail); },
       [] { throw std::runtime_error("cannot open the sockets of a target"); });
   flows_ = std::make_unique<testing::FlowTarget>(
-      testing::FlowTargetOptions{.key = record_.key, .slots = record_.slots},
+      testing::FlowTargetOptions{.key = record_.key,
+                                 .slots = record_.slots,
+                                 .service_time = slowness_ * kServiceTime},
       timer_,
       [this](std::span<const std::byte> packet) {
         if (!socket_) return;
@@ -73,6 +82,11 @@
   if (flows_) flows_->Drain();
 }
 
+void SoakTarget::SetSlowness(unsigned factor) {
+  slowness_ = factor;
+  if (flows_) flows_->SetServiceTime(factor * kServiceTime);
+}
+
 void SoakTarget::Read() {
   socket_->async_receive_from(
       asio::buffer(buffer_), from_,
--- a/testing/soak/soak_target.h
+++ b/testing/soak/soak_target.h
@@ -35,6 +35,9 @@
   void Freeze() noexcept { frozen_ = true; }
   void Thaw();
   void Drain();
+  // Requests take `factor` times as long, also after a restart.
+  void SetSlowness(unsigned factor);
+  void SetColdUntil(TimePoint time) noexcept { cold_until_ = time; }
 
   [[nodiscard]] const TargetRecord& record() const noexcept { return record_; }
   [[nodiscard]] bool is_running() const noexcept { return flows_ != nullptr; }
@@ -44,6 +47,7 @@
   [[nodiscard]] bool Holds(V4Endpoint client) const {
     return flows_ && flows_->Holds(client);
   }
+  [[nodiscard]] TimePoint cold_until() const noexcept { return cold_until_; }
   // Address of the instance whose datagram is being handled.
   [[nodiscard]] V4Endpoint sender() const noexcept { return sender_; }
 
@@ -62,6 +66,8 @@
   Timer& timer_;
   testing::FlowTarget::Observer& observer_;
   bool frozen_ = false;
+  unsigned slowness_ = 1;
+  TimePoint cold_until_{};
   std::vector<Datagram> queued_;
   std::vector<HttpServer::Reply> queued_checks_;
   V4Endpoint sender_;
