--- a/src/sapphirestream/store/collection_reader_impl.h
+++ b/src/sapphirestream/store/collection_reader_impl.h
@@ -15,7 +15,7 @@
   epoch_.Begin();
   context_.timer.Cancel(next_timer_);
   retry_ = nullptr;
-  if (call_in_flight_) client_.Cancel();
+  CancelCall();
   list_.Clear();
   list_freshness_ = freshness;
   last_relist_ = Now();
@@ -28,9 +28,32 @@
   ReadList(Freshness::kCurrent);
 }
 
+template <typename Record>
+void CollectionReader<Record>::CancelCall() {
+  if (!std::exchange(call_in_flight_, false)) return;
+  client_.Cancel();
+  is_connected_ = false;
+}
+
+template <typename Record>
+void CollectionReader<Record>::ObserveConnection(const Reply& reply) {
+  const bool is_failure = reply.error == ErrorKind::kStoreUnavailable ||
+                          reply.error == ErrorKind::kTimedOut;
+  const bool is_answered = !is_failure || reply.revision.era != kUnknownEra;
+  connection_lost_ = is_connected_ && !is_answered;
+  is_connected_ = is_answered;
+}
+
+template <typename Record>
+Duration CollectionReader<Record>::ListDeadline() const {
+  const Duration deadline = outage_.call_deadline();
+  return is_connected_ ? std::min(deadline, options_.max_probe_deadline)
+                       : deadline;
+}
+
 template <typename Record>
 void CollectionReader<Record>::ReadPage() {
-  client_.List(list_.last_name(), list_freshness_, outage_.call_deadline(),
+  client_.List(list_.last_name(), list_freshness_, ListDeadline(),
                OnReply([](CollectionReader& self, Reply reply) {
                  self.OnPage(std::move(reply));
                }));
@@ -253,7 +276,13 @@
     return After(options_.unusable_pause, &CollectionReader::RetryNow);
   }
   if (error == ErrorKind::kRateLimited) observer_.OnRateLimited();
-  if (outage_.OnFailure(error, Now())) observer_.OnStoreUnavailable(error);
+  const bool outage_begins = outage_.OnFailure(error, Now());
+  if (outage_begins) observer_.OnStoreUnavailable(error);
+  // The next call uses a new connection. The connections of the other readers
+  // may have gone silent as well, so the turn is kept.
+  if (connection_lost_ && (is_replacing_ || !outage_begins)) {
+    return After(Duration::zero(), &CollectionReader::RetryNow);
+  }
   // Without a usable view, a reader does not wait for the others; nor if the
   // store answers.
   const bool takes_turns = outage_.is_away() && has_list_ && !is_replacing_ &&
--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -46,7 +46,10 @@
     world.RunFor(kRecoveryTime);
     world.ExpectAllAnswered();
     schedule.DrainAnyTarget();
+    schedule.EvacuateAnyDomain();
     world.RunFor(kVerificationTime);
+    schedule.EndEvacuation();
+    world.RunFor(kColdStart);
     world.Stop();
     const SoakCounts& counts = world.counts();
     std::cout << "seed " << options.seed << ": flows=" << counts.flows
@@ -54,6 +57,9 @@
               << " retried=" << counts.retried
               << " given_up=" << counts.given_up
               << " config_checks=" << counts.config_checks
+              << " evacuation_checks=" << counts.evacuation_checks
+              << " cold_flows=" << counts.limited_cold_flows << "/"
+              << counts.cold_flows << " unserved=" << counts.unserved
               << " violations=" << world.violations().size() << std::endl;
     has_passed = world.violations().empty();
   }
