Explain placements over HTTP

Cause: operators could not see where a new flow would go now, and why. Change: GET /explain?client=A:P&route=A:P on the metrics address; the handlers of the HTTP interfaces have a file of their own. BalancedPlacer can preview a placement on a copy of its state.

--- a/src/sapphirestream/edge/balanced_placement.cc
+++ b/src/sapphirestream/edge/balanced_placement.cc
@@ -155,6 +155,24 @@
 
 EdgePlacement BalancedPlacer::Place(const std::vector<EdgeTarget*>& targets,
                                     const PlacementQuery& query) {
+  return Select(targets, query,
+                [this](SpillKey key) -> SpillControl& { return spill_[key]; });
+}
+
+std::optional<EdgePlacement> BalancedPlacer::Preview(
+    const std::vector<EdgeTarget*>& targets,
+    const PlacementQuery& query) const {
+  SpillControl copy;
+  return Select(targets, query, [this, &copy](SpillKey key) -> SpillControl& {
+    const auto it = spill_.find(key);
+    if (it != spill_.end()) copy = it->second;
+    return copy;
+  });
+}
+
+EdgePlacement BalancedPlacer::Select(const std::vector<EdgeTarget*>& targets,
+                                     const PlacementQuery& query,
+                                     const SpillOf& spill_of) const {
   DomainView local;
   DomainView remote;
   Shortlist unproven;
@@ -179,7 +197,7 @@
   const Candidate& near = local.Best(margin);
   const Candidate& far = remote.Best(margin);
   SpillControl& spill =
-      spill_[{near.target->service, query.kind == RequestKind::kUpload}];
+      spill_of({near.target->service, query.kind == RequestKind::kUpload});
   spill.Update(local.Load(), remote.Load(), query.now);
   constexpr auto crossing =
       static_cast<Cost>(SpillControl::kCrossingCost * kCostUnit);
--- a/src/sapphirestream/edge/balanced_placement.h
+++ b/src/sapphirestream/edge/balanced_placement.h
@@ -7,6 +7,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -45,6 +47,10 @@
   [[nodiscard]] EdgePlacement Place(const std::vector<EdgeTarget*>& targets,
                                     const PlacementQuery& query) override;
 
+  [[nodiscard]] std::optional<EdgePlacement> Preview(
+      const std::vector<EdgeTarget*>& targets,
+      const PlacementQuery& query) const override;
+
   // Returns the share of a service's new flows that may go to other failure
   // domains.
   [[nodiscard]] double SpillShare(ServiceNumber service,
@@ -65,6 +71,13 @@
     }
   };
 
+  // Returns the control to update and to apply.
+  using SpillOf = std::function<SpillControl&(SpillKey)>;
+
+  [[nodiscard]] EdgePlacement Select(const std::vector<EdgeTarget*>& targets,
+                                     const PlacementQuery& query,
+                                     const SpillOf& spill_of) const;
+
   const PerformanceSource& performance_;
   std::unordered_map<SpillKey, SpillControl, SpillKeyHash> spill_;
 };
--- a/src/sapphirestream/edge/placement_explanation.cc
+++ b/src/sapphirestream/edge/placement_explanation.cc
@@ -180,7 +180,7 @@
       .flow_hash = hash,
       .now = now,
       .exclude_cold =
-          view.limits_cold_targets && spec.cold_flows_per_s.has_value(),
+          view.evacuates_domains && spec.cold_flows_per_s.has_value(),
       .objective = route->objective};
   PlacementExplanation explanation;
   explanation.client = query.client;
--- a/src/sapphirestream/edge/placement_explanation.h
+++ b/src/sapphirestream/edge/placement_explanation.h
@@ -78,7 +78,7 @@
   // Null if all flows are admitted.
   const AdmissionControl* admission = nullptr;
   // Same as in SteeringOptions.
-  bool limits_cold_targets = false;
+  bool evacuates_domains = false;
 };
 
 struct ExplanationQuery {
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -6,8 +6,6 @@
 #include <random>
 #include <utility>
 
-#include "sapphirestream/admin/metrics.h"
-
 namespace sapphirestream {
 
 namespace asio = boost::asio;
@@ -126,7 +124,7 @@
                     HttpServer::Open(context_, settings_.metrics,
                                      [this](const HttpRequest& request,
                                             const HttpServer::Reply& reply) {
-                                       reply(HandleMetrics(request));
+                                       reply(HandleOperatorRequest(request));
                                      }));
   if (load_ && settings_.peer) {
     BOOST_LEAF_ASSIGN(peers_,
@@ -354,26 +352,6 @@
   }
 }
 
-HttpResponse EdgeInstance::HandleReadinessCheck(const HttpRequest& request) {
-  constexpr int ok = 200;
-  constexpr int not_found = 404;
-  constexpr int unavailable = 503;
-  if (request.target != platform_.ready_path()) {
-    return {.status = not_found, .body = "{}"};
-  }
-  OnViewChanged();
-  const EdgeState state = lifecycle_.state();
-  return {.status = state == EdgeState::kServing ? ok : unavailable,
-          .body = "{\"state\":\"" + std::string(Name(state)) + "\"}"};
-}
-
-HttpResponse EdgeInstance::HandleMetrics(const HttpRequest& /*request*/) {
-  return {.content_type = "text/plain; version=0.0.4",
-          .body = RenderMetrics(counters_) +
-                  flow_log_.opening_latency().Render("flow_opening_seconds") +
-                  flow_log_.request_latency().Render("request_answer_seconds")};
-}
-
 void EdgeInstance::Forward(TargetKey target, V4Endpoint address,
                            std::span<const std::byte> packet,
                            std::optional<FlowToken> token) {
--- a/src/sapphirestream/edge_io/edge_instance.h
+++ b/src/sapphirestream/edge_io/edge_instance.h
@@ -116,7 +116,9 @@
   void RequestStop();
   void StopWhenDrained(TimePoint now);
   [[nodiscard]] HttpResponse HandleReadinessCheck(const HttpRequest& request);
-  [[nodiscard]] HttpResponse HandleMetrics(const HttpRequest& request);
+  // Answers with the metrics, or with an explanation of a placement.
+  [[nodiscard]] HttpResponse HandleOperatorRequest(const HttpRequest& request);
+  [[nodiscard]] HttpResponse Explain(const HttpRequest& request);
   void OnViewChanged();
   // Updates the ages of the view, and starts the checks that are due.
   void CheckAges();
--- a/test/edge/placement_explanation_test.cc
+++ b/test/edge/placement_explanation_test.cc
@@ -51,7 +51,7 @@
   PlacementView view{.routes = routes,
                      .targets = targets,
                      .placer = placer,
-                     .limits_cold_targets = true};
+                     .evacuates_domains = true};
 };
 
 BOOST_FIXTURE_TEST_SUITE(placement_explanation, Fixture)
