Estimate remote targets only when flows may cross

Cause: three quarters of the targets are remote, and their estimates are needed only if the domain is saturated or has no eligible target. Change: BalancedPlacer collects them, and reads their estimates when needed.

--- a/src/sapphirestream/edge/balanced_placement.cc
+++ b/src/sapphirestream/edge/balanced_placement.cc
@@ -141,6 +141,16 @@
   double own_outstanding_ = 0;
 };
 
+DomainView ViewOf(const std::vector<EdgeTarget*>& targets,
+                  const PerformanceSource& performance,
+                  const PlacementQuery& query) {
+  DomainView view;
+  for (EdgeTarget* const target : targets) {
+    view.Add(*target, performance.Estimate(*target, query.now), query);
+  }
+  return view;
+}
+
 EdgePlacement LocalPlacement(const Candidate& best) {
   return {best.target, best.has_slot ? PlacementTier::kLocalSlot
                                      : PlacementTier::kLocalQueue};
@@ -156,31 +166,40 @@
 EdgePlacement BalancedPlacer::Place(const std::vector<EdgeTarget*>& targets,
                                     const PlacementQuery& query) {
   DomainView local;
-  DomainView remote;
   Shortlist unproven;
+  remote_.clear();
   for (EdgeTarget* const target : targets) {
     const PlacementTier tier = TierOf(*target, query);
     if (tier == PlacementTier::kNone) continue;
     if (tier == PlacementTier::kUnproven) {
       unproven.Add({target, {query.flow_hash, target->record.key, 1}});
-      continue;
+    } else if (target->is_local) {
+      local.Add(*target, performance_.Estimate(*target, query.now), query);
+    } else {
+      remote_.push_back(target);
     }
-    (target->is_local ? local : remote)
-        .Add(*target, performance_.Estimate(*target, query.now), query);
   }
   const Cost margin = PeerMargin(query.flow_hash);
-  if (local.empty() && remote.empty()) {
+  if (local.empty() && remote_.empty()) {
     if (unproven.empty()) return {};
     return {unproven.Cheapest(0).target, PlacementTier::kUnproven};
   }
-  if (local.empty()) return RemotePlacement(remote.Best(margin));
-  if (remote.empty()) return LocalPlacement(local.Best(margin));
+  if (remote_.empty()) return LocalPlacement(local.Best(margin));
+  if (local.empty()) {
+    return RemotePlacement(ViewOf(remote_, performance_, query).Best(margin));
+  }
 
   const Candidate& near = local.Best(margin);
-  const Candidate& far = remote.Best(margin);
+  const DomainLoad load = local.Load();
   SpillControl& spill =
       spill_[{near.target->service, query.kind == RequestKind::kUpload}];
-  spill.Update(local.Load(), remote.Load(), query.now);
+  if (spill.IsIdle(load)) {
+    spill.Update(load, {}, query.now);
+    return LocalPlacement(near);
+  }
+  const DomainView remote = ViewOf(remote_, performance_, query);
+  const Candidate& far = remote.Best(margin);
+  spill.Update(load, remote.Load(), query.now);
   constexpr auto crossing =
       static_cast<Cost>(SpillControl::kCrossingCost * kCostUnit);
   const bool crosses = !near.has_slot && spill.MayCross(query.flow_hash) &&
--- a/src/sapphirestream/edge/balanced_placement.h
+++ b/src/sapphirestream/edge/balanced_placement.h
@@ -66,6 +66,8 @@
   };
 
   const PerformanceSource& performance_;
+  // Eligible remote targets during a call of Place; kept to reuse its memory.
+  std::vector<EdgeTarget*> remote_;
   std::unordered_map<SpillKey, SpillControl, SpillKeyHash> spill_;
 };
 
--- a/src/sapphirestream/edge/spill_control.h
+++ b/src/sapphirestream/edge/spill_control.h
@@ -67,6 +67,12 @@
   void Update(const DomainLoad& local, const DomainLoad& remote,
               TimePoint now) noexcept;
 
+  // Whether no flow may cross at this local load, whatever the remote one. The
+  // remote load is then not needed for Update.
+  [[nodiscard]] bool IsIdle(const DomainLoad& local) const noexcept {
+    return share_ == 0 && local.expected_wait <= kCrossingCost;
+  }
+
   // A flow was placed, in another domain if `crossed`.
   void OnPlaced(bool crossed) noexcept;
 
