--- a/src/sapphirestream/edge/spill_control.cc
+++ b/src/sapphirestream/edge/spill_control.cc
@@ -30,17 +30,17 @@
 }
 
 double SpillControl::Traffic::RequestTime() const noexcept {
-  return outstanding / std::max(flows, 1e-3);
+  // Rejected requests end at once.
+  return outstanding / std::max(flows, 1e-3) / (1 - failure_share);
 }
 
 double SpillControl::Limit() const noexcept {
   const double local_time = local_.RequestTime();
   if (local_time <= 0) return kUnprovenShare;
-  // Rejected requests end early and are repeated. Local ones are not corrected
-  // for: the failures of the other domains are known less well, and a domain
-  // must not appear better than its equals.
-  const double successful = 1 - remote_.failure_share;
-  const double remote_time = remote_.RequestTime() / (successful * successful);
+  // Rejected requests are repeated. This counts against other domains only,
+  // since their rejections are known less well.
+  const double remote_time =
+      remote_.RequestTime() / (1 - remote_.failure_share);
   const double gain = 1 - remote_time / local_time;
   const double proven =
       std::clamp(kMaxShare * gain / kFullGain, kProbeShare, kMaxShare);
