--- a/src/sapphirestream/edge/balanced_placement.h
+++ b/src/sapphirestream/edge/balanced_placement.h
@@ -79,6 +79,8 @@
                                      const SpillOf& spill_of) const;
 
   const PerformanceSource& performance_;
+  // Eligible remote targets during a call of Place; kept to reuse its memory.
+  mutable std::vector<EdgeTarget*> remote_;
   std::unordered_map<SpillKey, SpillControl, SpillKeyHash> spill_;
 };
 
