Send at least every 400 ms, and 10 KB/s at most

Cause: with 500 ms between two messages, the third one arrives as the silence timeout of 1.5 s expires, so that two lost messages may look like a dead instance.

Change: messages at least every 400 ms, repetition of counts every 350 ms, a budget of 10 KB/s. A test loses two messages of each idle instance; it passed before this change as well, by the phase of the ticks.

--- a/src/sapphirestream/edge/introduction_budget.h
+++ b/src/sapphirestream/edge/introduction_budget.h
@@ -22,7 +22,7 @@
   // When many instances start at the same time: 28 full answers and 58 short
   // ones.
   static constexpr std::int64_t kBurst = 8'000;
-  static constexpr Duration kPeriod = std::chrono::milliseconds(500);
+  static constexpr Duration kPeriod = std::chrono::milliseconds(400);
 
   void OnReceived(std::size_t bytes) noexcept { current_ += bytes; }
   void OnSent(std::size_t bytes) noexcept {
--- a/src/sapphirestream/edge/peer_directory.h
+++ b/src/sapphirestream/edge/peer_directory.h
@@ -69,8 +69,8 @@
   static constexpr std::size_t kNeighborsPerSide = 16;
   static constexpr std::size_t kMaxNeighbors = 2 * kNeighborsPerSide;
   static constexpr std::size_t kMaxPeers = 128;
-  // A peer whose samples are silent for this time is lost. Three times the
-  // longest interval between two messages.
+  // A peer whose samples are silent for this time is lost. Leaves time for
+  // three messages, two of which may be lost in the network.
   static constexpr Duration kSilenceTimeout = std::chrono::milliseconds(1500);
   // An address that is neither heard nor mentioned for this time is forgotten.
   // Until then it is contacted at growing intervals, so that both parts of a
--- a/src/sapphirestream/edge/peer_exchange.h
+++ b/src/sapphirestream/edge/peer_exchange.h
@@ -53,7 +53,7 @@
   static constexpr Duration kTickInterval = std::chrono::milliseconds(100);
   // Longest time between two messages to a neighbor, also when idle: two of
   // them may be lost before the neighbor misses them.
-  static constexpr Duration kMaxSendInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kMaxSendInterval = std::chrono::milliseconds(400);
   // A message that waited longer was queued while this process was not running,
   // and its counts of outstanding requests are out of date.
   static constexpr Duration kMaxMessageAge = std::chrono::milliseconds(500);
@@ -63,7 +63,7 @@
   // Bytes per second sent to all others, headers included. An instance receives
   // about as much, and a little more from new instances that do not know their
   // neighbors yet; together this stays below 26 KB/s.
-  static constexpr std::size_t kMaxSendRate = 11'000;
+  static constexpr std::size_t kMaxSendRate = 10'000;
   // Bytes per second sent to each neighbor. Covers the samples of 20 requests
   // per second; limits the traffic of small domains.
   static constexpr std::size_t kMaxNeighborRate = 500;
--- a/src/sapphirestream/edge/sample_backlog.h
+++ b/src/sapphirestream/edge/sample_backlog.h
@@ -20,9 +20,9 @@
   // Repetitions of a count of zero; a nonzero count is repeated until it
   // changes.
   static constexpr std::uint8_t kZeroRepeats = 2;
-  // Time between two repetitions. A third of the time after which peers drop a
-  // count that they no longer hear, less the tolerance of a timer.
-  static constexpr Duration kRepeatInterval = std::chrono::milliseconds(450);
+  // Time between two repetitions: a little less than the longest time between
+  // two messages, so that an idle instance repeats its counts in each.
+  static constexpr Duration kRepeatInterval = std::chrono::milliseconds(350);
   // A count that was not reported for this time is no longer repeated: its
   // target may have been removed.
   static constexpr Duration kMaxReportAge = std::chrono::seconds(60);
--- a/test/edge/peer_exchange_test.cc
+++ b/test/edge/peer_exchange_test.cc
@@ -130,6 +130,21 @@
   BOOST_TEST(Hears(0, ids[4]));
 }
 
+// A loss in the network must not look like a dead instance.
+BOOST_AUTO_TEST_CASE(an_idle_peer_is_not_lost_when_two_messages_are) {
+  StartAll(10);
+  network.Run(3s);
+  for (int i = 0; i < 10; ++i) {
+    network.loss = 1;
+    network.Run(2 * PeerExchange::kMaxSendInterval - 10ms);
+    network.loss = 0;
+    network.Run(700ms);
+    for (const auto& [address, node] : network.nodes) {
+      BOOST_TEST(node->store.erased.empty());
+    }
+  }
+}
+
 // The messages that were queued in its socket show a state that is long past.
 BOOST_AUTO_TEST_CASE(an_instance_that_wakes_ignores_what_was_queued) {
   StartAll(5);
