Apply changed seeds without a restart

Cause: a reloaded settings file with other seeds was ignored by the exchange. Change: PeerLink passes the new seeds on.

--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -317,7 +317,7 @@
       next->heartbeat != settings_.heartbeat ||
       next->EvacuatesDomains() != settings_.EvacuatesDomains() ||
       next->IsInForce(PlatformRule::kTargetHealth) != (load_ != nullptr) ||
-      next->peer != settings_.peer || next->seeds != settings_.seeds ||
+      next->peer != settings_.peer ||
       next->flow_capacity != settings_.flow_capacity;
   const bool watches_changed =
       next->store != settings_.store ||
@@ -330,6 +330,7 @@
       ConfigWatchInterval(*next) != ConfigWatchInterval(settings_);
   if (next->store != settings_.store) view_.ForgetRevisions();
   settings_ = *next;
+  if (peers_) peers_->SetSeeds(settings_.seeds);
   lines_.set_threshold(settings_.log_level);
   if (watches_changed) StartReaders();
   log_.Write(LogLevel::kInfo, "reloaded",
--- a/src/sapphirestream/edge_io/peer_link.cc
+++ b/src/sapphirestream/edge_io/peer_link.cc
@@ -1,22 +1,32 @@
 #include "sapphirestream/edge_io/peer_link.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sapphirestream {
 namespace {
 
+// Returns the addresses of the seeds' peer ports: they name other ports, and
+// the peer port is the same on all instances.
+std::vector<V4Endpoint> PeerAddressesOf(const std::vector<Endpoint>& seeds,
+                                        std::uint16_t port) {
+  std::vector<V4Endpoint> addresses;
+  for (const Endpoint& seed : seeds) {
+    if (const auto address = ToV4(seed)) {
+      addresses.push_back({address->address, port});
+    }
+  }
+  return addresses;
+}
+
 PeerExchangeOptions OptionsFor(const EdgeSettings& settings,
                                const PeerPort& port, Random& random) {
   PeerExchangeOptions options;
   options.own = port.local();
-  options.id = PeerId{random.Next()};
+  // Zero is no valid id.
+  options.id = PeerId{std::max<std::uint64_t>(random.Next(), 1)};
   options.domain = settings.domain;
-  for (const Endpoint& seed : settings.seeds) {
-    // Seeds name another port of the instance.
-    if (const auto address = ToV4(seed)) {
-      options.seeds.push_back({address->address, options.own.port});
-    }
-  }
+  options.seeds = PeerAddressesOf(settings.seeds, options.own.port);
   return options;
 }
 
@@ -42,6 +52,10 @@
   return link;
 }
 
+void PeerLink::SetSeeds(const std::vector<Endpoint>& seeds) {
+  exchange_->SetSeeds(PeerAddressesOf(seeds, port_->local().port));
+}
+
 void PeerLink::Start() {
   port_->Start();
   Tick();
--- a/src/sapphirestream/edge_io/peer_link.h
+++ b/src/sapphirestream/edge_io/peer_link.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <vector>
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/counter.h"
@@ -28,6 +29,8 @@
 
   // Starts to exchange messages.
   void Start();
+  // Replaces the seeds; only their IP addresses are used.
+  void SetSeeds(const std::vector<Endpoint>& seeds);
 
  private:
   PeerLink(boost::asio::io_context& context, const Clock& clock)
