--- a/testing/soak/soak_domains.cc
+++ b/testing/soak/soak_domains.cc
@@ -190,8 +190,10 @@
   const bool is_back = !evacuations_.contains(domain) &&
                        (ended == evacuation_ended_.end() ||
                         now > ended->second + kEvacuationBound + kSlack + cold);
-  const bool is_warm =
-      !IsLimited(target) || now > target.cold_until() + kEvacuationBound;
+  // All instances know that it started, or became cold.
+  const TimePoint known =
+      target.cold_until() - kColdStart + kEvacuationBound + kSlack;
+  const bool is_warm = now > known + cold;
   return target.is_serving() && !target.record().draining && is_back && is_warm;
 }
 
