--- a/src/sapphirestream/edge/admitted_share.h
+++ b/src/sapphirestream/edge/admitted_share.h
@@ -17,12 +17,13 @@
  public:
   // Ten times the capacity, by clients that try three times, needs 1/30.
   static constexpr double kMinimum = 1.0 / 64;
-  // At a pressure of 2 or more, the share falls by half in each 100 ms: before
-  // the clients' first retransmission at 200 ms it is down to a quarter.
+  // At a pressure of 2 or more, the share falls by half in each 100 ms from
+  // when the pressure counts as sustained: to a quarter within the time after
+  // which clients send an opening packet again.
   static constexpr Duration kHalvingTime = std::chrono::milliseconds(100);
   // Without pressure, the share doubles in each 100 ms: it rises from the
-  // minimum to 1 within 600 ms after a peak, less than the time for which a
-  // client keeps sending an opening packet.
+  // minimum to 1 within 600 ms after a peak, less than the 1.4 s
+  // for which a client waits for the answer to an opening packet.
   static constexpr Duration kDoublingTime = std::chrono::milliseconds(100);
   // A change is limited to that of this time, whatever the time between two
   // updates: what happened in between is unknown.
--- a/src/sapphirestream/edge/answer_judge.cc
+++ b/src/sapphirestream/edge/answer_classifier.cc
@@ -1,4 +1,4 @@
-#include "sapphirestream/edge/answer_judge.h"
+#include "sapphirestream/edge/answer_classifier.h"
 
 #include <algorithm>
 #include <cmath>
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-bool AnswerJudge::IsFailure(std::uint32_t bytes, Duration took) {
+bool AnswerClassifier::IsFailure(std::uint32_t bytes, Duration took) {
   const double size = std::log(std::max(1.0, static_cast<double>(bytes)));
   const double time =
       std::log(std::max(1.0, static_cast<double>(took.count())));
@@ -31,11 +31,11 @@
   return failed;
 }
 
-bool AnswerJudge::IsShort(double size) const noexcept {
+bool AnswerClassifier::IsShort(double size) const noexcept {
   return size < size_ + std::log(kShortFraction);
 }
 
-void AnswerJudge::Learn(double size, double time) {
+void AnswerClassifier::Learn(double size, double time) {
   if (answers_ == 0) {
     size_ = size;
     time_ = time;
--- a/src/sapphirestream/edge/answer_judge.h
+++ b/src/sapphirestream/edge/answer_classifier.h
@@ -1,8 +1,8 @@
 // Tells failed answers of a route from normal ones by size and time: a target
 // that rejects a request, or fails at once, answers it shorter and faster than
 // the route's targets usually do.
-#ifndef SAPPHIRESTREAM_EDGE_ANSWER_JUDGE_H_
-#define SAPPHIRESTREAM_EDGE_ANSWER_JUDGE_H_
+#ifndef SAPPHIRESTREAM_EDGE_ANSWER_CLASSIFIER_H_
+#define SAPPHIRESTREAM_EDGE_ANSWER_CLASSIFIER_H_
 
 #include <cstdint>
 
@@ -10,7 +10,7 @@
 
 namespace sapphirestream {
 
-class AnswerJudge {
+class AnswerClassifier {
  public:
   // Answers before the first one is judged.
   static constexpr std::uint32_t kMinAnswers = 16;
@@ -44,4 +44,4 @@
 
 }  // namespace sapphirestream
 
-#endif  // SAPPHIRESTREAM_EDGE_ANSWER_JUDGE_H_
+#endif  // SAPPHIRESTREAM_EDGE_ANSWER_CLASSIFIER_H_
--- a/src/sapphirestream/edge/balanced_placement.cc
+++ b/src/sapphirestream/edge/balanced_placement.cc
@@ -48,8 +48,9 @@
 // avoids a target.
 Cost PeerMargin(std::uint64_t flow_hash) noexcept {
   constexpr auto largest = static_cast<Cost>(
-      kCostUnit * (std::chrono::duration<double>(BalancedPlacer::kCountAge) /
-                   SpillControl::kRequestTime));
+      kCostUnit *
+      (std::chrono::duration<double>(BalancedPlacer::kTypicalCountAge) /
+       SpillControl::kRequestTime));
   return FlowPosition(flow_hash, FlowShare::kPeerCounts) * largest >> 32U;
 }
 
@@ -207,23 +208,25 @@
     return RemotePlacement(ViewOf(remote_, performance_, query).Best(margin));
   }
 
-  const Candidate& near = local.Best(margin);
+  const Candidate& local_best = local.Best(margin);
   const DomainLoad load = local.Load();
-  SpillControl& spill =
-      spill_of({near.target->service, query.kind == RequestKind::kUpload});
+  SpillControl& spill = spill_of(
+      {local_best.target->service, query.kind == RequestKind::kUpload});
   if (spill.IsIdle(load)) {
     spill.Update(load, {}, query.now);
-    return LocalPlacement(near);
+    return LocalPlacement(local_best);
   }
   const DomainView remote = ViewOf(remote_, performance_, query);
-  const Candidate& far = remote.Best(margin);
+  const Candidate& remote_best = remote.Best(margin);
   spill.Update(load, remote.Load(), query.now);
   constexpr auto crossing =
       static_cast<Cost>(SpillControl::kCrossingCost * kCostUnit);
-  const bool crosses = !near.has_slot && spill.MayCross(query.flow_hash) &&
-                       far.cost + crossing < near.cost;
-  spill.OnPlaced(crosses);
-  return crosses ? RemotePlacement(far) : LocalPlacement(near);
+  const bool uses_remote = !local_best.has_slot &&
+                           spill.MayCross(query.flow_hash) &&
+                           remote_best.cost + crossing < local_best.cost;
+  spill.OnPlaced(uses_remote);
+  return uses_remote ? RemotePlacement(remote_best)
+                     : LocalPlacement(local_best);
 }
 
 double BalancedPlacer::SpillShare(ServiceNumber service,
--- a/src/sapphirestream/edge/balanced_placement.h
+++ b/src/sapphirestream/edge/balanced_placement.h
@@ -32,13 +32,13 @@
   // By the instance's own counts, a later candidate must be cheaper by more
   // than this percentage.
   static constexpr std::uint32_t kMinAdvantagePercent = 25;
-  // Age up to which the counts of peers are used: two intervals of the exchange
-  // under load, since its limit of bytes may delay messages. By these counts, a
+  // Typical age of the counts of peers under load: two intervals of the
+  // exchange, since its limit of bytes may delay messages. By these counts, a
   // later candidate is selected for a share of the flows: as large as the share
   // of this time by which it is faster. If all flows avoided the targets that
   // looked loaded, the others would get more additional requests until the next
   // counts than they can serve.
-  static constexpr Duration kCountAge = std::chrono::milliseconds(200);
+  static constexpr Duration kTypicalCountAge = std::chrono::milliseconds(200);
 
   // `performance` must outlive this object.
   explicit BalancedPlacer(const PerformanceSource& performance) noexcept
--- a/src/sapphirestream/edge/client_shares.h
+++ b/src/sapphirestream/edge/client_shares.h
@@ -17,8 +17,8 @@
  public:
   static constexpr std::size_t kSets = 256;
   static constexpr std::size_t kWays = 2;
-  // Counts are halved after each period, about the time for which a client
-  // keeps sending an opening packet.
+  // Counts are halved after each period. A client makes its attempts at one
+  // request within a few periods.
   static constexpr Duration kPeriod = std::chrono::seconds(1);
   // A client with three attempts at one request is never limited.
   static constexpr double kMinFairCount = 3;
--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -184,13 +184,9 @@
   const PlacementQuery query =
       QueryFor(packet.client, packet.service, route, TargetKey{}, now);
   if (!query.exclude_cold) return false;
-  const std::size_t copies = packet.acknowledged;
-  if (copies + 1 >= kOpeningCopies.size()) return false;
-  const Duration sent =
-      copies == 0 ? Duration{} : kOpeningCopies.at(copies - 1);
-  // The last entry is when the client gives up.
+  if (packet.acknowledged >= kOpeningTimes.size()) return false;
   const Duration until_last_copy =
-      kOpeningCopies.at(kOpeningCopies.size() - 2) - sent;
+      kOpeningTimes.back() - kOpeningTimes.at(packet.acknowledged);
   const auto warm =
       NextWarm(targets_.OfService(route.Pick(query.flow_hash)), query);
   return warm && *warm <= now + until_last_copy;
@@ -205,14 +201,7 @@
   flow.last_seen = now;
   EdgeTarget* const target = targets_.Find(flow.target);
   if (target != nullptr) log_.Repeated(packet, flow, *target, now);
-  const bool must_move =
-      target == nullptr ||
-      (flow.phase == FlowPhase::kOpening &&
-       (IsUnreachable(*target) ||
-        (target->evacuated && !gaps_.evacuations_unconfirmed))) ||
-      (flow.phase == FlowPhase::kOpening &&
-       target->health.state() == Reachability::kUnresponsive);
-  if (must_move) {
+  if (MustMove(flow, route, target, now)) {
     MoveOpening(flow, route, packet.bytes, now);
     return;
   }
@@ -220,6 +209,19 @@
   SendOpening(flow, *target, packet.bytes);
 }
 
+bool EdgeSteering::MustMove(const CachedFlow& flow, const Route& route,
+                            const EdgeTarget* target, TimePoint now) const {
+  if (target == nullptr) return true;
+  if (flow.phase != FlowPhase::kOpening) return false;
+  if (target->evacuated && !gaps_.evacuations_unconfirmed) return true;
+  const PlacementQuery query =
+      QueryFor(flow.client, flow.service, route, TargetKey{}, now);
+  // It has become cold since the first copy was sent.
+  if (query.exclude_cold && now < target->cold_until) return true;
+  return IsUnreachable(*target) ||
+         target->health.state() == Reachability::kUnresponsive;
+}
+
 void EdgeSteering::SendOpening(CachedFlow& flow, EdgeTarget& target,
                                std::span<const std::byte> packet) {
   forwarded_.Add();
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -61,11 +61,10 @@
 
 class EdgeSteering {
  public:
-  // When a client sends its opening packet again, after the first one; it gives
-  // up at the last of these times.
-  static constexpr std::array<Duration, 3> kOpeningCopies{
-      std::chrono::milliseconds(200), std::chrono::milliseconds(600),
-      std::chrono::milliseconds(1400)};
+  // When a client sends its opening packet, counted from the first time.
+  static constexpr std::array<Duration, 3> kOpeningTimes{
+      std::chrono::milliseconds(0), std::chrono::milliseconds(200),
+      std::chrono::milliseconds(600)};
   // A client continues as soon as it receives the target's answer; its next
   // packet arrives within this time, even across failure domains.
   static constexpr Duration kOpeningTimeout = std::chrono::milliseconds(45);
@@ -164,6 +163,9 @@
   void SaveOpening(const CachedFlow& flow, std::span<const std::byte> packet,
                    TimePoint now);
   void CheckUnansweredOpenings(TimePoint now);
+  // Whether an unanswered opening has to leave its target.
+  [[nodiscard]] bool MustMove(const CachedFlow& flow, const Route& route,
+                              const EdgeTarget* target, TimePoint now) const;
   // Whether a probe of the opening's target is in progress.
   [[nodiscard]] bool IsAwaitingProbe(const Opening& opening);
 
@@ -192,6 +194,9 @@
                         bool opening, TimePoint now);
   void StartProbe(EdgeTarget& target, ProbeKind kind, TimePoint now);
   void AddUnreachable(TargetKey target, TimePoint now);
+  // Whether most targets of the service are unreachable from here, so that the
+  // path to them is the likely cause.
+  [[nodiscard]] bool IsPathSuspect(ServiceNumber service) const;
   // Probes the unreachable targets that are due.
   void RecheckUnreachable(TimePoint now);
   void OnTargetProgress(EdgeTarget& target, TimePoint now);
--- a/src/sapphirestream/edge/edge_steering_failover.cc
+++ b/src/sapphirestream/edge/edge_steering_failover.cc
@@ -72,6 +72,7 @@
     return;
   }
   const bool was_unreachable = IsUnreachable(*target);
+  const bool is_path_suspect = IsPathSuspect(target->service);
   const bool became_unreachable = target->health.OnProbe(outcome, begun, now);
   if (outcome == ProbeOutcome::kStranger) targets_.Retire(*target, now);
   if (outcome == ProbeOutcome::kSilent) {
@@ -84,7 +85,7 @@
   }
   if (IsUnreachable(*target)) {
     AddUnreachable(key, now);
-  } else if (was_unreachable && evacuates_domains_) {
+  } else if (was_unreachable && evacuates_domains_ && !is_path_suspect) {
     // It may have restarted, which its entry may not show yet.
     targets_.SetCold(*target, now);
   }
@@ -96,6 +97,17 @@
   });
 }
 
+bool EdgeSteering::IsPathSuspect(ServiceNumber service) const {
+  std::size_t listed = 0;
+  std::size_t unreachable = 0;
+  for (const EdgeTarget* const target : targets_.OfService(service)) {
+    if (target->presence != TargetPresence::kListed) continue;
+    ++listed;
+    if (IsUnreachable(*target)) ++unreachable;
+  }
+  return unreachable * 2 > listed;
+}
+
 void EdgeSteering::AddUnreachable(TargetKey target, TimePoint now) {
   if (unreachable_.empty()) {
     next_recheck_ = now + TargetHealth::kRecheckInterval;
--- a/src/sapphirestream/edge/flow_share.h
+++ b/src/sapphirestream/edge/flow_share.h
@@ -10,10 +10,12 @@
 
 namespace sapphirestream {
 
-// Purposes for which flows are selected independently.
+// Purposes for which flows are selected independently. The values are the names
+// in ASCII; they must be the same on all instances.
 enum class FlowShare : std::uint64_t {
   kSpill = 0x7370696c6c,
   kPeerCounts = 0x7065657273,
+  kAdmission = 0x61646d6974,
 };
 
 // Returns the position of a flow among all flows, from 0 to 2^32 - 1.
--- a/src/sapphirestream/edge/overload_admission.cc
+++ b/src/sapphirestream/edge/overload_admission.cc
@@ -2,35 +2,31 @@
 
 #include <algorithm>
 
-#include "sapphirestream/base/hash.h"
+#include "sapphirestream/edge/flow_share.h"
 
 namespace sapphirestream {
 namespace {
 
+// AdmittedShare falls no faster above this pressure.
 constexpr double kMaxPressure = 2;
-// Pressure while full targets reject requests.
+// Pressure while full targets reject requests: their queues are full, so that
+// counts of requests no longer show the excess.
 constexpr double kRejectingPressure = 1.5;
-// Makes the decision independent of the placement, which uses the same hash.
-constexpr std::uint64_t kAdmissionSalt = 0x61646d6974;
 
 Duration ObjectiveOf(const RouteObjective& objective) {
   return objective.target_latency > Duration::zero() ? objective.target_latency
                                                      : objective.timeout;
 }
 
-// Returns a number in [0, 1) that all instances derive from the flow.
-double PositionOf(std::uint64_t flow_hash) {
-  return static_cast<double>(HashPair(flow_hash, kAdmissionSalt) >> 11) *
-         0x1.0p-53;
-}
-
 AdmissionVerdict VerdictOf(const AdmissionQuery& query, double share) {
-  return PositionOf(query.flow_hash) < share ? AdmissionVerdict::kAdmit
-                                             : AdmissionVerdict::kRefuse;
+  const double position =
+      FlowPosition(query.flow_hash, FlowShare::kAdmission) * 0x1.0p-32;
+  return position < share ? AdmissionVerdict::kAdmit
+                          : AdmissionVerdict::kRefuse;
 }
 
 // Pressure below which request times are those without load.
-constexpr double kCalmPressure = 0.5;
+constexpr double kLightLoadPressure = 0.5;
 
 // Whether the slots of at least half of the targets are in use, so that
 // failures and late answers may be due to load.
@@ -97,7 +93,7 @@
   times_.Add(target->service,
              target->is_local ? TargetGroup::kLocal : TargetGroup::kRemote,
              observation.route, observation.took,
-             state->second.pressure < kCalmPressure, observation.at);
+             state->second.pressure < kLightLoadPressure, observation.at);
 }
 
 double OverloadAdmission::AdmittedShareOf(ServiceNumber service) const {
@@ -110,18 +106,18 @@
                                 TimePoint now) const {
   const ServiceLoad load =
       LoadOf(targets, source_,
-             {.local = times_.StretchOf(service, TargetGroup::kLocal, now),
-              .remote = times_.StretchOf(service, TargetGroup::kRemote, now)},
+             {.local = times_.SlowdownOf(service, TargetGroup::kLocal, now),
+              .remote = times_.SlowdownOf(service, TargetGroup::kRemote, now)},
              now);
   const double pressure = PressureOf(service, load, now);
   state.pressure = pressure;
   state.refreshed = now;
-  if (pressure < 1) state.pressed_since.reset();
-  if (pressure >= 1 && !state.pressed_since) state.pressed_since = now;
+  if (pressure < 1) state.pressure_since.reset();
+  if (pressure >= 1 && !state.pressure_since) state.pressure_since = now;
   // Full queues do not absorb a burst any more.
   const bool is_sustained =
-      state.pressed_since &&
-      (IsRejecting(load) || now - *state.pressed_since >= kMaxQueueTime);
+      state.pressure_since &&
+      (IsRejecting(load) || now - *state.pressure_since >= kMaxQueueTime);
   state.admitted.Update(
       is_sustained || state.admitted.value() < 1 ? pressure : 0, now);
   state.priorities.Update(state.admitted.value(), now);
@@ -136,9 +132,9 @@
                                      const ServiceLoad& load,
                                      TimePoint now) const {
   double pressure = load.requests_per_slot / kFullLoad;
-  if (!IsBusy(load)) return std::min(pressure, kCalmPressure);
+  if (!IsBusy(load)) return std::min(pressure, kLightLoadPressure);
   if (IsRejecting(load)) pressure = std::max(pressure, kRejectingPressure);
-  pressure = std::max(pressure, times_.LatenessOf(service, now));
+  pressure = std::max(pressure, times_.ObjectiveRatio(service, now));
   return std::min(pressure, kMaxPressure);
 }
 
--- a/src/sapphirestream/edge/overload_admission.h
+++ b/src/sapphirestream/edge/overload_admission.h
@@ -66,7 +66,7 @@
     // 1 or more if the service has less capacity than is demanded.
     double pressure = 0;
     // Unset while there is no pressure.
-    std::optional<TimePoint> pressed_since;
+    std::optional<TimePoint> pressure_since;
   };
   void Refresh(ServiceNumber service, ServiceState& state,
                const std::vector<EdgeTarget*>& targets, TimePoint now) const;
--- a/src/sapphirestream/edge/peer_exchange.h
+++ b/src/sapphirestream/edge/peer_exchange.h
@@ -62,7 +62,8 @@
   static constexpr Duration kMaxTickGap = std::chrono::seconds(1);
   // Bytes per second sent to all others, headers included. An instance receives
   // about as much, and a little more from new instances that do not know their
-  // neighbors yet; together this stays below 26 KB/s.
+  // neighbors yet; together this is below 26 KB/s, but for seeds while many
+  // instances start (docs/design/peer-exchange.md).
   static constexpr std::size_t kMaxSendRate = 10'000;
   // Bytes per second sent to each neighbor. Covers the samples of 20 requests
   // per second; limits the traffic of small domains.
--- a/src/sapphirestream/edge/performance_table.cc
+++ b/src/sapphirestream/edge/performance_table.cc
@@ -61,7 +61,7 @@
     route = routes_.try_emplace(observation.route).first;
   }
   const RequestVerdict verdict =
-      route->second.Judge(observation.took, observation.answer_bytes, now);
+      route->second.Observe(observation.took, observation.answer_bytes, now);
   if (verdict.failed) {
     entry->performance.AddFailures(
         1, IdlePart(*targets_.Find(observation.target), entry->peers), now);
--- a/src/sapphirestream/edge/request_times.cc
+++ b/src/sapphirestream/edge/request_times.cc
@@ -41,20 +41,21 @@
 }
 
 void RequestTimes::Add(ServiceNumber service, TargetGroup group,
-                       V4Endpoint route, Duration took, bool is_calm,
+                       V4Endpoint route, Duration took, bool is_lightly_loaded,
                        TimePoint now) {
   const auto it = routes_.find(route);
   if (it == routes_.end() || took <= Duration::zero()) return;
   const auto index = static_cast<std::size_t>(group);
   const double took_s = Seconds(took);
-  const double usual_s = UpdateUsual(it->second, index, took_s, is_calm);
+  const double usual_s =
+      UpdateUsual(it->second, index, took_s, is_lightly_loaded);
   ServiceState& state = services_[service];
-  state.stretch.at(index).Add(took_s / usual_s, 1, now);
+  state.slowdown.at(index).Add(took_s / usual_s, 1, now);
   state.lateness.Add(took_s / Seconds(it->second.objective), 0, now);
 }
 
 double RequestTimes::UpdateUsual(RouteState& route, std::size_t group,
-                                 double took_s, bool is_calm) {
+                                 double took_s, bool is_lightly_loaded) {
   GroupTimes& times = route.groups.at(group);
   times.count = std::min(times.count + 1, kRecentCount);
   times.recent_s += (took_s - times.recent_s) / times.count;
@@ -65,22 +66,23 @@
     times.usual_s = times.recent_s;
   } else if (times.recent_s < times.usual_s) {
     times.usual_s += (times.recent_s - times.usual_s) * kFasterWeight;
-  } else if (is_calm) {
+  } else if (is_lightly_loaded) {
     times.usual_s += (times.recent_s - times.usual_s) * kSlowerWeight;
   }
   return times.usual_s;
 }
 
-double RequestTimes::StretchOf(ServiceNumber service, TargetGroup group,
-                               TimePoint now) const {
+double RequestTimes::SlowdownOf(ServiceNumber service, TargetGroup group,
+                                TimePoint now) const {
   const auto it = services_.find(service);
   if (it == services_.end()) return 1;
-  const Smoothed& stretch =
-      it->second.stretch.at(static_cast<std::size_t>(group));
-  return stretch.IsFresh(now) ? stretch.value : 1;
+  const Smoothed& slowdown =
+      it->second.slowdown.at(static_cast<std::size_t>(group));
+  return slowdown.IsFresh(now) ? slowdown.value : 1;
 }
 
-double RequestTimes::LatenessOf(ServiceNumber service, TimePoint now) const {
+double RequestTimes::ObjectiveRatio(ServiceNumber service,
+                                    TimePoint now) const {
   const auto it = services_.find(service);
   return it != services_.end() && it->second.lateness.IsFresh(now)
              ? it->second.lateness.value
--- a/src/sapphirestream/edge/request_times.h
+++ b/src/sapphirestream/edge/request_times.h
@@ -28,16 +28,17 @@
   static constexpr double kMaxRatio = 8;
 
   void SetObjective(V4Endpoint route, Duration objective);
-  // `is_calm`: whether the service is far from overload, so that the time may
-  // become the usual one of the route. Requests of routes without objective are
-  // ignored.
+  // `is_lightly_loaded`: whether the service is far from overload, so that the
+  // time may become the usual one of the route. Requests of routes without
+  // objective are ignored.
   void Add(ServiceNumber service, TargetGroup group, V4Endpoint route,
-           Duration took, bool is_calm, TimePoint now);
+           Duration took, bool is_lightly_loaded, TimePoint now);
   // Returns the recent request time relative to the usual one; 1 if unknown.
-  [[nodiscard]] double StretchOf(ServiceNumber service, TargetGroup group,
-                                 TimePoint now) const;
+  [[nodiscard]] double SlowdownOf(ServiceNumber service, TargetGroup group,
+                                  TimePoint now) const;
   // Returns the recent request time relative to the objective; 0 if unknown.
-  [[nodiscard]] double LatenessOf(ServiceNumber service, TimePoint now) const;
+  [[nodiscard]] double ObjectiveRatio(ServiceNumber service,
+                                      TimePoint now) const;
 
  private:
   // Exponentially smoothed ratio.
@@ -61,13 +62,13 @@
     std::array<GroupTimes, 2> groups{};
   };
   struct ServiceState {
-    std::array<Smoothed, 2> stretch;
+    std::array<Smoothed, 2> slowdown;
     Smoothed lateness;
   };
 
   // Updates the route's times and returns the usual one.
   static double UpdateUsual(RouteState& route, std::size_t group, double took_s,
-                            bool is_calm);
+                            bool is_lightly_loaded);
 
   std::unordered_map<V4Endpoint, RouteState, V4EndpointHash> routes_;
   // As many entries as services in the configuration.
--- a/src/sapphirestream/edge/route_baseline.cc
+++ b/src/sapphirestream/edge/route_baseline.cc
@@ -4,10 +4,10 @@
 
 namespace sapphirestream {
 
-RequestVerdict RouteBaseline::Judge(Duration took, std::uint32_t answer_bytes,
-                                    TimePoint now) {
+RequestVerdict RouteBaseline::Observe(Duration took, std::uint32_t answer_bytes,
+                                      TimePoint now) {
   last_used_ = now;
-  if (answer_bytes == 0 || judge_.IsFailure(answer_bytes, took)) {
+  if (answer_bytes == 0 || classifier_.IsFailure(answer_bytes, took)) {
     return {.failed = true};
   }
   double time = std::max(1.0, static_cast<double>(took.count()));
--- a/src/sapphirestream/edge/route_baseline.h
+++ b/src/sapphirestream/edge/route_baseline.h
@@ -6,7 +6,7 @@
 #include <cstdint>
 
 #include "sapphirestream/base/clock.h"
-#include "sapphirestream/edge/answer_judge.h"
+#include "sapphirestream/edge/answer_classifier.h"
 
 namespace sapphirestream {
 
@@ -29,12 +29,12 @@
 
   // Compares a request with the baseline, and learns from it. `answer_bytes` of
   // zero: the client gave up.
-  RequestVerdict Judge(Duration took, std::uint32_t answer_bytes,
-                       TimePoint now);
+  RequestVerdict Observe(Duration took, std::uint32_t answer_bytes,
+                         TimePoint now);
   [[nodiscard]] TimePoint last_used() const noexcept { return last_used_; }
 
  private:
-  AnswerJudge judge_;
+  AnswerClassifier classifier_;
   std::uint32_t answers_ = 0;
   // Mean request time in ns.
   double time_ = 0;
--- a/src/sapphirestream/edge/service_load.cc
+++ b/src/sapphirestream/edge/service_load.cc
@@ -8,11 +8,11 @@
 namespace sapphirestream {
 namespace {
 
-// Returns the requests per slot at which requests take `stretch` times as long
+// Returns the requests per slot at which requests take `slowdown` times as long
 // as without load. Requests that find all slots in use for the time of one
 // request take twice as long; beyond that, the time grows with the queue.
-double ImpliedLoad(double stretch) {
-  return std::max(0.0, std::min(stretch, 2 * (stretch - 1)));
+double ImpliedLoad(double slowdown) {
+  return std::max(0.0, std::min(slowdown, 2 * (slowdown - 1)));
 }
 
 constexpr double kIdleLoad = 0.5;
@@ -57,10 +57,10 @@
 
 ServiceLoad LoadOf(const std::vector<EdgeTarget*>& targets,
                    const PerformanceSource& source,
-                   const RequestStretch& stretch, TimePoint now) {
+                   const RequestSlowdown& slowdown, TimePoint now) {
   double requests = 0;
   double all_slots = 0;
-  const bool uses_stretch = HasUnknownLoad(targets, source, now);
+  const bool uses_slowdown = HasUnknownLoad(targets, source, now);
   std::vector<double> loads;
   std::vector<double> failure_shares;
   loads.reserve(targets.size());
@@ -74,8 +74,8 @@
       continue;
     }
     const double implied =
-        uses_stretch
-            ? ImpliedLoad(target->is_local ? stretch.local : stretch.remote)
+        uses_slowdown
+            ? ImpliedLoad(target->is_local ? slowdown.local : slowdown.remote)
             : 0;
     const double load = std::min(std::max(known, implied), kMaxCountedLoad);
     requests += load * slots;
--- a/src/sapphirestream/edge/service_load.h
+++ b/src/sapphirestream/edge/service_load.h
@@ -21,7 +21,7 @@
 };
 
 // Recent request times relative to those without load.
-struct RequestStretch {
+struct RequestSlowdown {
   double local = 1;
   double remote = 1;
 };
@@ -35,10 +35,11 @@
 
 // Cold, unproven and faulty targets are not counted: placement avoids them. The
 // instances of other domains do not tell their counts, so a target's load is at
-// least what `stretch` implies for its domain.
+// least what `slowdown` implies for its domain.
 [[nodiscard]] ServiceLoad LoadOf(const std::vector<EdgeTarget*>& targets,
                                  const PerformanceSource& source,
-                                 const RequestStretch& stretch, TimePoint now);
+                                 const RequestSlowdown& slowdown,
+                                 TimePoint now);
 
 }  // namespace sapphirestream
 
--- a/src/sapphirestream/edge/spill_control.h
+++ b/src/sapphirestream/edge/spill_control.h
@@ -24,13 +24,14 @@
 
 class SpillControl {
  public:
-  // One-way time between failure domains. It is not known to an instance; the
-  // larger of the deployments' values is assumed, since traffic between domains
-  // is expensive.
+  // One-way time between failure domains, which an instance cannot observe.
+  // That of domains in different towns is assumed, since traffic between
+  // domains is expensive.
   static constexpr Duration kOneWayTime = std::chrono::milliseconds(5);
   // An opening packet, its answer, the request and its answer each cross once.
   static constexpr Duration kCrossingTime = 4 * kOneWayTime;
-  // Time of an average request, for which only relative times are known.
+  // Assumed mean time of a request without load; converts the crossing into
+  // relative times, the only ones that are known.
   static constexpr Duration kRequestTime = std::chrono::milliseconds(20);
   // A crossing in units of the time of an average request.
   static constexpr double kCrossingCost =
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -62,7 +62,10 @@
   const auto cut_off = cut_off_.find(record.domain);
   target.cut_off_until =
       cut_off == cut_off_.end() ? TimePoint{} : cut_off->second;
-  target.cold_until = now + record.cold_remaining;
+  // An entry may be older than what showed that the target is cold.
+  const TimePoint cold_until = now + record.cold_remaining;
+  target.cold_until =
+      restarted ? cold_until : std::max(target.cold_until, cold_until);
   AddToIndexes(target);
   TakeAddress(target, now);
   return changed ? EntryOutcome::kApplied : EntryOutcome::kUnchanged;
--- a/src/sapphirestream/edge_io/load_report.cc
+++ b/src/sapphirestream/edge_io/load_report.cc
@@ -29,7 +29,6 @@
 }
 
 void LoadReport::ReportTargets(TimePoint now) {
-  penalised_.Set(load_.performance().penalised());
   std::set<TargetKey> current;
   targets_.ForEach([&](const EdgeTarget& target) {
     if (target.presence == TargetPresence::kGone) return;
@@ -46,6 +45,7 @@
                 {"failures_permille", Permille(estimate.failure_share)},
                 {"outstanding", estimate.outstanding}});
   });
+  penalised_.Set(current.size());
   penalised_targets_ = std::move(current);
 }
 
--- a/src/sapphirestream/edge_io/load_report.h
+++ b/src/sapphirestream/edge_io/load_report.h
@@ -30,7 +30,7 @@
  private:
   void ReportTargets(TimePoint now);
   void ReportServices();
-  // Logs that a service has begun or ceased to be in a state.
+  // Logs when the share reaches kReportedShare, and when it falls below it.
   void ReportShare(std::set<ServiceNumber>& reported, ServiceNumber service,
                    double share, std::string_view event);
 
--- a/test/edge/edge_steering_domains_test.cc
+++ b/test/edge/edge_steering_domains_test.cc
@@ -150,6 +150,25 @@
   BOOST_TEST(resets.size() == 1U);
 }
 
+// If most targets return at the same time, the path to them was cut; taking all
+// of them for cold would refuse every flow.
+BOOST_AUTO_TEST_CASE(targets_that_return_together_are_not_cold) {
+  for (std::uint64_t key : {1, 2, 3}) MakeUnreachable(TargetKey{key});
+  clock.Advance(TargetHealth::kRecheckInterval);
+  probe_begun = clock.Now();
+  FinishProbe(TargetKey{1}, ProbeOutcome::kAccepted);
+  BOOST_TEST((targets.Find(TargetKey{1})->cold_until <= clock.Now()));
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_of_an_opening_packet_leaves_a_cold_target) {
+  Handle(Syn(1, sample::kFeed));
+  const TargetKey first = sent.back().target;
+  targets.Find(first)->cold_until = clock.Now() + 5s;
+  Advance(200ms);
+  Handle(Syn(1, sample::kFeed, /*copies=*/1));
+  BOOST_TEST((sent.back().target != first));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/edge/evacuations_test.cc
+++ b/test/edge/evacuations_test.cc
@@ -54,6 +54,28 @@
   BOOST_TEST((targets.Find(TargetKey{2})->cold_until <= now));
 }
 
+// Regression: an entry written before the evacuation ended, but read after it,
+// made the target warm at once.
+BOOST_AUTO_TEST_CASE(an_older_entry_does_not_make_a_target_warm) {
+  evacuations.Set("a", true, At(5), now);
+  evacuations.Set("a", false, At(8), now);
+  targets.Upsert(sample::Target(1, "a"), {StoreEra{1}, 9}, true, now);
+  BOOST_TEST((targets.Find(TargetKey{1})->cold_until == now + 2s));
+  TargetRecord restarted = sample::Target(1, "a");
+  restarted.incarnation = Incarnation{Value(restarted.incarnation) + 1};
+  targets.Upsert(restarted, {StoreEra{1}, 10}, true, now);
+  BOOST_TEST((targets.Find(TargetKey{1})->cold_until == now));
+}
+
+// Each restoration gives operators the time to write their entries again.
+BOOST_AUTO_TEST_CASE(a_second_restoration_starts_the_time_anew) {
+  evacuations.Set("a", true, At(5), now);
+  evacuations.Replace({}, {StoreEra{2}, 3}, now);
+  evacuations.Replace({}, {StoreEra{3}, 3}, now + 2s);
+  evacuations.Expire(now + 3s, now + 3s);
+  BOOST_TEST(IsEvacuated(1));
+}
+
 BOOST_AUTO_TEST_CASE(a_list_replaces_what_is_known) {
   evacuations.Set("a", true, At(5), now);
   const auto changes = evacuations.Replace({{"b", At(6)}}, At(7), now);
