--- a/testing/soak/soak_clients.cc
+++ b/testing/soak/soak_clients.cc
@@ -173,10 +173,10 @@
       target->record().incarnation <= incarnation_of_[Value(plan.client)]) {
     AddViolation(text + ", although its target still has it");
   }
-  const bool is_lightly_loaded =
+  const bool is_calm =
       open_faults_ == 0 && flow.began - last_fault_ > kRecoveryLimit;
-  const bool must_be_answered = (is_lightly_loaded && !MayUseStaleView(flow)) ||
-                                all_answered_from_ < flow.began;
+  const bool must_be_answered =
+      (is_calm && !MayUseStaleView(flow)) || all_answered_from_ < flow.began;
   if (!must_be_answered) return;
   if (WasUnserved(flow)) {
     ++counts_.unserved;
