End a lost evacuation as of when its entry was missing; count errors of the peer socket

Errors of receiving from peers were not counted. Change: the cold time begins when the entry was found missing, since the evacuation had ended by then. A counter for receive errors.

--- a/src/sapphirestream/edge/evacuations.cc
+++ b/src/sapphirestream/edge/evacuations.cc
@@ -45,28 +45,27 @@
   return changes;
 }
 
-Evacuations::Changes Evacuations::Expire(TimePoint complete_until,
-                                         TimePoint now) {
+Evacuations::Changes Evacuations::Expire(TimePoint complete_until) {
   Changes changes;
   for (auto& [domain, entry] : entries_) {
     if (entry.missing_since == TimePoint{} ||
         complete_until - entry.missing_since < kRewriteTime) {
       continue;
     }
-    Update(domain, entry, false, entry.revision, now);
+    // It had ended when its entry was missing.
+    Update(domain, entry, false, entry.revision, entry.missing_since);
     changes.push_back({domain, false});
   }
   return changes;
 }
 
 bool Evacuations::Update(const std::string& domain, Entry& entry,
-                         bool evacuated, StoreRevision revision,
-                         TimePoint now) {
+                         bool evacuated, StoreRevision revision, TimePoint at) {
   entry.revision = revision;
   entry.missing_since = {};
   if (entry.evacuated == evacuated) return false;
   entry.evacuated = evacuated;
-  targets_.SetEvacuated(domain, evacuated, now);
+  targets_.SetEvacuated(domain, evacuated, at);
   return true;
 }
 
--- a/src/sapphirestream/edge/evacuations.h
+++ b/src/sapphirestream/edge/evacuations.h
@@ -45,7 +45,7 @@
                   StoreRevision revision, TimePoint now);
   // Ends evacuations whose entry was not written again. `complete_until`: the
   // view contains every change acknowledged before.
-  Changes Expire(TimePoint complete_until, TimePoint now);
+  Changes Expire(TimePoint complete_until);
 
   // Makes the next entry of each domain count, whatever its revision; for use
   // when another store is read.
@@ -63,9 +63,9 @@
     TimePoint missing_since{};
   };
 
-  // Returns whether this is a change.
+  // `at`: when the evacuation began or ended. Returns whether this is a change.
   bool Update(const std::string& domain, Entry& entry, bool evacuated,
-              StoreRevision revision, TimePoint now);
+              StoreRevision revision, TimePoint at);
 
   TargetDirectory& targets_;
   // By domain. Ended ones stay until a list is read that is younger.
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -139,8 +139,7 @@
 }
 
 void EdgeView::ExpireEvacuations() {
-  ReportEvacuations(
-      evacuations_.Expire(evacuations_age_.complete_until(), clock_.Now()));
+  ReportEvacuations(evacuations_.Expire(evacuations_age_.complete_until()));
 }
 
 void EdgeView::ReportEvacuations(const Evacuations::Changes& changes) {
--- a/src/sapphirestream/edge_io/peer_port.cc
+++ b/src/sapphirestream/edge_io/peer_port.cc
@@ -68,8 +68,9 @@
                 error);
   }
   if (error) {
-    return MakeError(ErrorKind::kInternal,
-                     "bind " + ToString(local) + ": " + error.message());
+    return MakeError(
+        ErrorKind::kInternal,
+        "open UDP socket on " + ToString(local) + ": " + error.message());
   }
   std::unique_ptr<PeerPort> port(
       new PeerPort(std::move(socket), counters, std::move(handler)));
@@ -109,8 +110,12 @@
   header.msg_control = control.data();
   header.msg_controllen = control.size();
   const ssize_t size = ::recvmsg(socket_.native_handle(), &header, 0);
-  // Other errors are ICMP errors caused by datagrams sent earlier.
-  if (size < 0) return errno != EAGAIN && errno != EWOULDBLOCK;
+  if (size < 0) {
+    if (errno == EAGAIN || errno == EWOULDBLOCK) return false;
+    // Mostly ICMP errors caused by datagrams sent earlier.
+    receive_errors_.Add();
+    return true;
+  }
   handler_({ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)},
            {in_.data(), static_cast<std::size_t>(size)}, AgeOf(header));
   return true;
--- a/src/sapphirestream/edge_io/peer_port.h
+++ b/src/sapphirestream/edge_io/peer_port.h
@@ -56,6 +56,7 @@
   boost::asio::ip::udp::socket socket_;
   Handler handler_;
   Counter& send_errors_;
+  Counter& receive_errors_;
   std::array<std::byte, kMaxDatagram> in_{};
 };
 
--- a/test/edge/evacuations_test.cc
+++ b/test/edge/evacuations_test.cc
@@ -67,12 +67,22 @@
   BOOST_TEST((targets.Find(TargetKey{1})->cold_until == now));
 }
 
+// Regression: the targets were cold for 3 s more although the evacuation had
+// ended before the list was read, and flows were refused.
+BOOST_AUTO_TEST_CASE(targets_are_warm_if_a_missing_entry_expires) {
+  evacuations.Set("a", true, At(5), now);
+  evacuations.Replace({}, {StoreEra{2}, 3}, now);
+  evacuations.Expire(now + 3s);
+  BOOST_TEST(!IsEvacuated(1));
+  BOOST_TEST((targets.Find(TargetKey{1})->cold_until == now + 2s));
+}
+
 // Each restoration gives operators the time to write their entries again.
 BOOST_AUTO_TEST_CASE(a_second_restoration_starts_the_time_anew) {
   evacuations.Set("a", true, At(5), now);
   evacuations.Replace({}, {StoreEra{2}, 3}, now);
   evacuations.Replace({}, {StoreEra{3}, 3}, now + 2s);
-  evacuations.Expire(now + 3s, now + 3s);
+  evacuations.Expire(now + 3s);
   BOOST_TEST(IsEvacuated(1));
 }
 
@@ -91,9 +101,9 @@
   // Neither a further list nor an old view ends it before the entry can have
   // been written again.
   evacuations.Replace({}, {StoreEra{2}, 4}, now + 1s);
-  evacuations.Expire(now + 1s, now + 10s);
+  evacuations.Expire(now + 1s);
   BOOST_TEST(IsEvacuated(1));
-  evacuations.Expire(now + Evacuations::kRewriteTime, now + 10s);
+  evacuations.Expire(now + Evacuations::kRewriteTime);
   BOOST_TEST(!IsEvacuated(1));
 }
 
@@ -101,7 +111,7 @@
   evacuations.Set("a", true, At(5), now);
   evacuations.Replace({}, {StoreEra{2}, 3}, now);
   evacuations.Set("a", true, {StoreEra{2}, 4}, now + 1s);
-  evacuations.Expire(now + 20s, now + 20s);
+  evacuations.Expire(now + 20s);
   BOOST_TEST(IsEvacuated(1));
 }
 
