--- a/src/sapphirestream/edge_io/peer_port.cc
+++ b/src/sapphirestream/edge_io/peer_port.cc
@@ -80,7 +80,8 @@
 PeerPort::PeerPort(udp::socket socket, CounterSet& counters, Handler handler)
     : socket_(std::move(socket)),
       handler_(std::move(handler)),
-      send_errors_(counters.Emplace("peer_send_failures_total")) {}
+      send_errors_(counters.Emplace("peer_send_failures_total")),
+      receive_errors_(counters.Emplace("peer_receive_failures_total")) {}
 
 void PeerPort::Start() { Wait(); }
 
