Use evacuated targets only after an outage of a second

Change: evacuations are unconfirmed only after the store has been away for 1 s, less than clients wait for the answer to an opening packet.

--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -216,8 +216,7 @@
   steering_.OnPacket(
       packet, now,
       {.targets_recovering = view_.is_recovering() || !view_.is_complete(),
-       .evacuations_unconfirmed =
-           evacuation_reader_ && evacuation_reader_->IsAway()});
+       .evacuations_unconfirmed = view_.AreEvacuationsUnconfirmed()});
   ArmSteering();
 }
 
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -46,7 +46,7 @@
       evacuations_(targets),
       targets_age_("targets", log, counters),
       routes_age_("routes", log, counters),
-      evacuations_age_("evacuations", log, counters) {}
+      evacuations_age_(kEvacuations, log, counters) {}
 
 void EdgeView::ApplySnapshot(
     const std::vector<CollectionItem<TargetRecord>>& items,
@@ -114,8 +114,10 @@
 void EdgeView::ApplySnapshot(
     const std::vector<CollectionItem<Evacuation>>& items,
     StoreRevision revision) {
-  if (has_evacuations_) ReportList("evacuations", items.size(), revision);
+  if (has_evacuations_) ReportList(kEvacuations, items.size(), revision);
   has_evacuations_ = true;
+  // A reader that was started anew does not report that the store is back.
+  evacuations_lost_at_.reset();
   std::map<std::string, StoreRevision> entries;
   for (const auto& item : items) {
     if (!item.name.empty()) entries.emplace(item.name, item.revision);
@@ -138,6 +140,11 @@
   evacuations_.ForgetRevisions();
 }
 
+bool EdgeView::AreEvacuationsUnconfirmed() const noexcept {
+  return evacuations_lost_at_ &&
+         clock_.Now() - *evacuations_lost_at_ >= kMinUnconfirmedTime;
+}
+
 void EdgeView::ExpireEvacuations() {
   ReportEvacuations(evacuations_.Expire(evacuations_age_.complete_until()));
 }
@@ -207,12 +214,14 @@
 
 void EdgeView::ReportStoreLost(std::string_view collection, ErrorKind error) {
   lost_.Add();
+  if (collection == kEvacuations) evacuations_lost_at_ = clock_.Now();
   log_.Write(LogLevel::kWarn, "store_lost",
              {{"collection", collection}, {"error", AnswerFor(error).name}});
 }
 
 void EdgeView::ReportStoreRegained(std::string_view collection, Duration away) {
   recovered_at_ = clock_.Now();
+  if (collection == kEvacuations) evacuations_lost_at_.reset();
   log_.Write(
       LogLevel::kInfo, "store_regained",
       {{"collection", collection},
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -33,6 +33,10 @@
   // pause. If the store cannot be reached, the last view is used.
   static constexpr Duration kMaxOutdatedTime = std::chrono::milliseconds(500);
 
+  // Shorter outages do not make evacuations doubtful: clients wait longer for
+  // the answer to an opening packet.
+  static constexpr Duration kMinUnconfirmedTime = std::chrono::seconds(1);
+
   // Maps the name of a target's entry to the target's key.
   using KeyOf = std::optional<TargetKey> (*)(std::string_view name);
 
@@ -76,6 +80,9 @@
   // Makes the next entry of each collection count; see
   // TargetDirectory::ForgetRevisions.
   void ForgetRevisions() noexcept;
+  // Whether the store has been away for so long that an evacuation may have
+  // ended without this instance knowing.
+  [[nodiscard]] bool AreEvacuationsUnconfirmed() const noexcept;
   // Ends evacuations whose entry a restored store has lost.
   void ExpireEvacuations();
   // Marks the view as outdated until all collections have been read again,
@@ -91,6 +98,8 @@
   }
 
  private:
+  static constexpr std::string_view kEvacuations = "evacuations";
+
   template <typename Record>
   class Observer final : public CollectionObserver<Record> {
    public:
@@ -203,6 +212,8 @@
   Evacuations evacuations_;
   bool follows_evacuations_ = false;
   bool has_evacuations_ = false;
+  // When the reader of the evacuations lost the store; unset while it has it.
+  std::optional<TimePoint> evacuations_lost_at_;
   bool has_targets_ = false;
   // Era of the last list of targets.
   StoreEra targets_era_ = kUnknownEra;
@@ -218,7 +229,7 @@
   TimePoint recovered_at_{};
   Observer<TargetRecord> target_observer_{*this, "targets"};
   Observer<RouteConfig> route_observer_{*this, "routes"};
-  Observer<Evacuation> evacuation_observer_{*this, "evacuations"};
+  Observer<Evacuation> evacuation_observer_{*this, kEvacuations};
 };
 
 }  // namespace sapphirestream
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -62,6 +62,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(edge_view, Fixture)
 
+// Regression: an outage of some milliseconds sent flows to evacuated targets.
+BOOST_AUTO_TEST_CASE(evacuations_are_unconfirmed_after_a_long_outage_only) {
+  auto& evacuations = view.evacuation_observer();
+  evacuations.OnStoreUnavailable(ErrorKind::kStoreUnavailable);
+  clock.Advance(EdgeView::kMinUnconfirmedTime - 1ms);
+  BOOST_TEST(!view.AreEvacuationsUnconfirmed());
+  clock.Advance(1ms);
+  BOOST_TEST(view.AreEvacuationsUnconfirmed());
+  evacuations.OnStoreRecovered(1s);
+  BOOST_TEST(!view.AreEvacuationsUnconfirmed());
+}
+
 BOOST_AUTO_TEST_CASE(both_collections_are_needed) {
   BOOST_TEST(!view.is_complete());
   observer().OnSnapshot({Item(1, 1)}, At(1));
