--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -110,8 +110,9 @@
   for (EdgeTarget* const target : targets) {
     if (target->evacuated) {
       if (target->is_local) local.push_back(target);
-    } else {
-      has_other |= target->presence == TargetPresence::kListed;
+    } else if (target->presence != TargetPresence::kGone) {
+      if (query.now >= target->cut_off_until) return {};
+      has_other = true;
     }
   }
   // If all domains are evacuated, new flows are not wanted anywhere.
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -148,9 +148,8 @@
   [[nodiscard]] EdgePlacement Place(V4Endpoint client, V4Endpoint service,
                                     const Route& route, TargetKey excluded,
                                     TimePoint now);
-  // Selects an evacuated target of this instance's domain if the domain is cut
-  // off, so that no other target can be reached and the evacuation may have
-  // ended.
+  // Selects an evacuated target of this instance's domain if all domains that
+  // are not evacuated seem to be cut off.
   [[nodiscard]] EdgePlacement PlaceAtEvacuated(
       const std::vector<EdgeTarget*>& targets, PlacementQuery query);
   // Update what is known of the reachability of a target's domain.
--- a/test/edge/edge_steering_domains_test.cc
+++ b/test/edge/edge_steering_domains_test.cc
@@ -132,9 +132,9 @@
 // Each failure domain serves on when it is cut off from the others and from the
 // store, where the evacuation may have ended meanwhile.
 BOOST_AUTO_TEST_CASE(a_domain_that_is_cut_off_uses_its_evacuated_targets) {
-  Add(sample::Target(11, "b"));
+  for (std::uint64_t key : {11, 12, 13}) Add(sample::Target(key, "b"));
   targets.SetEvacuated("a", true, clock.Now());
-  MakeUnreachable(TargetKey{11});
+  for (std::uint64_t key : {11, 12, 13}) MakeUnreachable(TargetKey{key});
   steering.OnPacket(Syn(1, sample::kFeed), clock.Now());
   BOOST_TEST(resets.size() == 1U);
   steering.OnPacket(Syn(2, sample::kFeed), clock.Now(),
@@ -143,6 +143,17 @@
   BOOST_TEST(targets.Find(sent.back().target)->is_local);
 }
 
+// Regression: the other domain's targets had failed while the store was away.
+BOOST_AUTO_TEST_CASE(failed_targets_elsewhere_do_not_end_an_evacuation) {
+  Add(sample::Target(11, "b"));
+  targets.SetEvacuated("a", true, clock.Now());
+  MakeUnreachable(TargetKey{11});
+  steering.OnPacket(Syn(1, sample::kFeed), clock.Now(),
+                    {.evacuations_unconfirmed = true});
+  BOOST_TEST(sent.empty());
+  BOOST_TEST(resets.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(no_flow_is_wanted_if_all_domains_are_evacuated) {
   targets.SetEvacuated("a", true, clock.Now());
   steering.OnPacket(Syn(1, sample::kFeed), clock.Now(),
