--- a/src/sapphirestream/edge/peer_directory.h
+++ b/src/sapphirestream/edge/peer_directory.h
@@ -105,7 +105,7 @@
       V4Endpoint from, PeerId id, std::uint32_t sequence, TimePoint arrived);
   // Another instance mentioned an address.
   void OnMentioned(V4Endpoint address, TimePoint now);
-  // Ends the exchange with silent peers, and forgets old addresses.
+  // Ends the exchange with silent peers, and erases old addresses.
   [[nodiscard]] std::vector<LostPeer> Expire(TimePoint now);
 
   // Determines the neighbors: the nearest live peers in either direction.
--- a/test/edge/peer_exchange_test.cc
+++ b/test/edge/peer_exchange_test.cc
@@ -163,8 +163,8 @@
   network.Run(1s);
   BOOST_TEST(!Hears(3, ids[4]));
   BOOST_TEST(Hears(3, ids[0]));
-  // The process measured its own pause: its sums are dropped, while its counts
-  // of outstanding requests are valid.
+  // Requests seemed to last as long as the pause: the sums are dropped; the
+  // counts of outstanding requests are valid.
   BOOST_TEST(Outstanding(0, ids[3]) == 2U);
   BOOST_TEST(network.At(0).store.received_requests == 0U);
 }
--- a/testing/soak/soak_domains.cc
+++ b/testing/soak/soak_domains.cc
@@ -25,7 +25,7 @@
 constexpr Duration kStableWindow = 4s;
 constexpr Duration kHeartbeat = 1200ms;
 constexpr Duration kColdWindow = 1s;
-// New flows at a cold target in any second: ColdPerS x ColdOverage + ColdSlack.
+// Limit of new flows at a cold target in any second.
 constexpr std::size_t kMaxColdFlows = kColdFlowsPerS * 3 / 2 + 5;
 
 }  // namespace
--- a/testing/soak/soak_world.h
+++ b/testing/soak/soak_world.h
@@ -203,7 +203,7 @@
     // When the entry was last written to a restored store.
     TimePoint rewritten;
     // Instances that were undisturbed for so long that they know of it. They
-    // must not forget it when they are cut off.
+    // must keep it when they are cut off.
     std::set<std::size_t> informed;
   };
   struct ExtraRoute {
