Take refused probes as a sign of a partition

Cause: a partition that resets connections makes probes look refused, which counted as an answer of the other domain. A domain that was evacuated and cut off in this way refused all new flows until the partition ended. Change: refused probes of three targets, with none answering, mark a domain as cut off, like silent ones.

--- a/src/sapphirestream/edge/domain_reachability.h
+++ b/src/sapphirestream/edge/domain_reachability.h
@@ -15,16 +15,20 @@
 
 class DomainReachability {
  public:
-  // Silent targets of a domain that show a partition if no target of the domain
-  // has answered since; fewer may have failed by themselves.
-  static constexpr std::size_t kMinSilentTargets = 3;
-  // A silent probe counts for this time. Unreachable targets are probed again
+  // Unreachable targets of a domain that show a partition if no target of the
+  // domain has accepted a connection since; fewer may have failed by
+  // themselves.
+  static constexpr std::size_t kMinUnreachableTargets = 3;
+  // A failed probe counts for this time. Unreachable targets are probed again
   // earlier, so that a partition stays known while it lasts.
   static constexpr Duration kMaxEvidenceAge = std::chrono::seconds(1);
 
-  // A probe of the target that began at `begun` was not answered.
-  void OnSilent(const std::string& domain, TargetKey target, TimePoint begun);
-  // A target of the domain answered a packet or a probe.
+  // A probe of the target that began at `begun` was not answered or was
+  // refused: a partition may reset connections instead of dropping their
+  // packets.
+  void OnUnreachable(const std::string& domain, TargetKey target,
+                     TimePoint begun);
+  // A target of the domain answered a packet or accepted a connection.
   void OnAnswer(const std::string& domain, TimePoint now);
 
   [[nodiscard]] bool IsCutOff(const std::string& domain, TimePoint now) const;
@@ -32,9 +36,9 @@
  private:
   struct Domain {
     TimePoint last_answer{};
-    // Start of the last silent probe of each target. Bounded by the number of
+    // Start of the last failed probe of each target. Bounded by the number of
     // targets that are probed, and cleared by each answer.
-    std::map<TargetKey, TimePoint> silent;
+    std::map<TargetKey, TimePoint> unreachable;
   };
 
   std::map<std::string, Domain, std::less<>> domains_;
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -153,7 +153,8 @@
   [[nodiscard]] EdgePlacement PlaceAtEvacuated(
       const std::vector<EdgeTarget*>& targets, PlacementQuery query);
   // Update what is known of the reachability of a target's domain.
-  void OnDomainSilent(const EdgeTarget& target, TimePoint begun, TimePoint now);
+  void OnDomainUnreachable(const EdgeTarget& target, TimePoint begun,
+                           TimePoint now);
   void OnDomainAnswer(const EdgeTarget& target, TimePoint now);
   void SendOpening(CachedFlow& flow, EdgeTarget& target,
                    std::span<const std::byte> packet);
--- a/src/sapphirestream/edge/edge_steering_failover.cc
+++ b/src/sapphirestream/edge/edge_steering_failover.cc
@@ -30,11 +30,11 @@
        .control = needs_control ? ControlFor(target, now) : std::nullopt});
 }
 
-void EdgeSteering::OnDomainSilent(const EdgeTarget& target, TimePoint begun,
-                                  TimePoint now) {
+void EdgeSteering::OnDomainUnreachable(const EdgeTarget& target,
+                                       TimePoint begun, TimePoint now) {
   if (!evacuates_domains_ || target.is_local) return;
   const std::string& domain = target.record.domain;
-  domains_.OnSilent(domain, target.record.key, begun);
+  domains_.OnUnreachable(domain, target.record.key, begun);
   if (domains_.IsCutOff(domain, now)) {
     targets_.SetCutOff(domain, now + DomainReachability::kMaxEvidenceAge);
   }
@@ -75,8 +75,8 @@
   const bool is_path_suspect = IsPathSuspect(target->service);
   const bool became_unreachable = target->health.OnProbe(outcome, begun, now);
   if (outcome == ProbeOutcome::kStranger) targets_.Retire(*target, now);
-  if (outcome == ProbeOutcome::kSilent) {
-    OnDomainSilent(*target, begun, now);
+  if (outcome == ProbeOutcome::kSilent || outcome == ProbeOutcome::kRefused) {
+    OnDomainUnreachable(*target, begun, now);
   } else if (outcome != ProbeOutcome::kFailed) {
     OnDomainAnswer(*target, now);
   }
--- a/test/edge/domain_reachability_test.cc
+++ b/test/edge/domain_reachability_test.cc
@@ -10,8 +10,8 @@
 using namespace std::chrono_literals;
 
 struct Fixture {
-  void Silent(std::uint64_t target) {
-    domains.OnSilent("b", TargetKey{target}, now);
+  void Fail(std::uint64_t target) {
+    domains.OnUnreachable("b", TargetKey{target}, now);
   }
   bool IsCutOff() { return domains.IsCutOff("b", now); }
 
@@ -21,18 +21,18 @@
 
 BOOST_FIXTURE_TEST_SUITE(domain_reachability, Fixture)
 
-BOOST_AUTO_TEST_CASE(several_silent_targets_show_a_partition) {
-  Silent(1);
-  Silent(2);
-  Silent(2);
+BOOST_AUTO_TEST_CASE(several_unreachable_targets_show_a_partition) {
+  Fail(1);
+  Fail(2);
+  Fail(2);
   BOOST_TEST(!IsCutOff());
-  Silent(3);
+  Fail(3);
   BOOST_TEST(IsCutOff());
   BOOST_TEST(!domains.IsCutOff("c", now));
 }
 
 BOOST_AUTO_TEST_CASE(one_answer_refutes_it) {
-  for (std::uint64_t target : {1, 2, 3}) Silent(target);
+  for (std::uint64_t target : {1, 2, 3}) Fail(target);
   now += 10ms;
   domains.OnAnswer("b", now);
   BOOST_TEST(!IsCutOff());
@@ -40,18 +40,18 @@
 
 // Probes end in any order.
 BOOST_AUTO_TEST_CASE(a_probe_from_before_the_last_answer_does_not_count) {
-  Silent(1);
-  Silent(2);
+  Fail(1);
+  Fail(2);
   domains.OnAnswer("b", now + 10ms);
-  Silent(3);
+  Fail(3);
   BOOST_TEST(!IsCutOff());
 }
 
 BOOST_AUTO_TEST_CASE(evidence_expires) {
-  for (std::uint64_t target : {1, 2, 3}) Silent(target);
+  for (std::uint64_t target : {1, 2, 3}) Fail(target);
   now += DomainReachability::kMaxEvidenceAge + 1ms;
   BOOST_TEST(!IsCutOff());
-  Silent(4);
+  Fail(4);
   BOOST_TEST(!IsCutOff());
 }
 
--- a/test/edge/edge_steering_domains_test.cc
+++ b/test/edge/edge_steering_domains_test.cc
@@ -143,6 +143,20 @@
   BOOST_TEST(targets.Find(sent.back().target)->is_local);
 }
 
+// Regression: a partition that resets connections counted as an answer of the
+// other domain, and the domain that was cut off refused all new flows.
+BOOST_AUTO_TEST_CASE(refused_probes_show_that_a_domain_is_cut_off) {
+  for (std::uint64_t key : {11, 12, 13, 14}) Add(sample::Target(key, "b"));
+  targets.SetEvacuated("a", true, clock.Now());
+  for (std::uint64_t key : {11, 12, 13}) {
+    MakeUnreachable(TargetKey{key}, ProbeOutcome::kRefused);
+  }
+  steering.OnPacket(Syn(1, sample::kFeed), clock.Now(),
+                    {.evacuations_unconfirmed = true});
+  BOOST_REQUIRE(!sent.empty());
+  BOOST_TEST(targets.Find(sent.back().target)->is_local);
+}
+
 // Regression: the other domain's targets had failed while the store was away.
 BOOST_AUTO_TEST_CASE(failed_targets_elsewhere_do_not_end_an_evacuation) {
   Add(sample::Target(11, "b"));
--- a/test/edge/edge_steering_fixture.h
+++ b/test/edge/edge_steering_fixture.h
@@ -81,13 +81,14 @@
         sample::Data(client, service, targets.TokenOf(target), 201, 100, 2001));
   }
   // Makes a probe report that the target is unreachable.
-  void MakeUnreachable(TargetKey target) {
+  void MakeUnreachable(TargetKey target,
+                       ProbeOutcome outcome = ProbeOutcome::kSilent) {
     EdgeTarget& unreachable = *targets.Find(target);
     (void)unreachable.health.OnUnanswered(
         clock.Now(), true, clock.Now() + std::chrono::milliseconds(1));
     probe_begun = clock.Now() + std::chrono::milliseconds(1);
     clock.Advance(std::chrono::milliseconds(60));
-    FinishProbe(target, ProbeOutcome::kSilent);
+    FinishProbe(target, outcome);
   }
 
   testing::ManualClock clock;
