Share reads of the store between the instances of a domain

Cause: each instance read the store itself every 3.75 s, at the full price, only to bound the age of its view. Change: samples messages (version 2) carry the revision that the store had reached and the time of that read on the clock of the receiver. RevisionClock merges it, CollectionChecker spreads the checks of a domain over a quarter of their interval, and the instance that reads first tells its neighbors at once. New setting store-id for fleets that reach one store by different addresses.

--- a/src/sapphirestream/edge/peer_counters.h
+++ b/src/sapphirestream/edge/peer_counters.h
@@ -20,7 +20,8 @@
         sent(counters.Emplace("peer_messages_sent_total")),
         sent_bytes(counters.Emplace("peer_sent_bytes_total")),
         received(counters.Emplace("peer_messages_received_total")),
-        received_bytes(counters.Emplace("peer_received_bytes_total")) {
+        received_bytes(counters.Emplace("peer_received_bytes_total")),
+        revisions_learned(counters.Emplace("peer_store_reads_total")) {
     for (std::size_t i = 0; i < kPeerRejections; ++i) {
       const auto reason = static_cast<PeerRejection>(i);
       rejected[i] = &counters.Emplace("peer_messages_rejected_total{reason=\"" +
@@ -38,6 +39,8 @@
   Counter& sent_bytes;
   Counter& received;
   Counter& received_bytes;
+  // Reads of the store that peers told and that were later than all known ones.
+  Counter& revisions_learned;
   std::array<Counter*, kPeerRejections> rejected{};
 };
 
--- a/src/sapphirestream/edge/peer_directory.cc
+++ b/src/sapphirestream/edge/peer_directory.cc
@@ -17,9 +17,9 @@
                IsLive(other, arrived);
       });
   if (is_taken) return PeerRejection::kForeignId;
-  const auto it = Find(from);
+  PeerEntry* const known = Find(from);
   PeerEntry* const peer =
-      it != peers_.end() ? &*it : Emplace(from, /*is_live=*/true, arrived);
+      known != nullptr ? known : Emplace(from, /*is_live=*/true, arrived);
   if (peer == nullptr) return PeerRejection::kTooFar;
   if (id == peer->former_id) return PeerRejection::kFormerProcess;
   if (id == peer->id && sequence != 0 && sequence <= peer->last_sequence) {
@@ -31,6 +31,7 @@
     peer->former_id = std::exchange(peer->id, id);
     peer->last_sequence = 0;
     peer->samples_heard.reset();
+    peer->clock.reset();
   }
   if (sequence != 0) peer->last_sequence = sequence;
   peer->heard = std::max(arrived, peer->heard.value_or(arrived));
@@ -41,8 +42,8 @@
 
 void PeerDirectory::OnMentioned(V4Endpoint address, TimePoint now) {
   if (address == own_ || address == V4Endpoint{}) return;
-  if (const auto it = Find(address); it != peers_.end()) {
-    it->mentioned = now;
+  if (PeerEntry* const peer = Find(address)) {
+    peer->mentioned = now;
   } else {
     Emplace(address, /*is_live=*/false, now);
   }
@@ -135,7 +136,8 @@
   });
 }
 
-PeerDirectory::Peers::iterator PeerDirectory::Find(V4Endpoint address) {
+PeerDirectory::Peers::const_iterator PeerDirectory::Locate(
+    V4Endpoint address) const {
   const auto it = std::lower_bound(
       peers_.begin(), peers_.end(), RingDistance(own_, address),
       [](const PeerEntry& peer, std::uint64_t distance) {
@@ -144,6 +146,17 @@
   return it != peers_.end() && it->address == address ? it : peers_.end();
 }
 
+const PeerEntry* PeerDirectory::Find(V4Endpoint address) const {
+  const auto it = Locate(address);
+  return it != peers_.end() ? &*it : nullptr;
+}
+
+PeerEntry* PeerDirectory::Find(V4Endpoint address) {
+  const auto it = Locate(address);
+  if (it == peers_.end()) return nullptr;
+  return &peers_[static_cast<std::size_t>(it - peers_.begin())];
+}
+
 PeerEntry* PeerDirectory::Emplace(V4Endpoint address, bool is_live,
                                   TimePoint now) {
   if (peers_.size() >= kMaxPeers) {
--- a/src/sapphirestream/edge/peer_directory.h
+++ b/src/sapphirestream/edge/peer_directory.h
@@ -11,6 +11,7 @@
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/random.h"
 #include "sapphirestream/edge/fwd.h"
+#include "sapphirestream/edge/peer_clock.h"
 #include "sapphirestream/edge/peer_message.h"
 #include "sapphirestream/edge/v4_endpoint.h"
 
@@ -45,6 +46,8 @@
   std::optional<TimePoint> heard;
   // Arrival of its last samples; not set unless it sends samples now.
   std::optional<TimePoint> samples_heard;
+  // Its clock, from its last samples; not set before the first ones.
+  std::optional<PeerClockReading> clock;
   std::uint32_t last_sequence = 0;
   // Messages with samples.
   MessageRate rate;
@@ -116,6 +119,8 @@
   // and are due for an introduction; sets the time of the next one.
   [[nodiscard]] std::vector<V4Endpoint> TakeContacts(std::size_t limit,
                                                      TimePoint now);
+  // Returns null if the address is not known.
+  [[nodiscard]] const PeerEntry* Find(V4Endpoint address) const;
   // Addresses of all live peers.
   [[nodiscard]] std::vector<V4Endpoint> LivePeers(TimePoint now) const;
 
@@ -132,7 +137,8 @@
   static bool IsLive(const PeerEntry& peer, TimePoint now) noexcept {
     return peer.heard && now - *peer.heard < kSilenceTimeout;
   }
-  Peers::iterator Find(V4Endpoint address);
+  [[nodiscard]] Peers::const_iterator Locate(V4Endpoint address) const;
+  [[nodiscard]] PeerEntry* Find(V4Endpoint address);
   // Returns null if the directory is full of nearer or live peers.
   PeerEntry* Emplace(V4Endpoint address, bool is_live, TimePoint now);
   // Returns for each peer whether fewer than kNeighborsPerSide of those that
--- a/src/sapphirestream/edge/peer_exchange.cc
+++ b/src/sapphirestream/edge/peer_exchange.cc
@@ -54,15 +54,19 @@
 }  // namespace
 
 PeerExchange::PeerExchange(const PeerExchangeOptions& options,
-                           SampleStore& store, PeerSink& sink, Random& random,
-                           EventLog& log, CounterSet& counters)
+                           SampleStore& store, RevisionTimes& revision_times,
+                           PeerSink& sink, Random& random, EventLog& log,
+                           CounterSet& counters, TimePoint now)
     : id_(options.id),
       domain_(HashOfDomain(options.domain)),
       store_(store),
+      revision_times_(revision_times),
       sink_(sink),
       random_(random),
       log_(log),
       counters_(counters),
+      clock_(static_cast<std::uint32_t>(random.Next()), now),
+      store_hash_(HashOfStore(options.store)),
       directory_(options.own, random),
       seeds_(Without(options.seeds, options.own), random) {}
 
@@ -70,6 +74,16 @@
   seeds_ = PeerSeeds(Without(std::move(seeds), directory_.own()), random_);
 }
 
+void PeerExchange::SetStore(std::string_view identity) {
+  store_hash_ = HashOfStore(identity);
+}
+
+void PeerExchange::OnStoreRead(TimePoint now) {
+  const auto latest = revision_times_.Latest();
+  if (!latest || latest->time <= shared_read_ || neighbors_.empty()) return;
+  SendSamples(now);
+}
+
 void PeerExchange::Tick(TimePoint now) {
   Expire(now);
   directory_.UpdateNeighbors(now);
@@ -179,6 +193,8 @@
                {{"peer", Value(peer.id)}, {"address", ToString(peer.address)}});
   }
   peer.samples_heard = arrived;
+  peer.clock = {body.sent, now};
+  MergeRevision(body.revision_time, now);
   if (!peer.is_neighbor && now >= peer.contact_at) {
     peer.contact_at = now + kAddressesInterval;
     SendAddresses(from, domain_, kAddressesPerMessage, now);
@@ -190,6 +206,29 @@
   return std::nullopt;
 }
 
+void PeerExchange::MergeRevision(const std::optional<PeerRevisionTime>& time,
+                                 TimePoint now) {
+  if (!time || time->store != store_hash_) return;
+  const auto read = clock_.FromPeerTime(time->time, now);
+  if (!read || !revision_times_.Merge({*read, time->revision})) return;
+  shared_read_ = std::max(shared_read_, *read);
+  counters_.revisions_learned.Add();
+}
+
+std::optional<PeerRevisionTime> PeerExchange::RevisionFor(V4Endpoint neighbor,
+                                                          TimePoint now) const {
+  const auto latest = revision_times_.Latest();
+  if (!latest || now - latest->time > kMaxRevisionAge) return std::nullopt;
+  const PeerEntry* const peer = directory_.Find(neighbor);
+  const bool is_clock_known =
+      peer != nullptr && peer->clock &&
+      now - peer->clock->received < PeerDirectory::kSilenceTimeout;
+  if (!is_clock_known) return std::nullopt;
+  return PeerRevisionTime{.store = store_hash_,
+                          .revision = latest->revision,
+                          .time = peer->clock->At(latest->time)};
+}
+
 std::variant<PeerEntry*, PeerRejection> PeerExchange::OnHeard(
     V4Endpoint from, PeerId id, std::uint32_t sequence, TimePoint arrived) {
   const auto heard = directory_.OnHeard(from, id, sequence, arrived);
@@ -244,15 +283,14 @@
   if (neighbors_.empty()) return;
   const TimePoint due = backlog_.has_changes() ? send_at_ : send_idle_at_;
   if (now + kTickTolerance < due) return;
-  const std::size_t bytes = SendSamples(now);
-  const Duration interval = std::clamp(TimeFor(bytes, SamplesRate()),
-                                       kTickInterval, kMaxSendInterval);
-  send_at_ = std::max(send_at_, now) + interval;
-  send_idle_at_ = now + kMaxSendInterval;
+  SendSamples(now);
 }
 
-std::size_t PeerExchange::SendSamples(TimePoint now) {
+void PeerExchange::SendSamples(TimePoint now) {
   ++sequence_;
+  if (const auto latest = revision_times_.Latest()) {
+    shared_read_ = std::max(shared_read_, latest->time);
+  }
   const bool has_addresses = sequence_ % kAddressesEvery == 0 ||
                              now - neighbors_changed_ < kSettlingTime;
   const std::size_t addresses = has_addresses ? kAddressesPerMessage : 0;
@@ -260,14 +298,21 @@
   const auto live = directory_.LivePeers(now);
   std::size_t bytes = 0;
   for (const V4Endpoint neighbor : neighbors_) {
-    PeerSamples body{sequence_, samples, {}};
+    PeerSamples body{sequence_,
+                     samples,
+                     {},
+                     clock_.ToPeerTime(now),
+                     RevisionFor(neighbor, now)};
     if (addresses > 0) {
       body.addresses = live;
       SelectAddressesFor(neighbor, addresses, random_, body.addresses);
     }
     bytes += Send(neighbor, {id_, domain_, std::move(body)});
   }
-  return bytes;
+  const Duration interval = std::clamp(TimeFor(bytes, SamplesRate()),
+                                       kTickInterval, kMaxSendInterval);
+  send_at_ = std::max(send_at_, now) + interval;
+  send_idle_at_ = now + kMaxSendInterval;
 }
 
 std::size_t PeerExchange::RoomForSamples(std::size_t addresses) const {
--- a/src/sapphirestream/edge/peer_exchange.h
+++ b/src/sapphirestream/edge/peer_exchange.h
@@ -15,6 +15,7 @@
 #include "sapphirestream/base/counter.h"
 #include "sapphirestream/base/event_log.h"
 #include "sapphirestream/base/random.h"
+#include "sapphirestream/base/revision_time.h"
 #include "sapphirestream/edge/introduction_budget.h"
 #include "sapphirestream/edge/peer_counters.h"
 #include "sapphirestream/edge/peer_directory.h"
@@ -44,6 +45,8 @@
   // Addresses of some instances of any domain; may be stale, and may include
   // the own one.
   std::vector<V4Endpoint> seeds;
+  // Identity of the store that this instance reads.
+  std::string store;
 };
 
 class PeerExchange {
@@ -76,6 +79,9 @@
   // Messages with samples that are accepted from one peer per second; twice as
   // many as it may send.
   static constexpr std::uint32_t kMaxMessagesPerSecond = 20;
+  // Older reads of the store are not passed on: they complete no view that is
+  // due for a check.
+  static constexpr Duration kMaxRevisionAge = std::chrono::seconds(2);
   // Limits of what is accepted about one target in one message. An instance
   // does not handle more requests in half a second.
   static constexpr std::uint32_t kMaxRequests = 10'000;
@@ -85,8 +91,8 @@
 
   // The references must outlive the exchange.
   PeerExchange(const PeerExchangeOptions& options, SampleStore& store,
-               PeerSink& sink, Random& random, EventLog& log,
-               CounterSet& counters);
+               RevisionTimes& revision_times, PeerSink& sink, Random& random,
+               EventLog& log, CounterSet& counters, TimePoint now);
 
   // Sends what is due. To be called every kTickInterval.
   void Tick(TimePoint now);
@@ -94,8 +100,14 @@
   void OnDatagram(V4Endpoint from, std::span<const std::byte> datagram,
                   Duration age, TimePoint now);
 
+  // The store may have been read. Tells the neighbors at once: those that are
+  // due for a read soon need none of their own.
+  void OnStoreRead(TimePoint now);
+
   // Replaces the addresses of the seeds.
   void SetSeeds(std::vector<V4Endpoint> seeds);
+  // Another store is read from now on.
+  void SetStore(std::string_view identity);
 
   // Addresses known in this domain, not counting the own one.
   [[nodiscard]] std::size_t known_peers() const noexcept {
@@ -117,6 +129,12 @@
                         TimePoint arrived, TimePoint now);
   Rejection OnSamples(V4Endpoint from, const EdgePeerMessage& message,
                       TimePoint arrived, TimePoint now);
+  // Adds what a neighbor has read of the store.
+  void MergeRevision(const std::optional<PeerRevisionTime>& time,
+                     TimePoint now);
+  // Returns what the neighbor is told about the store, if anything.
+  [[nodiscard]] std::optional<PeerRevisionTime> RevisionFor(
+      V4Endpoint neighbor, TimePoint now) const;
   // Updates the directory. Discards the counts of a former process.
   std::variant<PeerEntry*, PeerRejection> OnHeard(V4Endpoint from, PeerId id,
                                                   std::uint32_t sequence,
@@ -127,8 +145,8 @@
   // Contacts addresses that others have mentioned.
   void ContactMentioned(TimePoint now);
   void SendSamplesIfDue(TimePoint now);
-  // Returns the size of the datagrams with their headers.
-  std::size_t SendSamples(TimePoint now);
+  // Also sets the time of the next message.
+  void SendSamples(TimePoint now);
   // Bytes of samples that fit into the next message to each neighbor.
   [[nodiscard]] std::size_t RoomForSamples(std::size_t addresses) const;
   // Bytes per second that may be sent to all neighbors together.
@@ -144,10 +162,13 @@
   PeerId id_;
   DomainHash domain_;
   SampleStore& store_;
+  RevisionTimes& revision_times_;
   PeerSink& sink_;
   Random& random_;
   EventLog& log_;
   PeerCounters counters_;
+  PeerClock clock_;
+  StoreHash store_hash_;
   PeerDirectory directory_;
   PeerSeeds seeds_;
   PeerIntroductions introductions_;
@@ -158,6 +179,9 @@
   std::uint32_t sequence_ = 0;
   IntroductionBudget introduction_budget_;
   std::optional<TimePoint> last_tick_;
+  // Latest read of the store that the neighbors know of, or that one of them
+  // has told.
+  TimePoint shared_read_{};
   // Next samples messages: earliest time with samples, and without.
   TimePoint send_at_{};
   TimePoint send_idle_at_{};
--- a/src/sapphirestream/edge/peer_message.cc
+++ b/src/sapphirestream/edge/peer_message.cc
@@ -77,6 +77,14 @@
       PutVariable(entry.outstanding);
     }
   }
+  void Put(const std::optional<PeerRevisionTime>& time) {
+    Put(static_cast<std::uint8_t>(time ? 1 : 0));
+    if (!time) return;
+    Put(Value(time->store));
+    PutVariable(Value(time->revision.era));
+    PutVariable(time->revision.number);
+    Put(Value(time->time));
+  }
   std::vector<std::byte> Finish() {
     if (bytes_.size() > kMaxPeerMessageBytes) return {};
     return std::move(bytes_);
@@ -151,6 +159,17 @@
     }
     return samples;
   }
+  std::optional<PeerRevisionTime> GetRevisionTime() {
+    const auto size = Get<std::uint8_t>();
+    if (size > 1) Fail();
+    if (size == 0 || has_failed_) return std::nullopt;
+    PeerRevisionTime time;
+    time.store = StoreHash{Get<std::uint32_t>()};
+    time.revision.era = StoreEra{GetVariable()};
+    time.revision.number = GetVariable();
+    time.time = PeerTime{Get<std::uint32_t>()};
+    return time;
+  }
   // Whether all bytes were read without an error.
   [[nodiscard]] bool is_complete() const noexcept {
     return !has_failed_ && rest_.empty();
@@ -178,6 +197,11 @@
       HashBytes(name.data(), name.size(), /*seed=*/0))};
 }
 
+StoreHash HashOfStore(std::string_view identity) noexcept {
+  return StoreHash{static_cast<std::uint32_t>(
+      HashBytes(identity.data(), identity.size(), /*seed=*/1))};
+}
+
 std::string_view Name(PeerRejection reason) noexcept {
   constexpr std::array<std::string_view, kPeerRejections> names{
       "malformed", "other_version",  "other_domain", "own",     "reordered",
@@ -195,10 +219,13 @@
 
 std::size_t SamplesOverhead(std::size_t addresses) noexcept {
   constexpr std::size_t sequence = 4;
+  constexpr std::size_t sent = 4;
   constexpr std::size_t list_sizes = 2;
   constexpr std::size_t max_base = 10;
-  return kHeaderBytes + sequence + list_sizes + max_base +
-         addresses * kAddressBytes;
+  // A flag, the hash of the store, era, revision and time.
+  constexpr std::size_t max_revision_time = 1 + 4 + 10 + 10 + 4;
+  return kHeaderBytes + sequence + sent + list_sizes + max_base +
+         max_revision_time + addresses * kAddressBytes;
 }
 
 std::vector<std::byte> EncodeEdgePeerMessage(const EdgePeerMessage& message) {
@@ -213,6 +240,8 @@
   if (const auto* samples = std::get_if<PeerSamples>(&message.body)) {
     put_header(Kind::kSamples);
     out.Put(samples->sequence);
+    out.Put(Value(samples->sent));
+    out.Put(samples->revision_time);
     out.Put(samples->addresses);
     out.Put(samples->samples);
   } else if (const auto* reply = std::get_if<PeerAddresses>(&message.body)) {
@@ -248,6 +277,8 @@
     case Kind::kSamples: {
       PeerSamples body;
       body.sequence = in.Get<std::uint32_t>();
+      body.sent = PeerTime{in.Get<std::uint32_t>()};
+      body.revision_time = in.GetRevisionTime();
       body.addresses = in.GetAddresses();
       body.samples = in.GetSamples();
       message.body = std::move(body);
--- a/src/sapphirestream/edge/peer_message.h
+++ b/src/sapphirestream/edge/peer_message.h
@@ -6,12 +6,15 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string_view>
 #include <variant>
 #include <vector>
 
+#include "sapphirestream/base/store_revision.h"
 #include "sapphirestream/edge/fwd.h"
+#include "sapphirestream/edge/peer_clock.h"
 #include "sapphirestream/edge/target_samples.h"
 #include "sapphirestream/edge/v4_endpoint.h"
 
@@ -22,11 +25,17 @@
 
 [[nodiscard]] DomainHash HashOfDomain(std::string_view name) noexcept;
 
+// Hash of the identity of a store: revisions of different stores cannot be
+// compared.
+enum class StoreHash : std::uint32_t {};
+
+[[nodiscard]] StoreHash HashOfStore(std::string_view identity) noexcept;
+
 // Fits an IPv6 packet of the minimum MTU, so that messages are not fragmented.
 inline constexpr std::size_t kMaxPeerMessageBytes = 1200;
 // Bytes of the IPv4 and UDP headers; counted as traffic.
 inline constexpr std::size_t kDatagramHeaderBytes = 28;
-inline constexpr std::uint8_t kPeerMessageVersion = 1;
+inline constexpr std::uint8_t kPeerMessageVersion = 2;
 // Maximum number of addresses in a message.
 inline constexpr std::size_t kMaxPeerAddresses = 16;
 
@@ -46,6 +55,16 @@
   bool operator==(const PeerAddresses&) const = default;
 };
 
+// The store's progress, see RevisionTime.
+struct PeerRevisionTime {
+  StoreHash store{};
+  StoreRevision revision;
+  // On the clock of the receiver.
+  PeerTime time{};
+
+  bool operator==(const PeerRevisionTime&) const = default;
+};
+
 // Observations of the sender; also shows that it is alive.
 struct PeerSamples {
   // Increases with every message of this kind from one process. At ten messages
@@ -55,6 +74,10 @@
   std::vector<TargetSamples> samples;
   // Some instances of the sender's domain.
   std::vector<V4Endpoint> addresses;
+  // On the clock of the sender.
+  PeerTime sent{};
+  // Set if the sender knows the receiver's clock and has read lately.
+  std::optional<PeerRevisionTime> revision_time;
 
   bool operator==(const PeerSamples&) const = default;
 };
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -127,9 +127,10 @@
                                        reply(HandleOperatorRequest(request));
                                      }));
   if (load_ && settings_.peer) {
-    BOOST_LEAF_ASSIGN(peers_,
-                      PeerLink::Open(context_, settings_, load_->performance(),
-                                     random_, clock_, log_, counters_));
+    BOOST_LEAF_ASSIGN(
+        peers_,
+        PeerLink::Open(context_, settings_, load_->performance(),
+                       revision_clock_, random_, clock_, log_, counters_));
   }
   return {};
 }
@@ -172,6 +173,7 @@
       RouteOptions(settings_));
   checker_ =
       std::make_unique<CollectionChecker>(timer_, clock_, revision_clock_);
+  if (peers_) checker_->SpreadChecks(random_);
   checker_->Emplace(*target_reader_, settings_.drain_bound);
   checker_->Emplace(*route_reader_, settings_.config_bound);
   view_.targets_age().set_bound(settings_.drain_bound);
@@ -237,6 +239,8 @@
 void EdgeInstance::Housekeep() {
   CheckForSuspend();
   const TimePoint now = clock_.Now();
+  // Peers may have told that the store has not changed since.
+  if (peers_) CheckAges();
   OnViewChanged();
   targets_.Expire(now, view_.targets_age().complete_until());
   view_.ExpireEvacuations();
@@ -277,6 +281,7 @@
       target_reader_->CompleteUntil(), route_reader_->CompleteUntil(),
       evacuation_reader_ ? evacuation_reader_->CompleteUntil() : TimePoint{});
   checker_->Run();
+  if (peers_) peers_->OnStoreRead();
   OnViewChanged();
 }
 
@@ -319,6 +324,7 @@
       next->peer != settings_.peer ||
       next->flow_capacity != settings_.flow_capacity;
   const bool watches_changed =
+      next->StoreIdentity() != settings_.StoreIdentity() ||
       next->store != settings_.store ||
       next->watch_wait != settings_.watch_wait ||
       next->cached_wait != settings_.cached_wait ||
@@ -329,7 +335,10 @@
       ConfigWatchInterval(*next) != ConfigWatchInterval(settings_);
   if (next->store != settings_.store) view_.ForgetRevisions();
   settings_ = *next;
-  if (peers_) peers_->SetSeeds(settings_.seeds);
+  if (peers_) {
+    peers_->SetSeeds(settings_.seeds);
+    peers_->SetStore(settings_.StoreIdentity());
+  }
   lines_.set_threshold(settings_.log_level);
   if (watches_changed) StartReaders();
   log_.Write(LogLevel::kInfo, "reloaded",
--- a/src/sapphirestream/edge_io/edge_settings.cc
+++ b/src/sapphirestream/edge_io/edge_settings.cc
@@ -139,6 +139,13 @@
                [](std::string_view v, EdgeSettings& s) {
                  return AssignEndpoint(v, s.store);
                }},
+    SettingRow{"store-id", "",
+               "identity of the store, the same on all instances; empty: its "
+               "address",
+               [](std::string_view v, EdgeSettings& s) {
+                 s.store_id = v;
+                 return std::string();
+               }},
     SettingRow{"grace-s", "6", "seconds between the stop request and the kill",
                [](std::string_view v, EdgeSettings& s) {
                  return AssignTime(v, std::chrono::seconds(1),
--- a/src/sapphirestream/edge_io/edge_settings.h
+++ b/src/sapphirestream/edge_io/edge_settings.h
@@ -43,6 +43,9 @@
   Endpoint metrics;
   // The platform's store.
   Endpoint store;
+  // Identity of the store, the same on all instances that read it; empty if its
+  // address identifies it.
+  std::string store_id;
   // Time between the stop request and the kill of the process.
   std::chrono::milliseconds grace{};
   // Long-poll timeout of a configuration watch.
@@ -90,6 +93,10 @@
            evacuation_bound > std::chrono::milliseconds::zero();
   }
 
+  [[nodiscard]] std::string StoreIdentity() const {
+    return store_id.empty() ? ToString(store) : store_id;
+  }
+
   bool operator==(const EdgeSettings&) const = default;
 };
 
--- a/src/sapphirestream/edge_io/peer_link.cc
+++ b/src/sapphirestream/edge_io/peer_link.cc
@@ -26,6 +26,7 @@
   // Zero is no valid id.
   options.id = PeerId{std::max<std::uint64_t>(random.Next(), 1)};
   options.domain = settings.domain;
+  options.store = settings.StoreIdentity();
   options.seeds = PeerAddressesOf(settings.seeds, options.own.port);
   return options;
 }
@@ -34,8 +35,8 @@
 
 leaf::result<std::unique_ptr<PeerLink>> PeerLink::Open(
     boost::asio::io_context& context, const EdgeSettings& settings,
-    SampleStore& store, Random& random, const Clock& clock, EventLog& log,
-    CounterSet& counters) {
+    SampleStore& store, RevisionTimes& revision_times, Random& random,
+    const Clock& clock, EventLog& log, CounterSet& counters) {
   std::unique_ptr<PeerLink> link(new PeerLink(context, clock));
   BOOST_LEAF_ASSIGN(
       link->port_,
@@ -47,8 +48,8 @@
                                                    self->clock_.Now());
                      }));
   link->exchange_ = std::make_unique<PeerExchange>(
-      OptionsFor(settings, *link->port_, random), store, *link->port_, random,
-      log, counters);
+      OptionsFor(settings, *link->port_, random), store, revision_times,
+      *link->port_, random, log, counters, clock.Now());
   return link;
 }
 
--- a/src/sapphirestream/edge_io/peer_link.h
+++ b/src/sapphirestream/edge_io/peer_link.h
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 #include "sapphirestream/base/clock.h"
@@ -24,13 +25,16 @@
   // set. The references must outlive the link.
   [[nodiscard]] static leaf::result<std::unique_ptr<PeerLink>> Open(
       boost::asio::io_context& context, const EdgeSettings& settings,
-      SampleStore& store, Random& random, const Clock& clock, EventLog& log,
-      CounterSet& counters);
+      SampleStore& store, RevisionTimes& revision_times, Random& random,
+      const Clock& clock, EventLog& log, CounterSet& counters);
 
   // Starts to exchange messages.
   void Start();
   // Replaces the seeds; only their IP addresses are used.
   void SetSeeds(const std::vector<Endpoint>& seeds);
+  void SetStore(std::string_view identity) { exchange_->SetStore(identity); }
+  // See PeerExchange::OnStoreRead.
+  void OnStoreRead() { exchange_->OnStoreRead(clock_.Now()); }
 
  private:
   PeerLink(boost::asio::io_context& context, const Clock& clock)
--- a/src/sapphirestream/store/collection_checker.cc
+++ b/src/sapphirestream/store/collection_checker.cc
@@ -14,6 +14,11 @@
 // have met a silent connection, which is replaced by the next one.
 constexpr unsigned kMaxFailures = 2;
 
+// Largest share of the interval by which a check is early. Shorter than the
+// time for which a current read counts as recent, so that it serves all
+// instances that check later.
+constexpr double kMaxLead = 0.25;
+
 }  // namespace
 
 CheckTiming CheckTimingFor(Duration max_age) noexcept {
@@ -36,7 +41,10 @@
 std::optional<TimePoint> CollectionChecker::DueTime(const Entry& entry) const {
   const TimePoint complete_until = entry.collection->CompleteUntil();
   if (!entry.collection->IsCheckable()) return std::nullopt;
-  return std::max(complete_until + entry.timing.interval, entry.not_before);
+  const Duration lead(static_cast<Duration::rep>(
+      lead_ * static_cast<double>(entry.timing.interval.count())));
+  return std::max(complete_until + entry.timing.interval - lead,
+                  entry.not_before);
 }
 
 Freshness CollectionChecker::FreshnessFor(Entry& entry) const {
@@ -47,6 +55,15 @@
   return Freshness::kCached;
 }
 
+void CollectionChecker::SpreadChecks(Random& random) noexcept {
+  random_ = &random;
+  SelectLead();
+}
+
+void CollectionChecker::SelectLead() noexcept {
+  if (random_ != nullptr) lead_ = random_->Unit() * kMaxLead;
+}
+
 void CollectionChecker::Run() {
   timer_.Cancel(next_timer_);
   const bool is_busy =
@@ -90,6 +107,7 @@
   entry.not_before = {};
   if (error == ErrorKind::kNone) {
     entry.failures = 0;
+    SelectLead();
     const bool is_still_due =
         freshness == Freshness::kCurrent &&
         entry.collection->CompleteUntil() + entry.timing.interval <=
--- a/src/sapphirestream/store/collection_checker.h
+++ b/src/sapphirestream/store/collection_checker.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/random.h"
 #include "sapphirestream/store/checked_collection.h"
 #include "sapphirestream/store/epoch.h"
 #include "sapphirestream/store/revision_clock.h"
@@ -43,6 +44,11 @@
   CollectionChecker(const CollectionChecker&) = delete;
   CollectionChecker& operator=(const CollectionChecker&) = delete;
 
+  // Spreads the checks of instances that tell each other the revisions that
+  // they read: the first one reads currently, and cached reads of the others
+  // follow. `random` must outlive the checker.
+  void SpreadChecks(Random& random) noexcept;
+
   // Collections that were added first are read currently. `collection` must
   // outlive the checker.
   void Emplace(CheckedCollection& collection, Duration max_age);
@@ -68,6 +74,7 @@
   // Returns when the entry must be checked, or nothing if it cannot be.
   [[nodiscard]] std::optional<TimePoint> DueTime(const Entry& entry) const;
   [[nodiscard]] Freshness FreshnessFor(Entry& entry) const;
+  void SelectLead() noexcept;
   void Start(std::size_t index);
   void OnDone(std::size_t index, Freshness freshness, ErrorKind error);
 
@@ -75,6 +82,10 @@
   const Clock& clock_;
   const RevisionClock& revision_clock_;
   std::vector<Entry> entries_;
+  // Null if the checks are not spread.
+  Random* random_ = nullptr;
+  // Share of the interval by which the next checks are early.
+  double lead_ = 0;
   Epoch<CollectionChecker> epoch_{*this};
   TimerId next_timer_ = kNoTimer;
 };
--- a/src/sapphirestream/store/revision_clock.h
+++ b/src/sapphirestream/store/revision_clock.h
@@ -5,8 +5,10 @@
 #include <algorithm>
 #include <cstddef>
 #include <deque>
+#include <optional>
 
 #include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/revision_time.h"
 #include "sapphirestream/base/store_revision.h"
 
 namespace sapphirestream {
@@ -14,21 +16,21 @@
 // Remembers which revision the store had reached at which time. The revision is
 // common to all collections of the store, so that a current read of one
 // collection also tells the age of a cached read of another one.
-class RevisionClock {
+class RevisionClock final : public RevisionTimes {
  public:
   // A current read that began at `time` was answered at `revision`: all changes
   // that were acknowledged before `time` have this revision or a lower one.
   void Observe(TimePoint time, StoreRevision revision) {
-    const auto is_stronger = [&](const Mark& mark) {
+    const auto is_stronger = [&](const RevisionTime& mark) {
       return mark.time >= time && mark.revision <= revision;
     };
     if (std::any_of(marks_.begin(), marks_.end(), is_stronger)) return;
-    std::erase_if(marks_, [&](const Mark& mark) {
+    std::erase_if(marks_, [&](const RevisionTime& mark) {
       return mark.time <= time && mark.revision >= revision;
     });
     const auto next = std::find_if(
         marks_.begin(), marks_.end(),
-        [&](const Mark& mark) { return mark.revision > revision; });
+        [&](const RevisionTime& mark) { return mark.revision > revision; });
     marks_.insert(next, {time, revision});
     if (marks_.size() > kMaxMarks) marks_.pop_front();
   }
@@ -37,27 +39,36 @@
   // lower one; unset if it is not known.
   [[nodiscard]] TimePoint CompleteUntil(StoreRevision revision) const noexcept {
     TimePoint time{};
-    for (const Mark& mark : marks_) {
+    for (const RevisionTime& mark : marks_) {
       if (mark.revision <= revision) time = mark.time;
     }
     return time;
   }
+  // RevisionTimes. The store's revision never falls, so a later time with a
+  // lower revision is wrong.
+  [[nodiscard]] std::optional<RevisionTime> Latest() const override {
+    if (marks_.empty()) return std::nullopt;
+    return marks_.back();
+  }
+  bool Merge(const RevisionTime& time) override {
+    if (!marks_.empty() && (time.time <= marks_.back().time ||
+                            time.revision < marks_.back().revision)) {
+      return false;
+    }
+    Observe(time.time, time.revision);
+    return true;
+  }
   // Returns the start of the latest current read; unset if there was none.
   [[nodiscard]] TimePoint latest() const noexcept {
     return marks_.empty() ? TimePoint{} : marks_.back().time;
   }
 
  private:
-  struct Mark {
-    TimePoint time;
-    StoreRevision revision;
-  };
-
   // More than the current reads that are made while a cached read lags behind.
   static constexpr std::size_t kMaxMarks = 32;
 
   // Ascending by time and by revision.
-  std::deque<Mark> marks_;
+  std::deque<RevisionTime> marks_;
 };
 
 }  // namespace sapphirestream
--- a/test/edge/peer_exchange_test.cc
+++ b/test/edge/peer_exchange_test.cc
@@ -243,7 +243,7 @@
   wrong.relative_time_permille = 0xffffffffffffffff;
   Deliver(2, 0,
           EncodeEdgePeerMessage({ids[2], HashOfDomain("a"),
-                                 PeerSamples{1'000'000, {wrong}, {}}}));
+                                 PeerSamples{1'000'000, {wrong}, {}, {}, {}}}));
   const auto& entry = network.At(0).store.of_peer.at(ids[2]).begin()->second;
   BOOST_TEST(entry.count == PeerExchange::kMaxRequests);
   BOOST_TEST(entry.outstanding == PeerExchange::kMaxRequests);
@@ -257,10 +257,10 @@
   network.Run(1s);
   const std::uint64_t before = network.At(0).store.received_requests;
   for (std::uint32_t i = 0; i < 1000; ++i) {
-    Deliver(
-        2, 0,
-        EncodeEdgePeerMessage({ids[2], HashOfDomain("a"),
-                               PeerSamples{1000 + i, {Samples(1, 1)}, {}}}));
+    Deliver(2, 0,
+            EncodeEdgePeerMessage(
+                {ids[2], HashOfDomain("a"),
+                 PeerSamples{1000 + i, {Samples(1, 1)}, {}, {}, {}}}));
   }
   BOOST_TEST(network.At(0).store.received_requests - before <=
              PeerExchange::kMaxMessagesPerSecond);
@@ -288,7 +288,7 @@
   network.Run(1s);
   const auto samples = [](PeerId id, std::string_view domain) {
     return EncodeEdgePeerMessage(
-        {id, HashOfDomain(domain), PeerSamples{9, {}, {}}});
+        {id, HashOfDomain(domain), PeerSamples{9, {}, {}, {}, {}}});
   };
   Deliver(8, 0, samples(PeerId{5}, "b"));
   Deliver(8, 0, samples(ids[0], "a"));
@@ -332,6 +332,48 @@
   BOOST_TEST(network.At(0).exchange->neighbors() == 2U);
 }
 
+// Each instance read the store itself, although others had just done so.
+BOOST_AUTO_TEST_CASE(a_read_of_the_store_reaches_all_neighbors_at_once) {
+  StartAll(5);
+  network.Run(2s);
+  const RevisionTime read{network.clock.Now(), {StoreEra{1}, 42}};
+  network.At(3).revision_times.latest = read;
+  network.At(3).exchange->OnStoreRead(network.clock.Now());
+  network.Run(20ms);
+  for (const std::size_t i : {0U, 1U, 2U, 4U}) {
+    const auto latest = network.At(i).revision_times.latest;
+    BOOST_REQUIRE(latest);
+    BOOST_TEST((latest->revision == read.revision));
+    BOOST_TEST((latest->time <= read.time));
+    BOOST_TEST((latest->time > read.time - 20ms));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_read_that_is_repeated_counts_from_its_time) {
+  network.loss = 0.5;
+  StartAll(5);
+  network.Run(2s);
+  const RevisionTime read{network.clock.Now(), {StoreEra{1}, 42}};
+  network.At(3).revision_times.latest = read;
+  network.Run(3s);
+  for (const std::size_t i : {0U, 1U, 2U, 4U}) {
+    const auto latest = network.At(i).revision_times.latest;
+    BOOST_REQUIRE(latest);
+    BOOST_TEST((latest->time <= read.time));
+  }
+}
+
+// Revisions of two stores cannot be compared.
+BOOST_AUTO_TEST_CASE(reads_of_another_store_are_ignored) {
+  StartAll(2);
+  network.Run(2s);
+  network.At(1).exchange->SetStore("another store");
+  network.At(0).revision_times.latest = {network.clock.Now(),
+                                         {StoreEra{1}, 42}};
+  network.Run(1s);
+  BOOST_TEST(!network.At(1).revision_times.latest);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/edge/peer_message_test.cc
+++ b/test/edge/peer_message_test.cc
@@ -23,6 +23,9 @@
       {TargetKey{300}, Incarnation{128}, 127, 3, 16384, 128},
       {TargetKey{max64}, Incarnation{max64}, max32, max32, max64, max32}};
   body.addresses = {{0x0a000001, 7000}, {0xffffffff, 0xffff}};
+  body.sent = PeerTime{max32};
+  body.revision_time = {
+      StoreHash{max32}, {StoreEra{max64}, max64}, PeerTime{max32}};
   return {PeerId{max64}, HashOfDomain("a"), body};
 }
 
--- a/test/edge_io/peer_port_test.cc
+++ b/test/edge_io/peer_port_test.cc
@@ -88,6 +88,7 @@
   struct Instance {
     std::unique_ptr<PeerPort> port;
     testing::FakeSampleStore store;
+    testing::FakeRevisionTimes revision_times;
     CounterSet counters;
     std::unique_ptr<PeerExchange> exchange;
   };
@@ -107,8 +108,9 @@
     if (seeds.empty()) seeds.push_back(own);
     address = "127.0.0.2:" + std::to_string(own.port);
     instance.exchange = std::make_unique<PeerExchange>(
-        PeerExchangeOptions{own, PeerId{random.Next()}, "a", seeds},
-        instance.store, *instance.port, random, log, instance.counters);
+        PeerExchangeOptions{own, PeerId{random.Next()}, "a", seeds, "store"},
+        instance.store, instance.revision_times, *instance.port, random, log,
+        instance.counters, clock.Now());
     instance.port->Start();
   }
   instances[0].store.own = {testing::Samples(1, 1, 7)};
--- a/test/store/collection_checker_test.cc
+++ b/test/store/collection_checker_test.cc
@@ -224,6 +224,76 @@
   BOOST_TEST(targets.outages == 1);
 }
 
+// One instance of many that tell each other what they have read.
+struct Instance {
+  Instance(testing::VirtualTime& virtual_time, ModelStore& store,
+           std::uint64_t seed)
+      : time(virtual_time),
+        random(seed),
+        client(store, connection, "targets"),
+        check_client(store, check_connection, "targets") {
+    observer.on_synced = [this] { checker.Run(); };
+    observer.on_recovered = [this] { checker.Run(); };
+    checker.SpreadChecks(random);
+    checker.Emplace(reader, kMaxAge);
+    reader.Start();
+  }
+
+  testing::VirtualTime& time;
+  SeededRandom random;
+  ModelConnection connection;
+  ModelConnection check_connection;
+  ModelClient client;
+  ModelClient check_client;
+  ProbeTurns turns;
+  RevisionClock revision_clock;
+  Observer observer{time};
+  CollectionReader<int> reader{client,
+                               check_client,
+                               {time, time, random, turns, revision_clock},
+                               observer,
+                               Fixture::Options()};
+  CollectionChecker checker{time, time, revision_clock};
+};
+
+// Each instance read the store itself, so that the calls grew with the fleet.
+BOOST_AUTO_TEST_CASE(instances_that_share_their_reads_check_in_turns) {
+  constexpr std::size_t size = 25;
+  constexpr Duration exchange_delay = 100ms;
+  std::vector<std::unique_ptr<Instance>> instances;
+  for (std::size_t i = 0; i < size; ++i) {
+    instances.push_back(std::make_unique<Instance>(time, store, i + 2));
+  }
+  time.RunFor(5s);
+  int before = 0;
+  for (const auto& instance : instances) {
+    before += instance->check_client.current_calls;
+  }
+  constexpr Duration period = 60s;
+  for (Duration elapsed{}; elapsed < period; elapsed += exchange_delay) {
+    if (elapsed % 1s == 0s) PutInBoth(static_cast<int>(elapsed / 1s));
+    std::vector<RevisionTime> reads;
+    for (const auto& instance : instances) {
+      reads.push_back(*instance->revision_clock.Latest());
+    }
+    time.RunFor(exchange_delay);
+    for (const auto& instance : instances) {
+      for (const RevisionTime& read : reads) {
+        (void)instance->revision_clock.Merge(read);
+      }
+      BOOST_REQUIRE((time.Now() - instance->reader.CompleteUntil() < kMaxAge));
+    }
+  }
+  int calls = -before;
+  for (const auto& instance : instances) {
+    calls += instance->check_client.current_calls;
+  }
+  const auto calls_if_alone =
+      static_cast<int>(size) *
+      static_cast<int>(period / CheckTimingFor(kMaxAge).interval);
+  BOOST_TEST(calls * 3 < calls_if_alone);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/store/revision_clock_test.cc
+++ b/test/store/revision_clock_test.cc
@@ -68,6 +68,17 @@
   BOOST_TEST((clock.CompleteUntil(At(100)) == kStart + 99s));
 }
 
+// What another instance tells may be wrong, and must not replace an own read.
+BOOST_AUTO_TEST_CASE(a_later_time_with_a_lower_revision_is_rejected) {
+  RevisionClock clock;
+  clock.Observe(kStart, At(7));
+  BOOST_TEST(!clock.Merge({kStart + 1s, At(6)}));
+  BOOST_TEST(!clock.Merge({kStart - 1s, At(9)}));
+  BOOST_TEST((clock.CompleteUntil(At(7)) == kStart));
+  BOOST_TEST(clock.Merge({kStart + 1s, At(8)}));
+  BOOST_TEST((clock.CompleteUntil(At(8)) == kStart + 1s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/testing/peer_network.h
+++ b/testing/peer_network.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -49,6 +50,19 @@
   std::uint64_t received_requests = 0;
 };
 
+struct FakeRevisionTimes final : RevisionTimes {
+  [[nodiscard]] std::optional<RevisionTime> Latest() const override {
+    return latest;
+  }
+  bool Merge(const RevisionTime& time) override {
+    if (latest && time.time <= latest->time) return false;
+    latest = time;
+    return true;
+  }
+
+  std::optional<RevisionTime> latest;
+};
+
 inline V4Endpoint PeerAddress(std::size_t number) {
   return {0x0a000001 + static_cast<std::uint32_t>(number), 7000};
 }
@@ -76,6 +90,7 @@
     PeerNetwork& network;
     std::size_t number;
     FakeSampleStore store;
+    FakeRevisionTimes revision_times;
     CounterSet counters;
     std::unique_ptr<PeerExchange> exchange;
     TimePoint next_tick;
@@ -100,8 +115,10 @@
     node = std::make_unique<Node>(*this, number);
     const PeerId id{random.Next()};
     node->exchange = std::make_unique<PeerExchange>(
-        PeerExchangeOptions{PeerAddress(number), id, domain, std::move(seeds)},
-        node->store, *node, random, log, node->counters);
+        PeerExchangeOptions{PeerAddress(number), id, domain, std::move(seeds),
+                            "store"},
+        node->store, node->revision_times, *node, random, log, node->counters,
+        clock.Now());
     node->next_tick = clock.Now();
     return id;
   }
--- a/testing/soak/edge_process.cc
+++ b/testing/soak/edge_process.cc
@@ -30,6 +30,8 @@
        << "\nready = " << ToString(options_.ready)
        << "\nmetrics = " << ToString(options_.metrics)
        << "\nstore = " << ToString(options_.store)
+       // Each instance has a link of its own to the store.
+       << "\nstore-id = store"
        << "\npeer = " << ToString(options_.peer)
        << "\nseeds = " << options_.seeds << "\nrules = health,places"
        << "\nevacuation-bound-ms = " << options_.evacuation_bound.count()
