Fill samples messages up to their real size

Cause: the progress of the store took 29 bytes of each samples message by its upper bound, whether it was told or not, and each incarnation counted as a whole although only its difference from the lowest one is encoded. So a message of 160 bytes held fewer samples. Change: the overhead is computed from what is told; a read of the store is told in two messages; the size of a sample counts the difference of its incarnation.

--- a/src/sapphirestream/edge/peer_exchange.cc
+++ b/src/sapphirestream/edge/peer_exchange.cc
@@ -211,22 +211,34 @@
   if (!time || time->store != store_hash_) return;
   const auto read = clock_.FromPeerTime(time->time, now);
   if (!read || !revision_times_.Merge({*read, time->revision})) return;
-  shared_read_ = std::max(shared_read_, *read);
+  shared_read_ = *read;
+  sent_reads_ = 0;
   counters_.revisions_learned.Add();
 }
 
-std::optional<PeerRevisionTime> PeerExchange::RevisionFor(V4Endpoint neighbor,
-                                                          TimePoint now) const {
-  const auto latest = revision_times_.Latest();
+std::optional<RevisionTime> PeerExchange::TakeRevision(TimePoint now) {
+  auto latest = revision_times_.Latest();
   if (!latest || now - latest->time > kMaxRevisionAge) return std::nullopt;
+  if (latest->time > shared_read_) {
+    shared_read_ = latest->time;
+    sent_reads_ = 0;
+  }
+  if (sent_reads_++ >= kRevisionRepeats) return std::nullopt;
+  return latest;
+}
+
+std::optional<PeerRevisionTime> PeerExchange::RevisionFor(
+    V4Endpoint neighbor, const std::optional<RevisionTime>& time,
+    TimePoint now) const {
+  if (!time) return std::nullopt;
   const PeerEntry* const peer = directory_.Find(neighbor);
   const bool is_clock_known =
       peer != nullptr && peer->clock &&
       now - peer->clock->received < PeerDirectory::kSilenceTimeout;
   if (!is_clock_known) return std::nullopt;
   return PeerRevisionTime{.store = store_hash_,
-                          .revision = latest->revision,
-                          .time = peer->clock->At(latest->time)};
+                          .revision = time->revision,
+                          .time = peer->clock->At(time->time)};
 }
 
 std::variant<PeerEntry*, PeerRejection> PeerExchange::OnHeard(
@@ -288,13 +300,11 @@
 
 void PeerExchange::SendSamples(TimePoint now) {
   ++sequence_;
-  if (const auto latest = revision_times_.Latest()) {
-    shared_read_ = std::max(shared_read_, latest->time);
-  }
+  const auto revision = TakeRevision(now);
   const bool has_addresses = sequence_ % kAddressesEvery == 0 ||
                              now - neighbors_changed_ < kSettlingTime;
   const std::size_t addresses = has_addresses ? kAddressesPerMessage : 0;
-  const auto samples = backlog_.Take(RoomForSamples(addresses), now);
+  const auto samples = backlog_.Take(RoomForSamples(addresses, revision), now);
   const auto live = directory_.LivePeers(now);
   std::size_t bytes = 0;
   for (const V4Endpoint neighbor : neighbors_) {
@@ -302,7 +312,7 @@
                      samples,
                      {},
                      clock_.ToPeerTime(now),
-                     RevisionFor(neighbor, now)};
+                     RevisionFor(neighbor, revision, now)};
     if (addresses > 0) {
       body.addresses = live;
       SelectAddressesFor(neighbor, addresses, random_, body.addresses);
@@ -315,11 +325,14 @@
   send_idle_at_ = now + kMaxSendInterval;
 }
 
-std::size_t PeerExchange::RoomForSamples(std::size_t addresses) const {
+std::size_t PeerExchange::RoomForSamples(
+    std::size_t addresses, const std::optional<RevisionTime>& time) const {
   const std::size_t share = std::min(
       BytesPerPeriod(SamplesRate()) / neighbors_.size(), kMaxPeerMessageBytes);
   const std::size_t overhead =
-      SamplesOverhead(addresses) + kDatagramHeaderBytes;
+      kDatagramHeaderBytes +
+      SamplesOverhead(addresses,
+                      time ? std::optional(time->revision) : std::nullopt);
   return share > overhead ? share - overhead : 0;
 }
 
--- a/src/sapphirestream/edge/peer_exchange.h
+++ b/src/sapphirestream/edge/peer_exchange.h
@@ -79,6 +79,8 @@
   // Messages with samples that are accepted from one peer per second; twice as
   // many as it may send.
   static constexpr std::uint32_t kMaxMessagesPerSecond = 20;
+  // Messages that tell a read of the store; the first one may be lost.
+  static constexpr std::uint32_t kRevisionRepeats = 2;
   // Older reads of the store are not passed on: they complete no view that is
   // due for a check.
   static constexpr Duration kMaxRevisionAge = std::chrono::seconds(2);
@@ -132,9 +134,12 @@
   // Adds what a neighbor has read of the store.
   void MergeRevision(const std::optional<PeerRevisionTime>& time,
                      TimePoint now);
-  // Returns what the neighbor is told about the store, if anything.
+  // Returns what the neighbors are told about the store, if anything.
+  [[nodiscard]] std::optional<RevisionTime> TakeRevision(TimePoint now);
+  // Returns it on the clock of the neighbor, if that is known.
   [[nodiscard]] std::optional<PeerRevisionTime> RevisionFor(
-      V4Endpoint neighbor, TimePoint now) const;
+      V4Endpoint neighbor, const std::optional<RevisionTime>& time,
+      TimePoint now) const;
   // Updates the directory. Discards the counts of a former process.
   std::variant<PeerEntry*, PeerRejection> OnHeard(V4Endpoint from, PeerId id,
                                                   std::uint32_t sequence,
@@ -148,7 +153,8 @@
   // Also sets the time of the next message.
   void SendSamples(TimePoint now);
   // Bytes of samples that fit into the next message to each neighbor.
-  [[nodiscard]] std::size_t RoomForSamples(std::size_t addresses) const;
+  [[nodiscard]] std::size_t RoomForSamples(
+      std::size_t addresses, const std::optional<RevisionTime>& time) const;
   // Bytes per second that may be sent to all neighbors together.
   [[nodiscard]] std::size_t SamplesRate() const noexcept;
   void SendIntroduction(V4Endpoint to, std::size_t wanted);
@@ -180,8 +186,9 @@
   IntroductionBudget introduction_budget_;
   std::optional<TimePoint> last_tick_;
   // Latest read of the store that the neighbors know of, or that one of them
-  // has told.
+  // has told, and the number of times that it was sent.
   TimePoint shared_read_{};
+  std::uint32_t sent_reads_ = 0;
   // Next samples messages: earliest time with samples, and without.
   TimePoint send_at_{};
   TimePoint send_idle_at_{};
--- a/src/sapphirestream/edge/peer_message.cc
+++ b/src/sapphirestream/edge/peer_message.cc
@@ -209,23 +209,31 @@
   return names[static_cast<std::size_t>(reason)];
 }
 
-std::size_t EncodedSizeLimit(const TargetSamples& samples) noexcept {
+std::size_t EncodedSizeLimit(const TargetSamples& samples,
+                             Incarnation lowest) noexcept {
   return VariableSize(Value(samples.target)) +
-         VariableSize(Value(samples.incarnation)) +
+         VariableSize(Value(samples.incarnation) - Value(lowest)) +
          VariableSize(samples.count) + VariableSize(samples.failures) +
          VariableSize(samples.relative_time_permille) +
          VariableSize(samples.outstanding);
 }
 
-std::size_t SamplesOverhead(std::size_t addresses) noexcept {
+std::size_t SamplesOverhead(
+    std::size_t addresses,
+    const std::optional<StoreRevision>& revision) noexcept {
   constexpr std::size_t sequence = 4;
   constexpr std::size_t sent = 4;
   constexpr std::size_t list_sizes = 2;
   constexpr std::size_t max_base = 10;
-  // A flag, the hash of the store, era, revision and time.
-  constexpr std::size_t max_revision_time = 1 + 4 + 10 + 10 + 4;
-  return kHeaderBytes + sequence + sent + list_sizes + max_base +
-         max_revision_time + addresses * kAddressBytes;
+  constexpr std::size_t revision_flag = 1;
+  constexpr std::size_t store_and_time = 8;
+  std::size_t size = kHeaderBytes + sequence + sent + revision_flag +
+                     list_sizes + max_base + addresses * kAddressBytes;
+  if (revision) {
+    size += store_and_time + VariableSize(Value(revision->era)) +
+            VariableSize(revision->number);
+  }
+  return size;
 }
 
 std::vector<std::byte> EncodeEdgePeerMessage(const EdgePeerMessage& message) {
--- a/src/sapphirestream/edge/peer_message.h
+++ b/src/sapphirestream/edge/peer_message.h
@@ -108,11 +108,14 @@
 
 [[nodiscard]] std::string_view Name(PeerRejection reason) noexcept;
 
-// Maximum number of bytes that the sample occupies in a message.
-[[nodiscard]] std::size_t EncodedSizeLimit(
-    const TargetSamples& samples) noexcept;
-// Bytes of a samples message besides its samples.
-[[nodiscard]] std::size_t SamplesOverhead(std::size_t addresses) noexcept;
+// Maximum number of bytes that the sample occupies in a message whose
+// incarnations are not lower than `lowest`.
+[[nodiscard]] std::size_t EncodedSizeLimit(const TargetSamples& samples,
+                                           Incarnation lowest) noexcept;
+// Maximum number of bytes of a samples message besides its samples.
+[[nodiscard]] std::size_t SamplesOverhead(
+    std::size_t addresses,
+    const std::optional<StoreRevision>& revision) noexcept;
 
 // Returns an empty vector if the message exceeds kMaxPeerMessageBytes.
 // Preconditions: at most kMaxPeerAddresses addresses; samples are sorted.
--- a/src/sapphirestream/edge/sample_backlog.cc
+++ b/src/sapphirestream/edge/sample_backlog.cc
@@ -1,6 +1,7 @@
 #include "sapphirestream/edge/sample_backlog.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "sapphirestream/edge/peer_message.h"
 
@@ -45,8 +46,11 @@
                                                TimePoint now) {
   std::vector<Entry*> order;
   order.reserve(entries_.size());
+  Incarnation lowest{std::numeric_limits<std::uint64_t>::max()};
   for (auto& [key, entry] : entries_) {
-    if (entry.IsDue(now)) order.push_back(&entry);
+    if (!entry.IsDue(now)) continue;
+    order.push_back(&entry);
+    lowest = std::min(lowest, entry.samples.incarnation);
   }
   std::stable_sort(order.begin(), order.end(),
                    [](const Entry* a, const Entry* b) {
@@ -57,7 +61,7 @@
   constexpr std::size_t max_entries = 255;
   std::vector<TargetSamples> taken;
   for (Entry* const entry : order) {
-    const std::size_t size = EncodedSizeLimit(entry->samples);
+    const std::size_t size = EncodedSizeLimit(entry->samples, lowest);
     if (size > max_bytes || taken.size() == max_entries) {
       ++entry->left_out;
       continue;
--- a/test/edge/peer_message_test.cc
+++ b/test/edge/peer_message_test.cc
@@ -55,8 +55,11 @@
 BOOST_AUTO_TEST_CASE(the_encoding_is_not_larger_than_its_limit) {
   const EdgePeerMessage message = Sample();
   const auto& body = std::get<PeerSamples>(message.body);
-  std::size_t limit = SamplesOverhead(body.addresses.size());
-  for (const auto& entry : body.samples) limit += EncodedSizeLimit(entry);
+  std::size_t limit =
+      SamplesOverhead(body.addresses.size(), body.revision_time->revision);
+  for (const auto& entry : body.samples) {
+    limit += EncodedSizeLimit(entry, Incarnation{0});
+  }
   BOOST_TEST(EncodeEdgePeerMessage(message).size() <= limit);
 }
 
--- a/test/edge/sample_backlog_test.cc
+++ b/test/edge/sample_backlog_test.cc
@@ -69,7 +69,8 @@
 BOOST_AUTO_TEST_CASE(every_target_is_sent_within_a_bounded_number_of_messages) {
   SampleBacklog backlog;
   constexpr std::uint64_t targets = 40;
-  const std::size_t room = 5 * EncodedSizeLimit(Samples(1, 100, 9));
+  const std::size_t room =
+      5 * EncodedSizeLimit(Samples(1, 100, 9), Incarnation{0});
   std::set<TargetKey> sent;
   for (int i = 0; i < 40; ++i) {
     std::vector<TargetSamples> samples{Samples(targets, 1)};
