Random schedules of faults in a test file of their own

Change: the check for a second decider moves to testing/single_decider_check.h, the random schedules to random_schedules_test.cc; names and seeds are the same.

--- a/test/domain/decision_authority_test.cc
+++ b/test/domain/decision_authority_test.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "testing/domain_cluster.h"
+#include "testing/single_decider_check.h"
 
 namespace sapphirestream {
 namespace {
@@ -14,39 +15,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using testing::DomainCluster;
+using testing::IsDecider;
+using testing::SingleDeciderCheck;
 
-constexpr std::uint64_t kKeys[] = {1, 2, 3, 4, 5, 6, 7, 8};
 constexpr std::uint64_t kKey = 1;
 
-bool IsDecider(const DomainCluster::Node& node, std::uint64_t key,
-               TimePoint now) {
-  const MemberView& view = node.membership.view();
-  return HighestRankedInstance(view, node.domain, key) == node.id &&
-         now < node.membership.AuthorityUntil(key);
-}
-
-// Counts how often a domain has two deciders for a key. A paused process counts
-// too: it may have checked its authority just before the pause.
-class SingleDeciderCheck {
- public:
-  explicit SingleDeciderCheck(DomainCluster& cluster) : cluster_(cluster) {}
-  void operator()() {
-    for (const std::uint64_t key : kKeys) {
-      std::set<DomainId> decided;
-      const auto count = [&](const DomainCluster::Node& node) {
-        if (!IsDecider(node, key, cluster_.now())) return;
-        if (!decided.insert(node.domain).second) ++violations;
-      };
-      for (const auto& [id, node] : cluster_.nodes()) count(*node);
-      for (const auto& process : cluster_.replaced_processes()) count(*process);
-    }
-  }
-  int violations = 0;
-
- private:
-  DomainCluster& cluster_;
-};
-
 enum class Fault { kPaused, kIsolated, kReplaced, kStaleView };
 constexpr Fault kFaults[] = {Fault::kPaused, Fault::kIsolated, Fault::kReplaced,
                              Fault::kStaleView};
@@ -115,55 +88,6 @@
   std::set<InstanceId> isolated;
 };
 
-// Runs 60 random faults on two domains of four.
-void RunRandomSchedule(std::uint64_t seed) {
-  DomainCluster cluster({.seed = seed, .loss = 0.1, .slow_share = 0.05});
-  SingleDeciderCheck single_decider_check(cluster);
-  SeededRandom random(seed);
-  for (std::uint32_t id = 1; id <= 8; ++id) {
-    cluster.Start(id, static_cast<std::uint16_t>((id - 1) / 4 + 1));
-  }
-  std::uint64_t incarnation = 1;
-  std::set<InstanceId> isolated;
-  cluster.DropMessages([&isolated](const auto& from, const auto& to) {
-    return isolated.contains(from.id) || isolated.contains(to.id);
-  });
-  std::uint64_t decided = 0;
-  for (int step = 0; step < 60; ++step) {
-    const auto id = static_cast<std::uint32_t>(random.Below(8) + 1);
-    switch (random.Below(6)) {
-      case 0:
-        cluster.Pause(id);
-        break;
-      case 1:
-        isolated.insert(InstanceId{id});
-        break;
-      case 2:
-        cluster.Replace(id, ++incarnation);
-        break;
-      case 3:
-        cluster.Start(id, static_cast<std::uint16_t>((id - 1) / 4 + 1),
-                      ++incarnation, random.Below(2) == 0);
-        break;
-      default:
-        cluster.Resume(id);
-        isolated.erase(InstanceId{id});
-        break;
-    }
-    cluster.Run(milliseconds(200 + random.Below(4'000)), [&] {
-      single_decider_check();
-      for (const auto& [instance, node] : cluster.nodes()) {
-        decided += IsDecider(*node, kKey, cluster.now()) ? 1 : 0;
-      }
-    });
-  }
-  BOOST_TEST_CONTEXT("seed " << seed) {
-    BOOST_TEST(single_decider_check.violations == 0);
-    // Without any decider the check above could not fail.
-    BOOST_TEST(decided > 0);
-  }
-}
-
 BOOST_AUTO_TEST_SUITE(decision_authority)
 
 BOOST_AUTO_TEST_CASE(paused_decider_is_replaced_and_rejoins_before_it_decides) {
@@ -264,24 +188,6 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(random_schedules_never_make_two_deciders) {
-  for (std::uint64_t seed = 1; seed <= 40; ++seed) RunRandomSchedule(seed);
-}
-
-// In these schedules two processes with the same id, without other members in
-// their domain, both decided: each was echoed by a different member of the
-// other domain.
-BOOST_AUTO_TEST_CASE(
-    two_processes_of_one_id_without_neighbours_never_both_decide) {
-  for (const std::uint64_t seed : {295, 351, 1056}) RunRandomSchedule(seed);
-}
-
-// Two open faults; see KNOWN-RED.txt. CI skips this case.
-BOOST_AUTO_TEST_CASE(random_schedules_with_open_faults,
-                     *boost::unit_test::disabled()) {
-  for (const std::uint64_t seed : {359, 741}) RunRandomSchedule(seed);
-}
-
 // Guards against a replacement without neighbours that decides while a member
 // of another domain, which does not know of it yet, still echoes the old
 // process.
