A member that others declared dead joins again

Cause: a member cut off for 3 s refuted its death by a higher incarnation only. Change: a report of its own death makes a member join again, unless the other members still echo it, since then nobody has taken over and the report comes from another domain.

--- a/src/sapphirestream/domain/membership.cc
+++ b/src/sapphirestream/domain/membership.cc
@@ -110,6 +110,18 @@
   return until == TimePoint::max() ? DecisionAuthority::kNone : until;
 }
 
+bool Membership::HasCurrentEchoes(TimePoint now) {
+  // The sender of the current message may just have become a peer.
+  Refresh(now);
+  const bool is_alone = PresentNeighbours().empty();
+  if (is_alone && !table_.InDomain(domain_).empty()) return false;
+  if (!IsLarge()) return now < authority_.ValidUntil(view_, joining_, 0);
+  return std::all_of(keys_.begin(), keys_.end(), [&](std::uint64_t key) {
+    return HighestRankedInstance(view_, domain_, key) != self_ ||
+           now < authority_.ValidUntil(view_, joining_, key);
+  });
+}
+
 TimePoint Membership::ExternalContactUntil() const {
   bool has_dead = false;
   bool has_other_domains = false;
--- a/src/sapphirestream/domain/membership.h
+++ b/src/sapphirestream/domain/membership.h
@@ -135,6 +135,10 @@
   void CheckOtherDomains(TimePoint now);
   void RemoveExpired(TimePoint now);
   void Refresh(TimePoint now);
+  // Whether the other members echo recent heartbeats of this instance, so that
+  // none of them has taken over its keys. In a large domain, a member that
+  // ranks first for no key needs no echoes.
+  [[nodiscard]] bool HasCurrentEchoes(TimePoint now);
   // Returns until when contact with other domains proves that this instance is
   // not isolated, if all its neighbours are dead; unlimited otherwise.
   [[nodiscard]] TimePoint ExternalContactUntil() const;
--- a/src/sapphirestream/domain/membership_receive.cc
+++ b/src/sapphirestream/domain/membership_receive.cc
@@ -229,6 +229,12 @@
     is_view_stale_ = true;
     return;
   }
+  if (!is_newer && !HasCurrentEchoes(now)) {
+    // Another member may have taken over, possibly one that is dead in the view
+    // of this instance.
+    Rejoin(now);
+    return;
+  }
   if (is_newer) {
     may_raise_incarnation_ = false;
     // Gives the other process, if it still runs, time to learn of this one.
--- a/test/domain/decision_authority_test.cc
+++ b/test/domain/decision_authority_test.cc
@@ -188,6 +188,63 @@
   }
 }
 
+// Guards against a member that returns after another one took over from it,
+// considers that one dead, and decides on the echo of the third member.
+BOOST_AUTO_TEST_CASE(returning_member_that_was_taken_over_from_joins_again) {
+  Fixture f(48);
+  const InstanceId decider{f.decider};
+  const InstanceId successor{f.successor};
+  // The decider loses contact with the third member one second later than with
+  // its successor, so that it is not isolated in its own view.
+  f.cluster.DropMessages([&](const auto& from, const auto& to) {
+    return from.id == decider || (from.id == successor && to.id == decider);
+  });
+  f.Run(milliseconds(1'000));
+  f.cluster.DropMessages([&](const auto& from, const auto& to) {
+    return from.id == decider || to.id == decider;
+  });
+  f.Run(milliseconds(2'500));
+  BOOST_REQUIRE(f.DeciderNow() == f.successor);
+  BOOST_REQUIRE(f.cluster.StateAt(f.decider, f.successor) ==
+                MemberState::kDead);
+  // It reaches the third member again, and nobody reaches the successor.
+  f.cluster.DropMessages(
+      [&](const auto&, const auto& to) { return to.id == successor; });
+  f.Run(milliseconds(600));
+  BOOST_TEST(f.single_decider_check.violations == 0);
+  f.cluster.Heal();
+  f.Run(seconds(8));
+  BOOST_TEST(f.DeciderNow() == f.decider);
+  BOOST_TEST(f.single_decider_check.violations == 0);
+}
+
+// Guards against the same in a domain without other domains as witnesses, where
+// the member considered all others dead.
+BOOST_AUTO_TEST_CASE(returning_member_without_witnesses_joins_again) {
+  DomainCluster cluster({.seed = 50});
+  SingleDeciderCheck single_decider_check(cluster);
+  for (std::uint32_t id = 1; id <= 3; ++id) cluster.Start(id, 1);
+  cluster.Run(seconds(8));
+  const MemberView& view = cluster.at(1).membership.view();
+  const InstanceId decider = HighestRankedInstance(view, DomainId{1}, kKey);
+  const InstanceId successor =
+      HighestRankedInstance(view, DomainId{1}, kKey, decider);
+  cluster.IsolateInstance(Value(decider));
+  cluster.Run(seconds(6));
+  BOOST_REQUIRE(IsDecider(cluster.at(Value(successor)), kKey, cluster.now()));
+  cluster.DropMessages(
+      [&](const auto&, const auto& to) { return to.id == successor; });
+  // Both decide until the decider learns from the third member that it was
+  // considered dead.
+  const Membership& returning = cluster.at(Value(decider)).membership;
+  const Incarnation incarnation = returning.incarnation();
+  for (int i = 0; i < 100 && returning.incarnation() == incarnation; ++i) {
+    cluster.Run(milliseconds(20));
+  }
+  cluster.Run(milliseconds(600), [&] { single_decider_check(); });
+  BOOST_TEST(single_decider_check.violations == 0);
+}
+
 // Guards against a replacement without neighbours that decides while a member
 // of another domain, which does not know of it yet, still echoes the old
 // process.
