A replaced member has to echo until its old process has expired

Cause: a member that learned only from a third one that another member had been replaced no longer needed that member's echo, as it had heard nothing of the new process. Change: a replaced member counts among those that have to echo until 1.5 s after the last message of the old process. The new case fails before (13 checks). domain_test passes.

--- a/src/sapphirestream/domain/decision_authority.cc
+++ b/src/sapphirestream/domain/decision_authority.cc
@@ -58,12 +58,13 @@
   return echoes_.at(peer).sent_at + kEchoLifetime;
 }
 
-TimePoint DecisionAuthority::ValidUntil(const MemberView& view,
-                                        std::span<const InstanceId> joining,
-                                        std::uint64_t key) const {
+TimePoint DecisionAuthority::ValidUntil(
+    const MemberView& view, std::span<const InstanceId> ineligible_peers,
+    std::uint64_t key) const {
   const Member* own = view.Find(self_);
   if (own == nullptr || !MemberView::IsEligible(*own)) return kNone;
-  std::vector<InstanceId> peers(joining.begin(), joining.end());
+  std::vector<InstanceId> peers(ineligible_peers.begin(),
+                                ineligible_peers.end());
   for (const Member& member : view.members()) {
     if (member.domain != domain_ || member.id == self_) continue;
     if (MemberView::IsEligible(member)) peers.push_back(member.id);
--- a/src/sapphirestream/domain/decision_authority.h
+++ b/src/sapphirestream/domain/decision_authority.h
@@ -44,12 +44,12 @@
 
   // Returns until when the instance may decide flows of `key`, a service's rank
   // key; the caller compares it with the monotonic clock right before sending.
-  // kNone unless this instance is alive in `view`. `joining` are the members of
-  // the domain from which a joining heartbeat was received: they have to echo
-  // too, since each may already be alive in its own view.
-  [[nodiscard]] TimePoint ValidUntil(const MemberView& view,
-                                     std::span<const InstanceId> joining,
-                                     std::uint64_t key) const;
+  // kNone unless this instance is alive in `view`. `ineligible_peers` are the
+  // members of the domain that have to echo although they are not eligible in
+  // `view`: a process of each may be alive in its own view.
+  [[nodiscard]] TimePoint ValidUntil(
+      const MemberView& view, std::span<const InstanceId> ineligible_peers,
+      std::uint64_t key) const;
 
  private:
   struct Sent {
--- a/src/sapphirestream/domain/membership.cc
+++ b/src/sapphirestream/domain/membership.cc
@@ -93,7 +93,7 @@
   for (const InstanceId id : fenced_) {
     if (RankWeight(key, id) > own_weight) return DecisionAuthority::kNone;
   }
-  return std::min(authority_.ValidUntil(view_, joining_, key),
+  return std::min(authority_.ValidUntil(view_, ineligible_peers_, key),
                   ExternalContactUntil());
 }
 
@@ -115,10 +115,12 @@
   Refresh(now);
   const bool is_alone = PresentNeighbours().empty();
   if (is_alone && !table_.InDomain(domain_).empty()) return false;
-  if (!IsLarge()) return now < authority_.ValidUntil(view_, joining_, 0);
+  if (!IsLarge()) {
+    return now < authority_.ValidUntil(view_, ineligible_peers_, 0);
+  }
   return std::all_of(keys_.begin(), keys_.end(), [&](std::uint64_t key) {
     return HighestRankedInstance(view_, domain_, key) != self_ ||
-           now < authority_.ValidUntil(view_, joining_, key);
+           now < authority_.ValidUntil(view_, ineligible_peers_, key);
   });
 }
 
@@ -175,11 +177,19 @@
 
 void Membership::UpdateFences(TimePoint now) {
   fenced_.clear();
+  ineligible_peers_.clear();
   for (const InstanceId id : table_.InDomain(domain_)) {
     MemberRecord& record = *table_.Find(id);
-    const bool is_unconfirmed = record.state() == MemberState::kDead &&
-                                !IsLarge() && !IsDeathConfirmed(record, now);
-    if (record.echo_from > now || is_unconfirmed) fenced_.push_back(id);
+    const MemberState state = record.state();
+    const bool is_replaced = record.echo_from > now;
+    const bool is_joining = state == MemberState::kJoining && record.is_heard;
+    if (!MemberView::IsEligible({id, domain_, state, {}}) &&
+        (is_joining || is_replaced)) {
+      ineligible_peers_.push_back(id);
+    }
+    const bool is_unconfirmed = state == MemberState::kDead && !IsLarge() &&
+                                !IsDeathConfirmed(record, now);
+    if (is_replaced || is_unconfirmed) fenced_.push_back(id);
   }
 }
 
@@ -266,13 +276,6 @@
   std::vector<Member> members = table_.Members();
   members.push_back({self_, domain_, state_, incarnation_});
   view_ = MemberView(std::move(members));
-  joining_.clear();
-  for (const InstanceId id : table_.InDomain(domain_)) {
-    const MemberRecord& record = *table_.Find(id);
-    if (record.state() == MemberState::kJoining && record.is_heard) {
-      joining_.push_back(id);
-    }
-  }
   const std::vector<InstanceId> present = PresentNeighbours();
   is_large_ = present.size() >= kFullMeshLimit;
   plan_ = MakeHeartbeatPlan(self_, domain_, present, view_, keys_);
--- a/src/sapphirestream/domain/membership.h
+++ b/src/sapphirestream/domain/membership.h
@@ -169,8 +169,10 @@
   std::uint64_t view_table_revision_ = 0;
   std::uint64_t revision_ = 0;
   bool is_view_stale_ = true;
-  // Members of the own domain from which a joining heartbeat was received.
-  std::vector<InstanceId> joining_;
+  // Members of the own domain that are not eligible and have to echo all the
+  // same: those from which a joining heartbeat was received, and those replaced
+  // while still running, until the echoes of the old process expire.
+  std::vector<InstanceId> ineligible_peers_;
   // Members of the own domain that must not be taken over from yet: those
   // replaced while still running, until the echoes of the old process expire,
   // and dead members whose death the other members have not confirmed.
--- a/test/domain/decision_authority_test.cc
+++ b/test/domain/decision_authority_test.cc
@@ -282,6 +282,37 @@
   BOOST_TEST(f.Decides(f.decider));
 }
 
+// Guards against authority without the echo of a member that, according to the
+// third member, was replaced: its old process may still decide.
+BOOST_AUTO_TEST_CASE(decider_needs_the_echo_of_a_member_reported_as_replaced) {
+  Fixture f(51);
+  auto& decider = f.cluster.at(f.decider);
+  const InstanceId replaced{f.successor};
+  const InstanceId reporter{6 - f.decider - f.successor};
+  const auto incarnation = [&](InstanceId id) {
+    return f.cluster.at(Value(id)).membership.incarnation();
+  };
+  // After the pause the decider needs an echo of each of the two.
+  f.cluster.Pause(f.decider);
+  f.Run(milliseconds(700));
+  f.cluster.DropMessages(
+      [&](const auto& from, const auto&) { return from.id == replaced; });
+  f.cluster.Resume(f.decider);
+  f.Run(milliseconds(20));
+  Heartbeat report;
+  report.domain = decider.domain;
+  report.incarnation = incarnation(reporter);
+  report.members = {{replaced, decider.domain, MemberState::kJoining,
+                     Incarnation{Value(incarnation(replaced)) + 1}}};
+  decider.membership.OnMessage(reporter, report, f.cluster.now());
+  for (int i = 0; i < 14; ++i) {
+    f.Run(milliseconds(100));
+    BOOST_TEST(!f.Decides(f.decider));
+  }
+  f.Run(milliseconds(500));
+  BOOST_TEST(f.Decides(f.decider));
+}
+
 // Guards against a replacement without neighbours that decides while a member
 // of another domain, which does not know of it yet, still echoes the old
 // process.
