A replaced process is told of its successor at once

Cause: the answer to a heartbeat of an earlier run was left out within 200 ms after any heartbeat to that id, and its successor gets one every 200 ms. Change: such a heartbeat is always answered, unless its sender is leaving. The new case fails before. domain_test passes.

--- a/src/sapphirestream/domain/membership_receive.cc
+++ b/src/sapphirestream/domain/membership_receive.cc
@@ -49,7 +49,11 @@
     for (const Member& update : message.members) {
       if (update.id == self_) MergeOwn(update, now);
     }
-    if (now - record.last_sent < kReplyGap) return;
+    // The heartbeats sent to its successor do not delay the answer to a
+    // replaced process. It then sends nothing any more, unless it is leaving.
+    const bool is_replaced =
+        message.incarnation < record.incarnation && !message.leaving;
+    if (!is_replaced && now - record.last_sent < kReplyGap) return;
     record.last_sent = now;
     SendDeathReport(
         from, {from, record.domain, record.state(), record.incarnation}, now);
--- a/test/domain/decision_authority_test.cc
+++ b/test/domain/decision_authority_test.cc
@@ -142,6 +142,17 @@
   BOOST_TEST(f.single_decider_check.violations == 0);
 }
 
+// Guards against an old process that is not told of its successor because the
+// other member has just sent a heartbeat to the successor.
+BOOST_AUTO_TEST_CASE(replaced_process_is_told_by_its_only_neighbour) {
+  DomainCluster cluster({.seed = 52});
+  for (std::uint32_t id = 1; id <= 2; ++id) cluster.Start(id, 1);
+  cluster.Run(seconds(8));
+  cluster.Replace(1, 2);
+  cluster.Run(milliseconds(500));
+  BOOST_TEST(cluster.replaced_processes()[0]->membership.is_superseded());
+}
+
 BOOST_AUTO_TEST_CASE(decider_yields_to_an_unknown_higher_ranked_newcomer) {
   Fixture f(45);
   std::uint32_t id = 10;
