--- a/src/sapphirestream/domain/membership_receive.cc
+++ b/src/sapphirestream/domain/membership_receive.cc
@@ -49,7 +49,11 @@
     for (const Member& update : message.members) {
       if (update.id == self_) MergeOwn(update, now);
     }
-    if (now - record.last_sent < kReplyGap) return;
+    // The heartbeats sent to its successor do not delay the answer to a
+    // replaced process. It then sends nothing any more, unless it is leaving.
+    const bool is_replaced =
+        message.incarnation < record.incarnation && !message.leaving;
+    if (!is_replaced && now - record.last_sent < kReplyGap) return;
     record.last_sent = now;
     SendDeathReport(
         from, {from, record.domain, record.state(), record.incarnation}, now);
@@ -83,6 +87,9 @@
   // with the state that the peer knew when it sent it.
   for (const HeartbeatEcho& echo : message.echoes) {
     if (echo.instance != self_) continue;
+    // The process that the peer replaced may have taken over and still decide;
+    // the new process does not know that.
+    if (record.domain == domain_ && now < record.echo_from) continue;
     const TimePoint sent_at = authority_.OnEcho(from, echo.sequence);
     if (record.domain == domain_) continue;
     external_echo_sent_at_ = std::max(external_echo_sent_at_, sent_at);
@@ -229,6 +236,12 @@
     is_view_stale_ = true;
     return;
   }
+  if (!is_newer && !HasCurrentEchoes(now)) {
+    // Another member may have taken over, possibly one that is dead in the view
+    // of this instance.
+    Rejoin(now);
+    return;
+  }
   if (is_newer) {
     may_raise_incarnation_ = false;
     // Gives the other process, if it still runs, time to learn of this one.
