Log errors of the peer port and ignored seeds

PeerPort only counted errors of recvmsg and send_to and discarded those of async_wait and local_endpoint; PeerLink left out seeds that are not IPv4 addresses. Operators saw neither.

The port now writes peer_receive_failed and peer_send_failed, and reads its local address once in Open, which fails if that is impossible. PeerLink writes seed_ignored. The comment that receive errors are mostly ICMP errors is gone: Linux does not report these to sockets that are neither connected nor have IP_RECVERR set.

No test covers the error of async_wait.

--- a/src/sapphirestream/edge_io/peer_link.h
+++ b/src/sapphirestream/edge_io/peer_link.h
@@ -30,18 +30,20 @@
 
   // Starts to exchange messages.
   void Start();
-  // Replaces the seeds; only their IP addresses are used.
+  // Replaces the seeds; only their IP addresses are used. Seeds that are not
+  // IPv4 addresses are logged and ignored.
   void SetSeeds(const std::vector<Endpoint>& seeds);
   void SetStore(std::string_view identity) { exchange_->SetStore(identity); }
   // See PeerExchange::OnStoreRead.
   void OnStoreRead() { exchange_->OnStoreRead(clock_.Now()); }
 
  private:
-  PeerLink(boost::asio::io_context& context, const Clock& clock)
-      : clock_(clock), timer_(context) {}
+  PeerLink(boost::asio::io_context& context, const Clock& clock, EventLog& log)
+      : clock_(clock), log_(log), timer_(context) {}
   void Tick();
 
   const Clock& clock_;
+  EventLog& log_;
   boost::asio::steady_timer timer_;
   std::unique_ptr<PeerPort> port_;
   std::unique_ptr<PeerExchange> exchange_;
--- a/src/sapphirestream/edge_io/peer_port.cc
+++ b/src/sapphirestream/edge_io/peer_port.cc
@@ -56,8 +56,8 @@
 }  // namespace
 
 leaf::result<std::unique_ptr<PeerPort>> PeerPort::Open(
-    asio::io_context& context, const Endpoint& local, CounterSet& counters,
-    Handler handler) {
+    asio::io_context& context, const Endpoint& local, EventLog& log,
+    CounterSet& counters, Handler handler) {
   error_code error;
   udp::socket socket(context);
   socket.open(udp::v4(), error);
@@ -67,18 +67,24 @@
     socket.bind({asio::ip::make_address(ToString(local.address)), local.port},
                 error);
   }
+  udp::endpoint bound;
+  if (!error) bound = socket.local_endpoint(error);
   if (error) {
     return MakeError(
         ErrorKind::kInternal,
         "open UDP socket on " + ToString(local) + ": " + error.message());
   }
-  std::unique_ptr<PeerPort> port(
-      new PeerPort(std::move(socket), counters, std::move(handler)));
+  std::unique_ptr<PeerPort> port(new PeerPort(
+      std::move(socket), {bound.address().to_v4().to_uint(), bound.port()}, log,
+      counters, std::move(handler)));
   return port;
 }
 
-PeerPort::PeerPort(udp::socket socket, CounterSet& counters, Handler handler)
+PeerPort::PeerPort(udp::socket socket, V4Endpoint local, EventLog& log,
+                   CounterSet& counters, Handler handler)
     : socket_(std::move(socket)),
+      local_(local),
+      log_(log),
       handler_(std::move(handler)),
       send_errors_(counters.Emplace("peer_send_failures_total")),
       receive_errors_(counters.Emplace("peer_receive_failures_total")) {}
@@ -88,6 +94,7 @@
 void PeerPort::Wait() {
   socket_.async_wait(udp::socket::wait_read, [this](const error_code& error) {
     if (error == asio::error::operation_aborted) return;
+    if (error) OnReceiveError("wait", error);
     ReadBatch();
     Wait();
   });
@@ -113,8 +120,7 @@
   const ssize_t size = ::recvmsg(socket_.native_handle(), &header, 0);
   if (size < 0) {
     if (errno == EAGAIN || errno == EWOULDBLOCK) return false;
-    // Mostly ICMP errors caused by datagrams sent earlier.
-    receive_errors_.Add();
+    OnReceiveError("recvmsg", {errno, boost::system::system_category()});
     return true;
   }
   handler_({ntohl(from.sin_addr.s_addr), ntohs(from.sin_port)},
@@ -122,17 +128,20 @@
   return true;
 }
 
+void PeerPort::OnReceiveError(std::string_view call, const error_code& error) {
+  receive_errors_.Add();
+  log_.Write(LogLevel::kWarn, "peer_receive_failed",
+             {{"call", call}, {"error", error.message()}});
+}
+
 void PeerPort::Send(V4Endpoint to, std::span<const std::byte> datagram) {
   error_code error;
   socket_.send_to(asio::buffer(datagram.data(), datagram.size()),
                   {asio::ip::address_v4(to.address), to.port}, 0, error);
-  if (error) send_errors_.Add();
-}
-
-V4Endpoint PeerPort::local() const {
-  error_code error;
-  const udp::endpoint local = socket_.local_endpoint(error);
-  return {local.address().to_v4().to_uint(), local.port()};
+  if (!error) return;
+  send_errors_.Add();
+  log_.Write(LogLevel::kWarn, "peer_send_failed",
+             {{"to", ToString(to)}, {"error", error.message()}});
 }
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge_io/peer_port.h
+++ b/src/sapphirestream/edge_io/peer_port.h
@@ -5,15 +5,18 @@
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
+#include <boost/system/error_code.hpp>
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <span>
+#include <string_view>
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/counter.h"
 #include "sapphirestream/base/endpoint.h"
 #include "sapphirestream/base/error.h"
+#include "sapphirestream/base/event_log.h"
 #include "sapphirestream/edge/peer_exchange.h"
 #include "sapphirestream/edge/v4_endpoint.h"
 
@@ -30,14 +33,15 @@
   // `local` must be an IPv4 address. Errors: kInternal with the system's
   // message. The references must outlive the port.
   [[nodiscard]] static leaf::result<std::unique_ptr<PeerPort>> Open(
-      boost::asio::io_context& context, const Endpoint& local,
+      boost::asio::io_context& context, const Endpoint& local, EventLog& log,
       CounterSet& counters, Handler handler);
 
   // Starts reading.
   void Start();
-  // Never blocks: the datagram is dropped if the socket's buffer is full.
+  // Never blocks. If the datagram cannot be sent, e.g. because the socket's
+  // buffer is full, it is dropped and the error is logged.
   void Send(V4Endpoint to, std::span<const std::byte> datagram) override;
-  [[nodiscard]] V4Endpoint local() const;
+  [[nodiscard]] V4Endpoint local() const noexcept { return local_; }
 
  private:
   // Larger datagrams are truncated and then fail to decode.
@@ -46,14 +50,19 @@
   // what all neighbors send at the same time.
   static constexpr int kMaxBatch = 64;
 
-  PeerPort(boost::asio::ip::udp::socket socket, CounterSet& counters,
-           Handler handler);
+  PeerPort(boost::asio::ip::udp::socket socket, V4Endpoint local, EventLog& log,
+           CounterSet& counters, Handler handler);
   void Wait();
   void ReadBatch();
   // Returns false if there is no datagram.
   bool ReadOne();
+  // `call`: the operation that failed.
+  void OnReceiveError(std::string_view call,
+                      const boost::system::error_code& error);
 
   boost::asio::ip::udp::socket socket_;
+  const V4Endpoint local_;
+  EventLog& log_;
   Handler handler_;
   Counter& send_errors_;
   Counter& receive_errors_;
--- a/test/edge_io/peer_port_test.cc
+++ b/test/edge_io/peer_port_test.cc
@@ -1,7 +1,11 @@
-// Guards against datagrams between instances that are lost in the port, and
-// against messages that were queued for a while but look new.
+// Guards against datagrams between instances that are lost in the port, against
+// messages that were queued for a while but look new, and against errors that
+// leave no log line.
 #include "sapphirestream/edge_io/peer_port.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/test/unit_test.hpp>
 #include <string>
@@ -21,10 +25,29 @@
   Duration age{};
 };
 
-struct Fixture {
+// Returns the socket that is bound to `local`, or -1.
+int SocketAt(V4Endpoint local) {
+  constexpr int max_descriptors = 1024;
+  for (int descriptor = 0; descriptor < max_descriptors; ++descriptor) {
+    sockaddr_in name{};
+    socklen_t size = sizeof(name);
+    if (::getsockname(descriptor, reinterpret_cast<sockaddr*>(&name), &size) ==
+            0 &&
+        name.sin_family == AF_INET && ntohs(name.sin_port) == local.port &&
+        ntohl(name.sin_addr.s_addr) == local.address) {
+      return descriptor;
+    }
+  }
+  return -1;
+}
+
+struct Fixture : LogSink {
+  void Write(LogLevel /*level*/, const std::string& line) override {
+    lines.push_back(line);
+  }
   std::unique_ptr<PeerPort> Open(const std::string& address) {
     auto port = PeerPort::Open(
-        context, *ParseEndpoint(address), counters,
+        context, *ParseEndpoint(address), log, counters,
         [this](V4Endpoint from, std::span<const std::byte> datagram,
                Duration age) {
           received.push_back({from, datagram.size(), age});
@@ -32,6 +55,9 @@
     return port ? std::move(*port) : nullptr;
   }
 
+  std::vector<std::string> lines;
+  testing::ManualClock clock;
+  EventLog log{*this, clock};
   boost::asio::io_context context{1};
   CounterSet counters;
   std::vector<Received> received;
@@ -79,11 +105,37 @@
   BOOST_TEST(received[0].size == bytes.size());
 }
 
+BOOST_AUTO_TEST_CASE(a_failed_receive_is_logged_and_loses_no_other_datagram) {
+  const auto a = Open("127.0.0.1:0");
+  BOOST_REQUIRE(a);
+  const V4Endpoint closed = Open("127.0.0.1:0")->local();
+  // Makes the kernel report ICMP errors to the receiver.
+  const int on = 1;
+  BOOST_REQUIRE(::setsockopt(SocketAt(a->local()), IPPROTO_IP, IP_RECVERR, &on,
+                             sizeof(on)) == 0);
+  a->Start();
+  a->Send(a->local(), std::vector<std::byte>(10));
+  a->Send(closed, std::vector<std::byte>(10));
+  while (received.empty() || lines.empty()) context.run_one();
+  BOOST_REQUIRE_EQUAL(lines.size(), 1U);
+  BOOST_TEST(lines[0] ==
+             "event=peer_receive_failed call=recvmsg "
+             "error=\"Connection refused\"");
+}
+
+BOOST_AUTO_TEST_CASE(a_failed_send_is_logged) {
+  const auto a = Open("127.0.0.1:0");
+  BOOST_REQUIRE(a);
+  // Port 0 is invalid.
+  a->Send({a->local().address, 0}, std::vector<std::byte>(10));
+  BOOST_REQUIRE_EQUAL(lines.size(), 1U);
+  BOOST_TEST(lines[0] ==
+             "event=peer_send_failed to=127.0.0.1:0 "
+             "error=\"Invalid argument\"");
+}
+
 // Two instances on loopback addresses with the same port, as deployed.
 BOOST_AUTO_TEST_CASE(exchanges_find_each_other_through_ports) {
-  testing::ManualClock clock;
-  testing::NullLogSink sink;
-  EventLog log(sink, clock);
   SeededRandom random(3);
   struct Instance {
     std::unique_ptr<PeerPort> port;
@@ -97,7 +149,7 @@
   std::vector<V4Endpoint> seeds;
   for (Instance& instance : instances) {
     auto port = PeerPort::Open(
-        context, *ParseEndpoint(address), instance.counters,
+        context, *ParseEndpoint(address), log, instance.counters,
         [&](V4Endpoint from, std::span<const std::byte> datagram,
             Duration age) {
           instance.exchange->OnDatagram(from, datagram, age, clock.Now());
