Explain placements by the selector of EdgeSteering

/explain named no target when an evacuated domain that is cut off from all others used its own targets, and it built the query of a placement itself, from the current settings instead of those that EdgeSteering was started with.

The selection moves from EdgeSteering to TargetSelector, which EdgeSteering uses and hands to ExplainPlacement. The decision then carries reason=last_resort, and the targets of the evacuated domain are ranked. The condition for the last resort is unchanged: it is computed over all targets of the service, so that it does not depend on which of them are already ranked.

Tests of the explanation now construct a TargetSelector with the placer that they passed before; their checks are unchanged.

--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -19,6 +19,7 @@
       log_(log),
       decisions_(decisions),
       evacuates_domains_(options.evacuates_domains),
+      selector_(routes, targets, decisions.placer, options.evacuates_domains),
       flows_(options.flow_capacity),
       forwarded_(counters.Emplace("packets_forwarded_total")),
       placed_(counters.Emplace("flows_placed_total")),
@@ -75,50 +76,12 @@
       {packet.client, packet.service, packet.opens ? 0 : packet.acknowledged});
 }
 
-PlacementQuery EdgeSteering::QueryFor(V4Endpoint client, V4Endpoint service,
-                                      const Route& route, TargetKey excluded,
-                                      TimePoint now) const {
-  const std::uint64_t hash = FlowHash(client, service);
-  const ServiceSpec& spec = routes_.SpecOf(route.Pick(hash));
-  return {
-      .kind = route.kind,
-      .flow_hash = hash,
-      .now = now,
-      .excluded = excluded,
-      .exclude_cold = evacuates_domains_ && spec.cold_flows_per_s.has_value(),
-      .objective = route.objective};
-}
-
 EdgePlacement EdgeSteering::Place(V4Endpoint client, V4Endpoint service,
                                   const Route& route, TargetKey excluded,
                                   TimePoint now) {
-  const PlacementQuery query = QueryFor(client, service, route, excluded, now);
-  const auto& targets = targets_.OfService(route.Pick(query.flow_hash));
-  const EdgePlacement placement = decisions_.placer.Place(targets, query);
-  if (placement.tier < PlacementTier::kUnproven ||
-      !gaps_.evacuations_unconfirmed) {
-    return placement;
-  }
-  const EdgePlacement evacuated = PlaceAtEvacuated(targets, query);
-  return evacuated.tier < placement.tier ? evacuated : placement;
-}
-
-EdgePlacement EdgeSteering::PlaceAtEvacuated(
-    const std::vector<EdgeTarget*>& targets, PlacementQuery query) {
-  std::vector<EdgeTarget*> local;
-  bool has_other = false;
-  for (EdgeTarget* const target : targets) {
-    if (target->evacuated) {
-      if (target->is_local) local.push_back(target);
-    } else if (target->presence != TargetPresence::kGone) {
-      if (query.now >= target->cut_off_until) return {};
-      has_other = true;
-    }
-  }
-  // If all domains are evacuated, new flows are not wanted anywhere.
-  if (!has_other) return {};
-  query.allow_evacuated = true;
-  return PlaceFlow(local, query);
+  const PlacementQuery query =
+      selector_.QueryFor(client, service, route, excluded, now);
+  return selector_.Select(route.Pick(query.flow_hash), query, gaps_);
 }
 
 void EdgeSteering::OnOpening(const EdgePacket& packet, const Route& route,
@@ -182,8 +145,8 @@
 
 bool EdgeSteering::WillBeWarm(const EdgePacket& packet, const Route& route,
                               TimePoint now) const {
-  const PlacementQuery query =
-      QueryFor(packet.client, packet.service, route, TargetKey{}, now);
+  const PlacementQuery query = selector_.QueryFor(packet.client, packet.service,
+                                                  route, TargetKey{}, now);
   if (!query.exclude_cold) return false;
   if (packet.acknowledged >= kOpeningTimes.size()) return false;
   const Duration until_last_copy =
@@ -216,7 +179,7 @@
   if (flow.phase != FlowPhase::kOpening) return false;
   if (target->evacuated && !gaps_.evacuations_unconfirmed) return true;
   const PlacementQuery query =
-      QueryFor(flow.client, flow.service, route, TargetKey{}, now);
+      selector_.QueryFor(flow.client, flow.service, route, TargetKey{}, now);
   // It has become cold since the first copy was sent.
   if (query.exclude_cold && now < target->cold_until) return true;
   return IsUnreachable(*target) ||
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -31,6 +31,7 @@
 #include "sapphirestream/edge/request_observation.h"
 #include "sapphirestream/edge/route_table.h"
 #include "sapphirestream/edge/target_directory.h"
+#include "sapphirestream/edge/target_selector.h"
 
 namespace sapphirestream {
 
@@ -50,15 +51,6 @@
   bool evacuates_domains = false;
 };
 
-// What an instance cannot know at the moment, because of its view of the store.
-struct ViewGaps {
-  // Targets are registering again after a store outage, so that a service
-  // without targets may have some shortly.
-  bool targets_recovering = false;
-  // The store cannot be reached, so that an evacuation may have ended.
-  bool evacuations_unconfirmed = false;
-};
-
 class EdgeSteering {
  public:
   // When a client sends its opening packet, counted from the first time.
@@ -101,6 +93,10 @@
   void Tick(TimePoint now);
   // Returns the next deadline, if there is one.
   [[nodiscard]] std::optional<TimePoint> NextDeadline() const noexcept;
+  // How targets of new flows are selected.
+  [[nodiscard]] const TargetSelector& selector() const noexcept {
+    return selector_;
+  }
 
  private:
   // An opening packet whose client has not continued yet; kept so that it can
@@ -134,9 +130,6 @@
   // Opening packets (SYN).
   void OnOpening(const EdgePacket& packet, const Route& route, TimePoint now);
   void OnNoTarget(const EdgePacket& packet, const Route& route, TimePoint now);
-  [[nodiscard]] PlacementQuery QueryFor(V4Endpoint client, V4Endpoint service,
-                                        const Route& route, TargetKey excluded,
-                                        TimePoint now) const;
   // Whether the client will send the opening packet again when a target that is
   // cold now can be selected.
   [[nodiscard]] bool WillBeWarm(const EdgePacket& packet, const Route& route,
@@ -148,10 +141,6 @@
   [[nodiscard]] EdgePlacement Place(V4Endpoint client, V4Endpoint service,
                                     const Route& route, TargetKey excluded,
                                     TimePoint now);
-  // Selects an evacuated target of this instance's domain if all domains that
-  // are not evacuated seem to be cut off.
-  [[nodiscard]] EdgePlacement PlaceAtEvacuated(
-      const std::vector<EdgeTarget*>& targets, PlacementQuery query);
   // Update what is known of the reachability of a target's domain.
   void OnDomainUnreachable(const EdgeTarget& target, TimePoint begun,
                            TimePoint now);
@@ -239,6 +228,7 @@
   EdgeLog& log_;
   SteeringDecisions decisions_;
   bool evacuates_domains_;
+  TargetSelector selector_;
   DomainReachability domains_;
   // As of the last packet.
   ViewGaps gaps_;
--- a/src/sapphirestream/edge/placement_explanation.cc
+++ b/src/sapphirestream/edge/placement_explanation.cc
@@ -7,7 +7,6 @@
 
 #include "sapphirestream/base/endpoint.h"
 #include "sapphirestream/edge/edge_log.h"
-#include "sapphirestream/edge/flow_cache.h"
 
 namespace sapphirestream {
 namespace {
@@ -53,52 +52,63 @@
   return SelectionOutcome::kLowerRank;
 }
 
-ExplainedTarget Describe(const EdgeTarget& target, const PlacementView& view,
-                         const PlacementQuery& query) {
+ExplainedTarget Describe(const EdgeTarget& target, PlacementTier tier,
+                         const PlacementView& view, TimePoint now) {
   ExplainedTarget result;
   result.key = target.record.key;
   result.domain = target.record.domain;
   result.is_local = target.is_local;
-  result.tier = TierOf(target, query);
-  if (result.tier == PlacementTier::kNone) result.outcome = ExclusionOf(target);
-  if (result.tier == PlacementTier::kUnproven) {
+  result.tier = tier;
+  if (tier == PlacementTier::kNone) result.outcome = ExclusionOf(target);
+  if (tier == PlacementTier::kUnproven) {
     result.outcome = SelectionOutcome::kUnproven;
   }
   result.slots = target.record.slots;
   result.own_outstanding = target.outstanding;
   if (view.performance != nullptr) {
-    result.estimate = view.performance->Estimate(target, query.now);
+    result.estimate = view.performance->Estimate(target, now);
   }
-  result.cold_for = std::max(Duration::zero(), target.cold_until - query.now);
+  result.cold_for = std::max(Duration::zero(), target.cold_until - now);
   return result;
 }
 
 // Appends the targets in the order in which they would be selected, and removes
 // them from `rest`.
-void AddRanked(const PlacementView& view, const PlacementQuery& query,
-               std::vector<EdgeTarget*>& rest,
+void AddRanked(const PlacementView& view, ServiceNumber service,
+               const PlacementQuery& query, std::vector<EdgeTarget*>& rest,
                PlacementExplanation& explanation) {
   for (std::size_t rank = 1; rank <= kMaxRanked; ++rank) {
-    const std::optional<EdgePlacement> next = view.placer.Preview(rest, query);
+    const std::optional<EdgePlacement> next =
+        view.selector.Preview(service, rest, query, view.gaps);
     explanation.is_order_known = next.has_value();
     if (!next || next->target == nullptr) return;
-    ExplainedTarget target = Describe(*next->target, view, query);
+    ExplainedTarget target =
+        Describe(*next->target, next->tier, view, query.now);
     target.rank = rank;
-    target.outcome = rank == 1
-                         ? SelectionOutcome::kSelected
-                         : Compare(target, explanation.targets.front(), view);
+    if (rank == 1) {
+      target.outcome = SelectionOutcome::kSelected;
+      explanation.is_last_resort = next->target->evacuated;
+    } else {
+      target.outcome = Compare(target, explanation.targets.front(), view);
+    }
     explanation.targets.push_back(std::move(target));
     std::erase(rest, next->target);
   }
 }
 
-void AddOthers(const PlacementView& view, const PlacementQuery& query,
+void AddOthers(const PlacementView& view, ServiceNumber service,
+               const PlacementQuery& query,
                const std::vector<EdgeTarget*>& rest,
                PlacementExplanation& explanation) {
   const bool has_selected = !explanation.targets.empty();
+  PlacementQuery local_query = query;
+  local_query.allow_evacuated =
+      view.selector.AllowsEvacuated(service, query.now, view.gaps);
   for (const EdgeTarget* const target : rest) {
-    ExplainedTarget other = Describe(*target, view, query);
-    if (has_selected && other.tier != PlacementTier::kNone) {
+    const PlacementTier tier =
+        TierOf(*target, target->is_local ? local_query : query);
+    ExplainedTarget other = Describe(*target, tier, view, query.now);
+    if (has_selected && tier != PlacementTier::kNone) {
       other.outcome = Compare(other, explanation.targets.front(), view);
     }
     explanation.targets.push_back(std::move(other));
@@ -119,7 +129,8 @@
       explanation.targets.front().outcome != SelectionOutcome::kSelected) {
     return "decision=none reason=no_target";
   }
-  return "decision=place target=" + ToString(explanation.targets.front().key);
+  return "decision=place target=" + ToString(explanation.targets.front().key) +
+         (explanation.is_last_resort ? " reason=last_resort" : "");
 }
 
 void Write(std::ostream& out, const ExplainedTarget& target) {
@@ -172,21 +183,14 @@
     return MakeError(ErrorKind::kNotFound,
                      "no route with the address " + ToString(query.route));
   }
-  const std::uint64_t hash = FlowHash(query.client, query.route);
-  const ServiceNumber service = route->Pick(hash);
-  const ServiceSpec& spec = view.routes.SpecOf(service);
-  const PlacementQuery placement{
-      .kind = route->kind,
-      .flow_hash = hash,
-      .now = now,
-      .exclude_cold =
-          view.evacuates_domains && spec.cold_flows_per_s.has_value(),
-      .objective = route->objective};
+  const PlacementQuery placement = view.selector.QueryFor(
+      query.client, query.route, *route, TargetKey{}, now);
+  const ServiceNumber service = route->Pick(placement.flow_hash);
   PlacementExplanation explanation;
   explanation.client = query.client;
   explanation.route = query.route;
-  explanation.service = spec.name;
-  explanation.flow_hash = hash;
+  explanation.service = view.routes.NameOf(service);
+  explanation.flow_hash = placement.flow_hash;
   explanation.objective = route->objective;
   if (view.admission != nullptr) {
     explanation.admission =
@@ -194,12 +198,12 @@
                                  .route = query.route,
                                  .service = service,
                                  .objective = route->objective,
-                                 .flow_hash = hash,
+                                 .flow_hash = placement.flow_hash,
                                  .now = now});
   }
   std::vector<EdgeTarget*> rest = view.targets.OfService(service);
-  AddRanked(view, placement, rest, explanation);
-  AddOthers(view, placement, rest, explanation);
+  AddRanked(view, service, placement, rest, explanation);
+  AddOthers(view, service, placement, rest, explanation);
   return explanation;
 }
 
--- a/src/sapphirestream/edge/placement_explanation.h
+++ b/src/sapphirestream/edge/placement_explanation.h
@@ -14,10 +14,10 @@
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/edge/admission_control.h"
 #include "sapphirestream/edge/edge_placement.h"
-#include "sapphirestream/edge/flow_placer.h"
 #include "sapphirestream/edge/route_table.h"
 #include "sapphirestream/edge/target_directory.h"
 #include "sapphirestream/edge/target_estimate.h"
+#include "sapphirestream/edge/target_selector.h"
 
 namespace sapphirestream {
 
@@ -62,6 +62,9 @@
   std::uint64_t flow_hash = 0;
   RouteObjective objective;
   AdmissionVerdict admission = AdmissionVerdict::kAdmit;
+  // Whether the selected target is in an evacuated domain and is used only
+  // because all other domains seem to be cut off.
+  bool is_last_resort = false;
   // Whether the order is known; if not, no target is marked as selected.
   bool is_order_known = true;
   // Ranked targets first, in their order.
@@ -72,13 +75,12 @@
 struct PlacementView {
   const RouteTable& routes;
   const TargetDirectory& targets;
-  const FlowPlacer& placer;
+  const TargetSelector& selector;
   // Null if performance is not learned.
   const PerformanceSource* performance = nullptr;
   // Null if all flows are admitted.
   const AdmissionControl* admission = nullptr;
-  // Same as in SteeringOptions.
-  bool evacuates_domains = false;
+  ViewGaps gaps{};
 };
 
 struct ExplanationQuery {
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -215,13 +215,15 @@
     steering_.DropOpening(packet, now);
     return;
   }
-  steering_.OnPacket(
-      packet, now,
-      {.targets_recovering = view_.is_recovering() || !view_.is_complete(),
-       .evacuations_unconfirmed = view_.AreEvacuationsUnconfirmed()});
+  steering_.OnPacket(packet, now, GapsOfView());
   ArmSteering();
 }
 
+ViewGaps EdgeInstance::GapsOfView() const {
+  return {.targets_recovering = view_.is_recovering() || !view_.is_complete(),
+          .evacuations_unconfirmed = view_.AreEvacuationsUnconfirmed()};
+}
+
 void EdgeInstance::ArmSteering() {
   const auto next = steering_.NextDeadline();
   if (!next || (armed_ && *armed_ <= *next)) return;
--- a/src/sapphirestream/edge_io/edge_instance.h
+++ b/src/sapphirestream/edge_io/edge_instance.h
@@ -104,6 +104,7 @@
   // Makes all readers replace a view from before an era.
   void RelistFor(StoreEra era);
   void OnPacket(const EdgePacket& packet);
+  [[nodiscard]] ViewGaps GapsOfView() const;
   // Sets the steering timer to the next deadline of EdgeSteering.
   void ArmSteering();
   // Periodic tasks; run every kHousekeepingPeriod.
--- a/src/sapphirestream/edge_io/edge_instance_http.cc
+++ b/src/sapphirestream/edge_io/edge_instance_http.cc
@@ -53,15 +53,13 @@
 }
 
 HttpResponse EdgeInstance::Explain(const HttpRequest& request) {
-  SteeringDecisions decisions =
-      load_ ? load_->decisions() : SteeringDecisions{.placer = tier_placer_};
   const PlacementView view{
       .routes = routes_,
       .targets = targets_,
-      .placer = decisions.placer,
+      .selector = steering_.selector(),
       .performance = load_ ? &load_->performance() : nullptr,
-      .admission = decisions.admission,
-      .evacuates_domains = settings_.EvacuatesDomains()};
+      .admission = load_ ? load_->decisions().admission : nullptr,
+      .gaps = GapsOfView()};
   return leaf::try_handle_all(
       [&]() -> leaf::result<HttpResponse> {
         BOOST_LEAF_AUTO(
--- a/test/edge/placement_explanation_test.cc
+++ b/test/edge/placement_explanation_test.cc
@@ -48,10 +48,9 @@
   RouteTable routes;
   TargetDirectory targets{routes, "a"};
   TierPlacer placer;
-  PlacementView view{.routes = routes,
-                     .targets = targets,
-                     .placer = placer,
-                     .evacuates_domains = true};
+  TargetSelector selector{routes, targets, placer, /*evacuates_domains=*/true};
+  PlacementView view{
+      .routes = routes, .targets = targets, .selector = selector};
 };
 
 BOOST_FIXTURE_TEST_SUITE(placement_explanation, Fixture)
@@ -113,6 +112,40 @@
   BOOST_TEST(text.find("decision=none reason=no_target") != std::string::npos);
 }
 
+// The explanation named no target, although flows were opened there.
+BOOST_AUTO_TEST_CASE(a_target_of_an_evacuated_domain_is_a_last_resort) {
+  targets.SetEvacuated("a", true, now);
+  targets.SetCutOff("b", now + 1s);
+  BOOST_TEST(ToText(Explain()).find("reason=last_resort") == std::string::npos);
+  view.gaps.evacuations_unconfirmed = true;
+  const PlacementQuery query = selector.QueryFor(
+      sample::Client(1), sample::kFeed, *routes.Find(sample::kFeed), {}, now);
+  const EdgePlacement selected =
+      selector.Select(routes.Number("desk"), query, view.gaps);
+  BOOST_REQUIRE(selected.target != nullptr);
+  BOOST_TEST(selected.target->evacuated);
+  const PlacementExplanation explained = Explain();
+  BOOST_TEST((explained.targets.front().key == selected.target->record.key));
+  BOOST_TEST((explained.targets.front().tier == PlacementTier::kLocalSlot));
+  BOOST_TEST(ToText(explained).find(" reason=last_resort\n") !=
+             std::string::npos);
+  using enum SelectionOutcome;
+  BOOST_TEST((explained.targets[1].outcome == kLowerRank));
+  BOOST_TEST((explained.targets[5].outcome == kUnproven));
+}
+
+BOOST_AUTO_TEST_CASE(cold_targets_are_excluded_as_the_selector_does) {
+  targets.ForEach([&](EdgeTarget& target) { target.cold_until = now + 5s; });
+  BOOST_TEST(!Explain().targets.front().rank);
+  TargetSelector without_evacuation(routes, targets, placer,
+                                    /*evacuates_domains=*/false);
+  const auto explained = ExplainPlacement(
+      {.routes = routes, .targets = targets, .selector = without_evacuation},
+      {sample::Client(1), sample::kFeed}, now);
+  BOOST_REQUIRE(explained.has_value());
+  BOOST_TEST(explained->targets.front().rank.value_or(0) == 1U);
+}
+
 // A placer without preview must not be explained by another one's rules.
 BOOST_AUTO_TEST_CASE(an_unknown_order_is_told) {
   struct Opaque final : FlowPlacer {
@@ -122,8 +155,10 @@
       return {};
     }
   } opaque;
+  const TargetSelector opaque_selector(routes, targets, opaque,
+                                       /*evacuates_domains=*/false);
   const PlacementView other{
-      .routes = routes, .targets = targets, .placer = opaque};
+      .routes = routes, .targets = targets, .selector = opaque_selector};
   const auto explained =
       ExplainPlacement(other, {sample::Client(1), sample::kFeed}, now);
   BOOST_REQUIRE(explained.has_value());
@@ -145,7 +180,7 @@
   } refusing;
   const PlacementView other{.routes = routes,
                             .targets = targets,
-                            .placer = placer,
+                            .selector = selector,
                             .admission = &refusing};
   const auto explained =
       ExplainPlacement(other, {sample::Client(1), sample::kFeed}, now);
