--- a/src/sapphirestream/edge/balanced_placement.cc
+++ b/src/sapphirestream/edge/balanced_placement.cc
@@ -7,6 +7,7 @@
 
 #include "sapphirestream/edge/flow_share.h"
 #include "sapphirestream/edge/rendezvous.h"
+#include "sapphirestream/edge/target_slots.h"
 
 namespace sapphirestream {
 namespace {
@@ -94,8 +95,7 @@
   void Add(EdgeTarget& target, const TargetEstimate& estimate,
            const PlacementQuery& query) {
     const std::uint32_t limit = SlotLimit(target, query);
-    const std::uint32_t slots =
-        std::min(limit, std::max(1U, target.record.slots));
+    const std::uint32_t slots = std::min(limit, SlotsOf(target));
     const std::uint32_t outstanding =
         std::max(target.outstanding, estimate.outstanding);
     const double time = EffectiveTime(estimate);
--- a/src/sapphirestream/edge/edge_log.cc
+++ b/src/sapphirestream/edge/edge_log.cc
@@ -5,16 +5,12 @@
 #include <charconv>
 #include <chrono>
 
+#include "sapphirestream/base/duration.h"
 #include "sapphirestream/base/id.h"
 
 namespace sapphirestream {
 namespace {
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 std::string FlowText(V4Endpoint client, V4Endpoint service) {
   return ToString(client) + ">" + ToString(service);
 }
--- a/src/sapphirestream/edge/edge_placement.cc
+++ b/src/sapphirestream/edge/edge_placement.cc
@@ -7,13 +7,14 @@
 
 #include "sapphirestream/base/hash.h"
 #include "sapphirestream/base/id.h"
+#include "sapphirestream/edge/target_slots.h"
 
 namespace sapphirestream {
 namespace {
 
 // Requests beyond the slots; 0 for all targets with a free slot.
 std::uint32_t QueueLength(const EdgeTarget& target) {
-  const std::uint32_t slots = std::max(1U, target.record.slots);
+  const std::uint32_t slots = SlotsOf(target);
   return target.outstanding < slots ? 0 : target.outstanding - slots + 1;
 }
 
@@ -27,7 +28,7 @@
 }
 
 std::uint32_t SlotLimit(const EdgeTarget& target, const PlacementQuery& query) {
-  const std::uint32_t slots = std::max(1U, target.record.slots);
+  const std::uint32_t slots = SlotsOf(target);
   // A cold target handles about half of its usual load.
   if (query.now < target.cold_until) return std::max(1U, slots / 2);
   return slots +
--- a/src/sapphirestream/edge/own_samples.h
+++ b/src/sapphirestream/edge/own_samples.h
@@ -14,9 +14,11 @@
 
 class OwnSamples {
  public:
-  // Peers drop a count that is not repeated in time; two messages in a row may
-  // be lost.
-  static constexpr Duration kRepeatInterval = std::chrono::milliseconds(500);
+  // Time after which an unchanged count is reported again. In between,
+  // SampleBacklog repeats it in messages that have room for it. A count that is
+  // reported again is sent with priority, as a changed one is. Peers drop it
+  // after kSamplesTimeout; two reports in a row may be lost.
+  static constexpr Duration kRepeatInterval = kSamplesTimeout / 3;
 
   void Add(TargetKey target, Incarnation incarnation,
            const RequestVerdict& verdict);
--- a/src/sapphirestream/edge/peer_directory.cc
+++ b/src/sapphirestream/edge/peer_directory.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "sapphirestream/base/hash.h"
+#include "sapphirestream/edge/contact_delay.h"
 #include "sapphirestream/edge/peer_ring.h"
 
 namespace sapphirestream {
@@ -108,10 +109,7 @@
     PeerEntry& peer = peers_[i];
     if (!nearest[i] || IsLive(peer, now) || now < peer.contact_at) continue;
     out.push_back(peer.address);
-    peer.contact_at =
-        now + Duration(static_cast<Duration::rep>(
-                  static_cast<double>(peer.contact_delay.count()) *
-                  (1 - random_.Unit() / 2)));
+    peer.contact_at = now + ContactDelay(peer.contact_delay, random_);
     peer.contact_delay = std::min(kMaxContactDelay, peer.contact_delay * 2);
   }
   return out;
--- a/src/sapphirestream/edge/peer_directory.h
+++ b/src/sapphirestream/edge/peer_directory.h
@@ -13,6 +13,7 @@
 #include "sapphirestream/edge/fwd.h"
 #include "sapphirestream/edge/peer_clock.h"
 #include "sapphirestream/edge/peer_message.h"
+#include "sapphirestream/edge/target_samples.h"
 #include "sapphirestream/edge/v4_endpoint.h"
 
 namespace sapphirestream {
@@ -72,9 +73,7 @@
   static constexpr std::size_t kNeighborsPerSide = 16;
   static constexpr std::size_t kMaxNeighbors = 2 * kNeighborsPerSide;
   static constexpr std::size_t kMaxPeers = 128;
-  // A peer whose samples are silent for this time is lost. Leaves time for
-  // three messages, two of which may be lost in the network.
-  static constexpr Duration kSilenceTimeout = std::chrono::milliseconds(1500);
+  static constexpr Duration kSilenceTimeout = kSamplesTimeout;
   // An address that is neither heard nor mentioned for this time is forgotten.
   // Until then it is contacted at growing intervals, so that both parts of a
   // partitioned domain find each other again.
--- a/src/sapphirestream/edge/peer_exchange.cc
+++ b/src/sapphirestream/edge/peer_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "sapphirestream/base/duration.h"
 #include "sapphirestream/base/id.h"
 #include "sapphirestream/edge/peer_ring.h"
 
@@ -28,11 +29,6 @@
          static_cast<Duration::rep>(bytes) / static_cast<Duration::rep>(rate);
 }
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 std::vector<V4Endpoint> Without(std::vector<V4Endpoint> addresses,
                                 V4Endpoint excluded) {
   std::erase(addresses, excluded);
--- a/src/sapphirestream/edge/peer_exchange.h
+++ b/src/sapphirestream/edge/peer_exchange.h
@@ -57,6 +57,8 @@
   // Longest time between two messages to a neighbor, also when idle: two of
   // them may be lost before the neighbor misses them.
   static constexpr Duration kMaxSendInterval = std::chrono::milliseconds(400);
+  static_assert(SampleBacklog::kRepeatInterval < kMaxSendInterval);
+  static_assert(3 * kMaxSendInterval < kSamplesTimeout);
   // A message that waited longer was queued while this process was not running,
   // and its counts of outstanding requests are out of date.
   static constexpr Duration kMaxMessageAge = std::chrono::milliseconds(500);
--- a/src/sapphirestream/edge/peer_reports.cc
+++ b/src/sapphirestream/edge/peer_reports.cc
@@ -4,14 +4,9 @@
 #include <cmath>
 #include <iterator>
 
-namespace sapphirestream {
-namespace {
-
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
+#include "sapphirestream/base/duration.h"
 
-}  // namespace
+namespace sapphirestream {
 
 std::uint32_t PeerReports::Add(PeerId peer, std::uint32_t outstanding,
                                std::uint32_t requests, double evidence,
--- a/src/sapphirestream/edge/peer_reports.h
+++ b/src/sapphirestream/edge/peer_reports.h
@@ -9,6 +9,8 @@
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/edge/fwd.h"
+#include "sapphirestream/edge/target_performance.h"
+#include "sapphirestream/edge/target_samples.h"
 
 namespace sapphirestream {
 
@@ -16,10 +18,10 @@
  public:
   // A count of outstanding requests is dropped if it is not repeated in time:
   // the peer is gone, or the message with the next count was lost.
-  static constexpr Duration kOutstandingExpiry =
-      std::chrono::milliseconds(1500);
-  // Evidence is forgotten like that of the target.
-  static constexpr Duration kMemory = std::chrono::seconds(8);
+  static constexpr Duration kOutstandingExpiry = kSamplesTimeout;
+  // The parts of the peers are compared with the evidence of all instances, so
+  // they have to decay alike.
+  static constexpr Duration kMemory = TargetPerformance::kMemory;
   static constexpr Duration kIdleRetention = std::chrono::seconds(30);
   // Time between two searches for idle peers.
   static constexpr Duration kIdleCheckInterval = std::chrono::seconds(5);
--- a/src/sapphirestream/edge/peer_seeds.h
+++ b/src/sapphirestream/edge/peer_seeds.h
@@ -10,6 +10,7 @@
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/random.h"
+#include "sapphirestream/edge/contact_delay.h"
 #include "sapphirestream/edge/v4_endpoint.h"
 
 namespace sapphirestream {
@@ -37,13 +38,10 @@
                                                TimePoint now) {
     if (!is_alone && delay_ < kMinDelayWithPeers) {
       delay_ = kMinDelayWithPeers;
-      contact_at_ = now + Jitter(delay_);
+      contact_at_ = now + ContactDelay(delay_, *random_);
     }
     if (!is_needed || seeds_.empty() || now < contact_at_) return std::nullopt;
-    contact_at_ =
-        now +
-        Duration(static_cast<Duration::rep>(
-            static_cast<double>(delay_.count()) * (1 - random_->Unit() / 2)));
+    contact_at_ = now + ContactDelay(delay_, *random_);
     delay_ = std::min(kMaxDelay, delay_ * 2);
     next_ = (next_ + 1) % seeds_.size();
     return seeds_[next_];
@@ -55,11 +53,6 @@
   }
 
  private:
-  Duration Jitter(Duration delay) {
-    return Duration(static_cast<Duration::rep>(
-        static_cast<double>(delay.count()) * (1 - random_->Unit() / 2)));
-  }
-
   std::vector<V4Endpoint> seeds_;
   Random* random_;
   std::size_t next_ = 0;
--- a/src/sapphirestream/edge/performance_table.cc
+++ b/src/sapphirestream/edge/performance_table.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "sapphirestream/edge/target_slots.h"
+
 namespace sapphirestream {
 namespace {
 
@@ -16,8 +18,12 @@
          !target.evacuated;
 }
 
-std::uint32_t SlotsOf(const EdgeTarget& target) {
-  return std::clamp(target.record.slots, 1U, 1024U);
+// Further slots are not counted: an entry may claim many more than a target
+// has, which would let peers report as many requests.
+constexpr std::uint32_t kMaxCountedSlots = 1024;
+
+std::uint32_t CountedSlotsOf(const EdgeTarget& target) {
+  return std::min(SlotsOf(target), kMaxCountedSlots);
 }
 
 // Part of the slots that is free. A request that has just failed may still be
@@ -25,7 +31,7 @@
 double IdlePart(const EdgeTarget& target, const PeerReports& peers) {
   const std::uint32_t outstanding = target.outstanding + peers.outstanding();
   const double others = std::max(outstanding, 1U) - 1;
-  return std::max(0.0, 1 - others / SlotsOf(target));
+  return std::max(0.0, 1 - others / CountedSlotsOf(target));
 }
 
 double Share(double relative_time, double allowance, double penalty_factor) {
@@ -119,7 +125,7 @@
   const std::uint32_t accepted = entry->peers.Add(
       peer,
       std::min(samples.outstanding,
-               SlotsOf(target) * kMaxPeerOutstandingPerSlot),
+               CountedSlotsOf(target) * kMaxPeerOutstandingPerSlot),
       answers + failures, entry->performance.Evidence(now), now);
   const std::uint32_t accepted_failures = std::min(failures, accepted);
   if (answers > 0) {
--- a/src/sapphirestream/edge/placement_explanation.cc
+++ b/src/sapphirestream/edge/placement_explanation.cc
@@ -5,6 +5,7 @@
 #include <iomanip>
 #include <sstream>
 
+#include "sapphirestream/base/duration.h"
 #include "sapphirestream/base/endpoint.h"
 #include "sapphirestream/edge/edge_log.h"
 
@@ -115,11 +116,6 @@
   }
 }
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 std::string DecisionOf(const PlacementExplanation& explanation) {
   if (explanation.admission == AdmissionVerdict::kRefuse) {
     return "decision=refuse reason=overload";
--- a/src/sapphirestream/edge/request_times.cc
+++ b/src/sapphirestream/edge/request_times.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "sapphirestream/base/duration.h"
+
 namespace sapphirestream {
 namespace {
 
@@ -15,10 +17,6 @@
 constexpr double kFasterWeight = 1.0 / 256;
 constexpr double kSlowerWeight = 1.0 / 1024;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 void RequestTimes::Smoothed::Add(double sample, double initial, TimePoint now) {
--- a/src/sapphirestream/edge/sample_backlog.h
+++ b/src/sapphirestream/edge/sample_backlog.h
@@ -20,8 +20,11 @@
   // Repetitions of a count of zero; a nonzero count is repeated until it
   // changes.
   static constexpr std::uint8_t kZeroRepeats = 2;
-  // Time between two repetitions: a little less than the longest time between
-  // two messages, so that an idle instance repeats its counts in each.
+  // Time between two repetitions of a count that is not reported again. A
+  // little less than PeerExchange::kMaxSendInterval, so that an idle instance
+  // repeats its counts in each message, and less than
+  // OwnSamples::kRepeatInterval, so that messages that are sent anyway repeat
+  // it earlier. Ends kMaxReportAge after the last report.
   static constexpr Duration kRepeatInterval = std::chrono::milliseconds(350);
   // A count that was not reported for this time is no longer repeated: its
   // target may have been removed.
--- a/src/sapphirestream/edge/service_load.cc
+++ b/src/sapphirestream/edge/service_load.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "sapphirestream/edge/edge_placement.h"
+#include "sapphirestream/edge/target_slots.h"
 
 namespace sapphirestream {
 namespace {
@@ -22,10 +23,6 @@
   return tier != PlacementTier::kNone && tier != PlacementTier::kUnproven;
 }
 
-double SlotsOf(const EdgeTarget& target) {
-  return std::max(1U, target.record.slots);
-}
-
 // Whether other domains may use the same targets. While slots of this domain
 // are free, its flows stay here, and so do those of the others.
 bool HasUnknownLoad(const std::vector<EdgeTarget*>& targets,
--- a/src/sapphirestream/edge/spill_control.cc
+++ b/src/sapphirestream/edge/spill_control.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "sapphirestream/base/duration.h"
 #include "sapphirestream/edge/flow_share.h"
 
 namespace sapphirestream {
@@ -11,10 +12,6 @@
 // Failure shares above this are not distinguished.
 constexpr double kMaxFailureShare = 0.9;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 void SpillControl::Traffic::Decay(double seconds) noexcept {
--- a/src/sapphirestream/edge/target_performance.cc
+++ b/src/sapphirestream/edge/target_performance.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "sapphirestream/base/duration.h"
+
 namespace sapphirestream {
 namespace {
 
@@ -16,10 +18,6 @@
 constexpr double kOnFailure = 0.45;
 constexpr double kOnAnswer = 1.12;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 double Step(double count, double evidence, double part) {
   const double window = std::min(
       evidence, std::max(TargetPerformance::kMinWindow, evidence * part));
--- a/src/sapphirestream/edge/target_samples.h
+++ b/src/sapphirestream/edge/target_samples.h
@@ -11,6 +11,11 @@
 
 namespace sapphirestream {
 
+// A peer whose samples are silent for this time is lost, and its counts of
+// outstanding requests no longer apply. Leaves time for three messages, two of
+// which may be lost in the network.
+inline constexpr Duration kSamplesTimeout = std::chrono::milliseconds(1500);
+
 struct TargetSamples {
   TargetKey target{};
   Incarnation incarnation{};
--- a/src/sapphirestream/store/backoff.h
+++ b/src/sapphirestream/store/backoff.h
@@ -7,6 +7,7 @@
 #include <algorithm>
 
 #include "sapphirestream/base/clock.h"
+#include "sapphirestream/base/duration.h"
 #include "sapphirestream/base/random.h"
 
 namespace sapphirestream {
@@ -28,8 +29,7 @@
   [[nodiscard]] Duration Next(Random& random) {
     const double fraction =
         options_.min_fraction + (1 - options_.min_fraction) * random.Unit();
-    const auto delay = Duration(static_cast<Duration::rep>(
-        fraction * static_cast<double>(ceiling_.count())));
+    const Duration delay = Scale(ceiling_, fraction);
     ceiling_ = std::min(options_.cap, ceiling_ * 2);
     return delay;
   }
--- a/src/sapphirestream/store/collection_checker.cc
+++ b/src/sapphirestream/store/collection_checker.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include "sapphirestream/base/duration.h"
+
 namespace sapphirestream {
 namespace {
 
@@ -41,8 +43,7 @@
 std::optional<TimePoint> CollectionChecker::DueTime(const Entry& entry) const {
   const TimePoint complete_until = entry.collection->CompleteUntil();
   if (!entry.collection->IsCheckable()) return std::nullopt;
-  const Duration lead(static_cast<Duration::rep>(
-      lead_ * static_cast<double>(entry.timing.interval.count())));
+  const Duration lead = Scale(entry.timing.interval, lead_);
   return std::max(complete_until + entry.timing.interval - lead,
                   entry.not_before);
 }
--- a/src/sapphirestream/store/config_reader.cc
+++ b/src/sapphirestream/store/config_reader.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "sapphirestream/base/duration.h"
 #include "sapphirestream/contract/change.h"
 
 namespace sapphirestream {
@@ -167,8 +168,7 @@
 }
 
 Duration ConfigReader::Jitter() {
-  return Duration(static_cast<Duration::rep>(
-      random_.Unit() * static_cast<double>(options_.read_jitter.count())));
+  return Scale(options_.read_jitter, random_.Unit());
 }
 
 }  // namespace sapphirestream
