Rename AdmissionQuery::copies and PeerEntry::contact_at

copies did not say copies of what; it is now opening_copies. contact_at was described as the time of the next introduction, but also limits how often addresses are sent to a peer that is no neighbor. It is now next_contact, the earliest time of either message. It stays one member: with two, a peer that falls silent would be introduced to earlier than today.

--- a/src/sapphirestream/edge/admission_control.h
+++ b/src/sapphirestream/edge/admission_control.h
@@ -24,8 +24,8 @@
   V4Endpoint route;
   ServiceNumber service{};
   RouteObjective objective;
-  // Number of times the opening packet was sent before.
-  std::uint32_t copies = 0;
+  // Number of copies of the opening packet that the client sent before.
+  std::uint32_t opening_copies = 0;
   std::uint64_t flow_hash = 0;
   TimePoint now;
 };
--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -123,7 +123,7 @@
                                     .route = packet.service,
                                     .service = service,
                                     .objective = route.objective,
-                                    .copies = packet.acknowledged,
+                                    .opening_copies = packet.acknowledged,
                                     .flow_hash = hash,
                                     .now = now});
   return verdict == AdmissionVerdict::kAdmit;
--- a/src/sapphirestream/edge/overload_admission.cc
+++ b/src/sapphirestream/edge/overload_admission.cc
@@ -45,7 +45,7 @@
 AdmissionVerdict OverloadAdmission::Admit(
     const std::vector<EdgeTarget*>& targets, const AdmissionQuery& query) {
   const Duration objective = ObjectiveOf(query.objective);
-  if (query.copies > 0 || objective <= Duration::zero()) {
+  if (query.opening_copies > 0 || objective <= Duration::zero()) {
     return AdmissionVerdict::kAdmit;
   }
   times_.SetObjective(query.route, objective);
@@ -66,7 +66,7 @@
 
 AdmissionVerdict OverloadAdmission::Preview(const AdmissionQuery& query) const {
   const auto it = services_.find(query.service);
-  if (query.copies > 0 || it == services_.end() ||
+  if (query.opening_copies > 0 || it == services_.end() ||
       ObjectiveOf(query.objective) <= Duration::zero()) {
     return AdmissionVerdict::kAdmit;
   }
--- a/src/sapphirestream/edge/peer_directory.cc
+++ b/src/sapphirestream/edge/peer_directory.cc
@@ -107,9 +107,9 @@
   std::vector<V4Endpoint> out;
   for (std::size_t i = 0; i < peers_.size() && out.size() < limit; ++i) {
     PeerEntry& peer = peers_[i];
-    if (!nearest[i] || IsLive(peer, now) || now < peer.contact_at) continue;
+    if (!nearest[i] || IsLive(peer, now) || now < peer.next_contact) continue;
     out.push_back(peer.address);
-    peer.contact_at = now + ContactDelay(peer.contact_delay, random_);
+    peer.next_contact = now + ContactDelay(peer.contact_delay, random_);
     peer.contact_delay = std::min(kMaxContactDelay, peer.contact_delay * 2);
   }
   return out;
@@ -180,7 +180,7 @@
   PeerEntry peer;
   peer.address = address;
   peer.distance = RingDistance(own_, address);
-  peer.contact_at = now;
+  peer.next_contact = now;
   peer.contact_delay = kFirstContactDelay;
   peer.mentioned = now;
   const auto at = std::upper_bound(
--- a/src/sapphirestream/edge/peer_directory.h
+++ b/src/sapphirestream/edge/peer_directory.h
@@ -54,8 +54,10 @@
   MessageRate rate;
   // Whether own samples are sent to it.
   bool is_neighbor = false;
-  // Time of the next introduction, and the delay after that one.
-  TimePoint contact_at{};
+  // Earliest time of the next message to it besides samples: an introduction
+  // while it is not live, addresses if it sends samples but is no neighbor.
+  TimePoint next_contact{};
+  // Delay between the next two introductions.
   Duration contact_delay{};
   // Last time that it was heard or mentioned.
   TimePoint mentioned{};
--- a/src/sapphirestream/edge/peer_exchange.cc
+++ b/src/sapphirestream/edge/peer_exchange.cc
@@ -191,8 +191,8 @@
   peer.samples_heard = arrived;
   peer.clock = {body.sent, now};
   MergeRevision(body.revision_time, now);
-  if (!peer.is_neighbor && now >= peer.contact_at) {
-    peer.contact_at = now + kAddressesInterval;
+  if (!peer.is_neighbor && now >= peer.next_contact) {
+    peer.next_contact = now + kAddressesInterval;
     SendAddresses(from, domain_, kAddressesPerMessage, now);
   }
   store_.OnPeerSamples(message.sender, Clamp(body.samples), now);
--- a/test/edge/overload_admission_test.cc
+++ b/test/edge/overload_admission_test.cc
@@ -192,7 +192,7 @@
   RefusedShare();
   for (std::uint64_t i = 0; i < 1000; ++i) {
     AdmissionQuery query = Query(i, 5);
-    query.copies = 1;
+    query.opening_copies = 1;
     BOOST_REQUIRE(Admit(admission, query));
   }
 }
