Split TargetDirectory::Upsert

Upsert determined how an entry differs from what is known, applied it and updated the indexes in 54 lines.

--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -4,6 +4,38 @@
 #include <array>
 
 namespace sapphirestream {
+namespace {
+
+// How an entry differs from what is known of its target.
+struct EntryChange {
+  // The target is new, or another process has its key.
+  bool restarted = false;
+  // The target has written its entry again since it was unlisted. The copy of a
+  // restored store does not show that.
+  bool registered_again = false;
+  // The entry is the copy of a restored store, and the target was gone.
+  bool is_copy_of_gone = false;
+  bool moved = false;
+  bool affects_flows = false;
+};
+
+// `target` is default-constructed if it is new.
+EntryChange ChangeOf(const EdgeTarget& target, bool is_new,
+                     const TargetRecord& record, StoreRevision revision) {
+  const bool was_listed = target.presence == TargetPresence::kListed;
+  const bool is_copy = !is_new && target.revision.era < revision.era;
+  EntryChange change;
+  change.restarted = is_new || target.record.incarnation != record.incarnation;
+  change.registered_again = !was_listed && !is_copy;
+  change.is_copy_of_gone = is_copy && target.presence == TargetPresence::kGone;
+  change.moved = target.record.address != record.address;
+  change.affects_flows = change.restarted || !was_listed || change.moved ||
+                         target.record.draining != record.draining ||
+                         target.record.service != record.service;
+  return change;
+}
+
+}  // namespace
 
 std::string_view Name(TargetPresence presence) noexcept {
   constexpr std::array<std::string_view, 3> names{"listed", "missing", "gone"};
@@ -19,56 +51,51 @@
 EntryOutcome TargetDirectory::Upsert(const TargetRecord& record,
                                      StoreRevision revision, bool propagated,
                                      TimePoint now) {
-  auto it = targets_.find(record.key);
-  const bool is_new = it == targets_.end();
+  const auto [it, is_new] = targets_.try_emplace(record.key);
+  EdgeTarget& target = it->second;
   if (!is_new) {
-    const StoreRevision held = it->second.revision;
-    if (revision == held) return EntryOutcome::kUnchanged;
-    if (revision < held) return EntryOutcome::kOutdated;
+    if (revision == target.revision) return EntryOutcome::kUnchanged;
+    if (revision < target.revision) return EntryOutcome::kOutdated;
+    if (target.revision.era < revision.era && IsSuperseded(record, target)) {
+      target.revision = revision;
+      return EntryOutcome::kOldCopy;
+    }
+    RemoveFromIndexes(target);
   }
-  if (is_new) it = targets_.try_emplace(record.key).first;
-  EdgeTarget& target = it->second;
-  const bool is_restored = !is_new && target.revision.era < revision.era;
-  if (is_restored && IsSuperseded(record, target)) {
-    target.revision = revision;
-    return EntryOutcome::kOldCopy;
+  const EntryChange change = ChangeOf(target, is_new, record, revision);
+  if (change.restarted || change.registered_again || change.moved) {
+    target.health = TargetHealth(now);
   }
-  const bool restarted =
-      is_new || target.record.incarnation != record.incarnation;
-  const bool changed = restarted ||
-                       target.presence != TargetPresence::kListed ||
-                       target.record.draining != record.draining ||
-                       target.record.address != record.address ||
-                       target.record.service != record.service;
-  // The target has written its entry since it was found unreachable; the copy
-  // of a restored store does not show that.
-  const bool registered_again =
-      target.presence != TargetPresence::kListed && !is_restored;
-  if (!is_new) RemoveFromIndexes(target);
-  const bool moved = target.record.address != record.address;
-  if (restarted || registered_again || moved) target.health = TargetHealth(now);
-  target.service = routes_.Number(record.service);
-  if (restarted) {
+  // An entry may be older than what showed that the target is cold.
+  const TimePoint cold_until = now + record.cold_remaining;
+  if (change.restarted) {
     target.usable_from = propagated ? now : now + kPropagationDelay;
+    target.cold_until = cold_until;
     target.owns_address = false;
-  } else if (is_restored && target.presence == TargetPresence::kGone) {
-    target.usable_from = now + entry_lifetime_ + kPropagationDelay;
+  } else {
+    if (change.is_copy_of_gone) {
+      target.usable_from = now + entry_lifetime_ + kPropagationDelay;
+    }
+    target.cold_until = std::max(target.cold_until, cold_until);
   }
+  SetEntry(target, record, revision);
+  AddToIndexes(target);
+  TakeAddress(target, now);
+  return change.affects_flows ? EntryOutcome::kApplied
+                              : EntryOutcome::kUnchanged;
+}
+
+void TargetDirectory::SetEntry(EdgeTarget& target, const TargetRecord& record,
+                               StoreRevision revision) {
   target.record = record;
   target.revision = revision;
+  target.service = routes_.Number(record.service);
   target.presence = TargetPresence::kListed;
   target.is_local = record.domain == domain_;
   target.evacuated = IsEvacuated(record.domain);
   const auto cut_off = cut_off_.find(record.domain);
   target.cut_off_until =
       cut_off == cut_off_.end() ? TimePoint{} : cut_off->second;
-  // An entry may be older than what showed that the target is cold.
-  const TimePoint cold_until = now + record.cold_remaining;
-  target.cold_until =
-      restarted ? cold_until : std::max(target.cold_until, cold_until);
-  AddToIndexes(target);
-  TakeAddress(target, now);
-  return changed ? EntryOutcome::kApplied : EntryOutcome::kUnchanged;
 }
 
 bool TargetDirectory::IsSuperseded(const TargetRecord& copy,
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -150,6 +150,9 @@
   [[nodiscard]] std::size_t listed() const noexcept;
 
  private:
+  // Sets the fields that follow from the entry and its failure domain.
+  void SetEntry(EdgeTarget& target, const TargetRecord& record,
+                StoreRevision revision);
   void AddToIndexes(EdgeTarget& target);
   void RemoveFromIndexes(EdgeTarget& target);
   // Whether an entry of a restored store is an older copy of what is known.
