State the reasons for some limits of the load decisions

Several constants of edge had no rationale where a reader would wonder about the value. Comments only, and kMaxPeers is derived from kMaxNeighbors with the same value.

edge_test (277 cases) and edge_io_test (50) pass.

--- a/src/sapphirestream/edge/client_shares.h
+++ b/src/sapphirestream/edge/client_shares.h
@@ -15,6 +15,7 @@
 // that open rarely may be missing.
 class ClientShares {
  public:
+  // Entries for 512 clients; clients that open more often replace the others.
   static constexpr std::size_t kSets = 256;
   static constexpr std::size_t kWays = 2;
   // Counts are halved after each period. A client makes its attempts at one
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -71,7 +71,8 @@
   // A target is known to answer if one of its flows made progress within this
   // time.
   static constexpr Duration kControlMaxAge = std::chrono::seconds(1);
-  // Minimum time between two calls of EdgeSink::RefreshTargets.
+  // Minimum time between two calls of EdgeSink::RefreshTargets. Each of them
+  // reads the store, and any client can send packets with unknown tokens.
   static constexpr Duration kMinRefreshInterval =
       std::chrono::milliseconds(300);
 
--- a/src/sapphirestream/edge/overload_admission.h
+++ b/src/sapphirestream/edge/overload_admission.h
@@ -37,7 +37,8 @@
   // Median share of failed requests of busy targets that shows that targets
   // reject requests because they are full.
   static constexpr double kRejectingShare = 0.1;
-  // Time between two computations of a service's pressure.
+  // Time between two computations of a service's pressure, which read the
+  // estimates of all of its targets: too much for each opening packet.
   static constexpr Duration kRefreshInterval = std::chrono::milliseconds(20);
   // Pressure that ends before the clients' first retransmission is a peak that
   // the targets' queues absorb.
--- a/src/sapphirestream/edge/peer_directory.h
+++ b/src/sapphirestream/edge/peer_directory.h
@@ -74,13 +74,16 @@
   // would hold only a few samples.
   static constexpr std::size_t kNeighborsPerSide = 16;
   static constexpr std::size_t kMaxNeighbors = 2 * kNeighborsPerSide;
-  static constexpr std::size_t kMaxPeers = 128;
+  // Four times the neighbors, so that others are known if many are lost at the
+  // same time.
+  static constexpr std::size_t kMaxPeers = 4 * kMaxNeighbors;
   static constexpr Duration kSilenceTimeout = kSamplesTimeout;
   // An address that is neither heard nor mentioned for this time is forgotten.
   // Until then it is contacted at growing intervals, so that both parts of a
   // partitioned domain find each other again.
   static constexpr Duration kForgetAfter = std::chrono::seconds(60);
   static constexpr Duration kFirstContactDelay = std::chrono::milliseconds(200);
+  // At this delay, an address is contacted three times within kForgetAfter.
   static constexpr Duration kMaxContactDelay = std::chrono::seconds(16);
 
   struct LostPeer {
--- a/src/sapphirestream/edge/peer_reports.h
+++ b/src/sapphirestream/edge/peer_reports.h
@@ -22,10 +22,13 @@
   // The parts of the peers are compared with the evidence of all instances, so
   // they have to decay alike.
   static constexpr Duration kMemory = TargetPerformance::kMemory;
+  // After this time, less than 3% of a peer's evidence remains.
   static constexpr Duration kIdleRetention = std::chrono::seconds(30);
   // Time between two searches for idle peers.
   static constexpr Duration kIdleCheckInterval = std::chrono::seconds(5);
-  // Peers that are tracked for a target; reports of others are ignored.
+  // Peers that are tracked for a target; reports of others are ignored. Four
+  // times PeerDirectory::kMaxPeers, since those that lose their place in the
+  // directory are tracked until they are idle.
   static constexpr std::size_t kMaxPeers = 512;
   // Requests that each peer may report within kMemory in any case.
   static constexpr double kMinEvidence = 4;
--- a/src/sapphirestream/edge/performance_table.h
+++ b/src/sapphirestream/edge/performance_table.h
@@ -31,7 +31,8 @@
   // Rare requests are compared with those of the last minutes.
   static constexpr Duration kRouteRetention = std::chrono::minutes(10);
   static constexpr std::size_t kMaxRoutes = 4096;
-  // Bounds of a target's weight.
+  // Bounds of a target's weight. A trickle has to remain, since only requests
+  // show that a target has recovered.
   static constexpr double kMinWeight = 0.02;
   static constexpr double kMaxWeight = 2;
   // Weight below which a target counts as penalised.
--- a/src/sapphirestream/edge/service_load.cc
+++ b/src/sapphirestream/edge/service_load.cc
@@ -16,6 +16,8 @@
   return std::max(0.0, std::min(slowdown, 2 * (slowdown - 1)));
 }
 
+// Requests per slot below which a target is idle, so that its failures are not
+// caused by load.
 constexpr double kIdleLoad = 0.5;
 
 bool IsSelectable(const EdgeTarget& target, TimePoint now) {
--- a/src/sapphirestream/edge/spill_control.cc
+++ b/src/sapphirestream/edge/spill_control.cc
@@ -9,7 +9,8 @@
 namespace sapphirestream {
 namespace {
 
-// Failure shares above this are not distinguished.
+// Failure shares above this are not distinguished, so that the request time
+// that is derived from them stays bounded.
 constexpr double kMaxFailureShare = 0.9;
 
 }  // namespace
