Bound the wait of the test of a failed receive

Without the log line that it checks, the test waited forever. It now ends after one second and fails.

--- a/test/edge_io/peer_port_test.cc
+++ b/test/edge_io/peer_port_test.cc
@@ -116,7 +116,11 @@
   a->Start();
   a->Send(a->local(), std::vector<std::byte>(10));
   a->Send(closed, std::vector<std::byte>(10));
-  while (received.empty() || lines.empty()) context.run_one();
+  constexpr int attempts = 50;
+  for (int i = 0; i < attempts && (received.empty() || lines.empty()); ++i) {
+    context.run_one_for(20ms);
+  }
+  BOOST_TEST(received.size() == 1U);
   BOOST_REQUIRE_EQUAL(lines.size(), 1U);
   BOOST_TEST(lines[0] ==
              "event=peer_receive_failed call=recvmsg "
