--- a/src/sapphirestream/edge/peer_directory.h
+++ b/src/sapphirestream/edge/peer_directory.h
@@ -13,6 +13,7 @@
 #include "sapphirestream/edge/fwd.h"
 #include "sapphirestream/edge/peer_clock.h"
 #include "sapphirestream/edge/peer_message.h"
+#include "sapphirestream/edge/target_samples.h"
 #include "sapphirestream/edge/v4_endpoint.h"
 
 namespace sapphirestream {
@@ -53,8 +54,10 @@
   MessageRate rate;
   // Whether own samples are sent to it.
   bool is_neighbor = false;
-  // Time of the next introduction, and the delay after that one.
-  TimePoint contact_at{};
+  // Earliest time of the next message to it besides samples: an introduction
+  // while it is not live, addresses if it sends samples but is no neighbor.
+  TimePoint next_contact{};
+  // Delay between the next two introductions.
   Duration contact_delay{};
   // Last time that it was heard or mentioned.
   TimePoint mentioned{};
@@ -71,15 +74,16 @@
   // would hold only a few samples.
   static constexpr std::size_t kNeighborsPerSide = 16;
   static constexpr std::size_t kMaxNeighbors = 2 * kNeighborsPerSide;
-  static constexpr std::size_t kMaxPeers = 128;
-  // A peer whose samples are silent for this time is lost. Leaves time for
-  // three messages, two of which may be lost in the network.
-  static constexpr Duration kSilenceTimeout = std::chrono::milliseconds(1500);
+  // Four times the neighbors, so that others are known if many are lost at the
+  // same time.
+  static constexpr std::size_t kMaxPeers = 4 * kMaxNeighbors;
+  static constexpr Duration kSilenceTimeout = kSamplesTimeout;
   // An address that is neither heard nor mentioned for this time is forgotten.
   // Until then it is contacted at growing intervals, so that both parts of a
   // partitioned domain find each other again.
   static constexpr Duration kForgetAfter = std::chrono::seconds(60);
   static constexpr Duration kFirstContactDelay = std::chrono::milliseconds(200);
+  // At this delay, an address is contacted three times within kForgetAfter.
   static constexpr Duration kMaxContactDelay = std::chrono::seconds(16);
 
   struct LostPeer {
--- a/src/sapphirestream/edge/peer_exchange.cc
+++ b/src/sapphirestream/edge/peer_exchange.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "sapphirestream/base/duration.h"
 #include "sapphirestream/base/id.h"
 #include "sapphirestream/edge/peer_ring.h"
 
@@ -28,11 +29,6 @@
          static_cast<Duration::rep>(bytes) / static_cast<Duration::rep>(rate);
 }
 
-std::int64_t Milliseconds(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
-      .count();
-}
-
 std::vector<V4Endpoint> Without(std::vector<V4Endpoint> addresses,
                                 V4Endpoint excluded) {
   std::erase(addresses, excluded);
@@ -195,8 +191,8 @@
   peer.samples_heard = arrived;
   peer.clock = {body.sent, now};
   MergeRevision(body.revision_time, now);
-  if (!peer.is_neighbor && now >= peer.contact_at) {
-    peer.contact_at = now + kAddressesInterval;
+  if (!peer.is_neighbor && now >= peer.next_contact) {
+    peer.next_contact = now + kAddressesInterval;
     SendAddresses(from, domain_, kAddressesPerMessage, now);
   }
   store_.OnPeerSamples(message.sender, Clamp(body.samples), now);
--- a/src/sapphirestream/edge/service_load.cc
+++ b/src/sapphirestream/edge/service_load.cc
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "sapphirestream/edge/edge_placement.h"
+#include "sapphirestream/edge/target_slots.h"
 
 namespace sapphirestream {
 namespace {
@@ -15,6 +16,8 @@
   return std::max(0.0, std::min(slowdown, 2 * (slowdown - 1)));
 }
 
+// Requests per slot below which a target is idle, so that its failures are not
+// caused by load.
 constexpr double kIdleLoad = 0.5;
 
 bool IsSelectable(const EdgeTarget& target, TimePoint now) {
@@ -22,10 +25,6 @@
   return tier != PlacementTier::kNone && tier != PlacementTier::kUnproven;
 }
 
-double SlotsOf(const EdgeTarget& target) {
-  return std::max(1U, target.record.slots);
-}
-
 // Whether other domains may use the same targets. While slots of this domain
 // are free, its flows stay here, and so do those of the others.
 bool HasUnknownLoad(const std::vector<EdgeTarget*>& targets,
--- a/src/sapphirestream/edge/spill_control.cc
+++ b/src/sapphirestream/edge/spill_control.cc
@@ -3,18 +3,16 @@
 #include <algorithm>
 #include <cmath>
 
+#include "sapphirestream/base/duration.h"
 #include "sapphirestream/edge/flow_share.h"
 
 namespace sapphirestream {
 namespace {
 
-// Failure shares above this are not distinguished.
+// Failure shares above this are not distinguished, so that the request time
+// that is derived from them stays bounded.
 constexpr double kMaxFailureShare = 0.9;
 
-double Seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 void SpillControl::Traffic::Decay(double seconds) noexcept {
