Soak: accept the reset of a split flow whose addressed target crashed

The frozen target woke up and answered, so that the clients used its token, and crashed before one of their packets reached it. Another instance then reset the flows. The check compared only with the target that had opened the flow, which still held it, and reported a violation.

Change: the soak records the opening packets that targets handle, the tokens in the packets to each instance, and the source of resets. A reset is accepted if it comes from an instance, the client's last packet to it named another target that handled the flow's opening packet and has crashed since, and the process did not forward the opening packet to the holder. All other resets remain violations, and an accepted one must still follow an unplanned fault. FlowTarget::Observer::OnOpeningReceived has no user any more and is removed.

--- a/testing/flow_ends/flow_target.cc
+++ b/testing/flow_ends/flow_target.cc
@@ -65,7 +65,6 @@
     next_opening_ += 1U << 16U;
     flow.expected = packet.sequence + 1;
     flow.sequence = flow.opening + 1;
-    observer_.OnOpeningReceived(options_.key, packet.from);
   }
   observer_.OnOpeningPacket(options_.key, packet, is_new);
   flow.token = packet.token;
--- a/testing/flow_ends/flow_target.h
+++ b/testing/flow_ends/flow_target.h
@@ -29,9 +29,6 @@
    public:
     virtual ~Observer() = default;
     virtual void OnRun(TargetKey target, const std::string& request) = 0;
-    // An opening packet of an unknown flow arrived.
-    virtual void OnOpeningReceived(TargetKey /*target*/,
-                                   V4Endpoint /*client*/) {}
     // An opening packet arrived. `is_new`: it is the first one of its flow.
     virtual void OnOpeningPacket(TargetKey /*target*/,
                                  const FlowPacket& /*packet*/,
--- a/testing/soak/soak_clients.cc
+++ b/testing/soak/soak_clients.cc
@@ -70,7 +70,7 @@
   plan.client = NextClient();
   const std::uint64_t key = Value(plan.client);
   opened_.erase(key);
-  opening_receivers_.erase(key);
+  opening_receipts_.erase(key);
   split_flows_.erase(key);
   Flow& flow = flows_[key];
   flow = {};
@@ -117,9 +117,13 @@
 
 void SoakWorld::SendTo(std::size_t index, std::span<const std::byte> packet) {
   const auto decoded = testing::DecodeFlowPacket(packet);
-  if (const auto it = flows_.find(Value(decoded->from));
-      decoded->opens && it != flows_.end()) {
-    it->second.openings.at(decoded->acknowledged) = clock_.Now();
+  if (const auto it = flows_.find(Value(decoded->from)); it != flows_.end()) {
+    Flow& flow = it->second;
+    if (decoded->opens) {
+      flow.openings.at(decoded->acknowledged) = clock_.Now();
+    } else {
+      flow.tokens[index] = decoded->token;
+    }
   }
   const V4Endpoint to = instances_.at(index).process->options().data;
   boost::system::error_code ignored;  // the process may not run
@@ -137,7 +141,13 @@
             std::span(buffer_).first(error ? 0 : size));
         if (packet) {
           const auto it = flows_.find(Value(packet->to));
-          if (it != flows_.end()) it->second.client->OnPacket(*packet);
+          if (it != flows_.end()) {
+            if (packet->resets) {
+              it->second.reset_by = {from_.address().to_v4().to_uint(),
+                                     from_.port()};
+            }
+            it->second.client->OnPacket(*packet);
+          }
         }
         ReadClients();
       });
@@ -171,7 +181,11 @@
   if (outcome == FlowOutcome::kReset && target != nullptr &&
       target->is_serving() && target->Holds(plan.client) &&
       target->record().incarnation <= incarnation_of_[Value(plan.client)]) {
-    AddViolation(text + ", although its target still has it");
+    if (IsResetExpected(flow, opened->second)) {
+      Log(text + ", split, and the target that its client addresses crashed");
+    } else {
+      AddViolation(text + ", although its target still has it");
+    }
   }
   const bool is_calm =
       open_faults_ == 0 && flow.began - last_fault_ > kRecoveryLimit;
@@ -185,6 +199,25 @@
   }
 }
 
+bool SoakWorld::IsResetExpected(const Flow& flow, TargetKey holder) {
+  const auto instance = InstanceAt(flow.reset_by);
+  if (!instance) return false;
+  const auto token = flow.tokens.find(*instance);
+  if (token == flow.tokens.end()) return false;
+  return IsResetOfSplitFlow(
+      {.holder = holder,
+       .instance = *instance,
+       .process_started = instances_[*instance].started,
+       .token = token->second},
+      opening_receipts_[Value(flow.client->plan().client)],
+      [this](TargetKey key) -> std::optional<TargetProcess> {
+        const SoakTarget* const target = Find(key);
+        if (target == nullptr) return std::nullopt;
+        return TargetProcess{target->record().incarnation,
+                             target->is_running()};
+      });
+}
+
 void SoakWorld::Retry(const Flow& flow) {
   const FlowClient& client = *flow.client;
   if (client.outcome() == FlowOutcome::kAnswered) {
@@ -290,10 +323,6 @@
   }
 }
 
-void SoakWorld::OnOpeningReceived(TargetKey target, V4Endpoint client) {
-  opening_receivers_[Value(client)].insert(target);
-}
-
 void SoakWorld::OnOpened(TargetKey target, V4Endpoint client) {
   opened_[Value(client)] = target;
   const SoakTarget* const process = Find(target);
@@ -327,8 +356,11 @@
   const bool is_broken = holder != nullptr && is_alive &&
                          holder->is_serving() && holder->Holds(packet.from);
   if (!is_broken) return;
-  if (opening_receivers_[Value(packet.from)].contains(target) &&
-      rotation_changed_ > flow->second.began) {
+  const auto& receipts = opening_receipts_[Value(packet.from)];
+  const bool has_opening =
+      std::any_of(receipts.begin(), receipts.end(),
+                  [&](const OpeningReceipt& r) { return r.target == target; });
+  if (has_opening && rotation_changed_ > flow->second.began) {
     split_flows_.insert(Value(packet.from));
     Log("flow of " + ToString(packet.from) + " split between two targets");
   } else {
--- a/testing/soak/soak_domains.cc
+++ b/testing/soak/soak_domains.cc
@@ -105,6 +105,9 @@
   const auto flow = flows_.find(Value(packet.from));
   if (process == nullptr || flow == flows_.end()) return;
   const TimePoint sent = flow->second.openings.at(packet.acknowledged);
+  opening_receipts_[Value(packet.from)].push_back(
+      {target, process->record().incarnation, packet.token,
+       InstanceAt(process->sender()), sent});
   CheckEvacuation(*process, sent);
   if (is_new) CheckColdLimit(*process, sent);
 }
@@ -114,7 +117,7 @@
   for (const auto& [name, evacuation] : evacuations_) {
     if (sent <= evacuation.acknowledged + kEvacuationBound + kSlack) continue;
     ++counts_.evacuation_checks;
-    const auto sender = SenderOf(target);
+    const auto sender = InstanceAt(target.sender());
     if (name != domain || !sender) continue;
     // A process that started while a restored store lacked the entry learns of
     // it when it is written again.
@@ -132,9 +135,9 @@
   }
 }
 
-std::optional<std::size_t> SoakWorld::SenderOf(const SoakTarget& target) const {
+std::optional<std::size_t> SoakWorld::InstanceAt(V4Endpoint address) const {
   for (std::size_t i = 0; i < instances_.size(); ++i) {
-    if (instances_[i].process->options().data == target.sender()) return i;
+    if (instances_[i].process->options().data == address) return i;
   }
   return {};
 }
@@ -149,7 +152,7 @@
     return;
   }
   ++counts_.cold_flows;
-  const auto sender = SenderOf(target);
+  const auto sender = InstanceAt(target.sender());
   const TargetKey key = target.record().key;
   const bool must_know = target.was_always_cold() ||
                          (sender && informed_of_end_[key].contains(*sender));
