Pause after a spread check that did not complete the view

Cause: a check is due earlier by its lead, but whether the view was still due after a check was computed without it. A current check that completed nothing was followed by the next one at once for up to a quarter of the interval. Change: one definition of due; the lead is drawn anew only after a check that completed the view. LatestTime, RecentShare and their relation are named.

--- a/src/sapphirestream/store/collection_checker.cc
+++ b/src/sapphirestream/store/collection_checker.cc
@@ -16,10 +16,12 @@
 // have met a silent connection, which is replaced by the next one.
 constexpr unsigned kMaxFailures = 2;
 
-// Largest share of the interval by which a check is early. Shorter than the
-// time for which a current read counts as recent, so that it serves all
-// instances that check later.
+// Share of the interval for which a current read counts as recent.
+constexpr double kRecentShare = 0.5;
+// Largest share of the interval by which a check is early. The first read of
+// several instances has to be recent when the last of them checks.
 constexpr double kMaxLead = 0.25;
+static_assert(kMaxLead < kRecentShare);
 
 }  // namespace
 
@@ -49,8 +51,9 @@
 }
 
 Freshness CollectionChecker::FreshnessFor(Entry& entry) const {
-  const TimePoint latest = revision_clock_.latest();
-  const bool is_recent = clock_.Now() - latest < entry.timing.interval / 2;
+  const TimePoint latest = revision_clock_.LatestTime();
+  const bool is_recent =
+      clock_.Now() - latest < Scale(entry.timing.interval, kRecentShare);
   if (!is_recent || entry.tried_cached == latest) return Freshness::kCurrent;
   entry.tried_cached = latest;
   return Freshness::kCached;
@@ -108,12 +111,13 @@
   entry.not_before = {};
   if (error == ErrorKind::kNone) {
     entry.failures = 0;
-    SelectLead();
-    const bool is_still_due =
-        freshness == Freshness::kCurrent &&
-        entry.collection->CompleteUntil() + entry.timing.interval <=
-            clock_.Now();
-    if (is_still_due) entry.not_before = clock_.Now() + kPause;
+    const auto due = DueTime(entry);
+    const bool is_still_due = due && *due <= clock_.Now();
+    if (!is_still_due) {
+      SelectLead();
+    } else if (freshness == Freshness::kCurrent) {
+      entry.not_before = clock_.Now() + kPause;
+    }
   } else if (error == ErrorKind::kRateLimited) {
     entry.not_before = clock_.Now() + kPause;
   } else if (++entry.failures >= kMaxFailures || IsStoreAway()) {
--- a/test/store/collection_checker_test.cc
+++ b/test/store/collection_checker_test.cc
@@ -294,6 +294,44 @@
   BOOST_TEST(calls * 3 < calls_if_alone);
 }
 
+// Its checks succeed and do not complete the view.
+struct StuckCollection final : CheckedCollection {
+  explicit StuckCollection(testing::VirtualTime& virtual_time)
+      : time(virtual_time), complete_until(virtual_time.Now()) {}
+  [[nodiscard]] TimePoint CompleteUntil() const override {
+    return complete_until;
+  }
+  [[nodiscard]] bool IsAway() const override { return false; }
+  [[nodiscard]] bool IsCheckable() const override { return true; }
+  void Check(Freshness /*freshness*/, Duration /*deadline*/,
+             CheckDone done) override {
+    ++checks;
+    time.After(10ms, [done = std::move(done)] { done(ErrorKind::kNone); });
+  }
+  void OnChecksFailed(ErrorKind /*error*/) override {}
+
+  testing::VirtualTime& time;
+  TimePoint complete_until;
+  int checks = 0;
+};
+
+// Checks that did not complete the view followed each other without a pause
+// while the view was older than the spread check allowed, but not due
+// otherwise.
+BOOST_AUTO_TEST_CASE(
+    a_spread_check_that_completes_nothing_is_followed_by_a_pause) {
+  StuckCollection collection(time);
+  const RevisionClock no_reads;
+  CollectionChecker spread(time, time, no_reads);
+  spread.SpreadChecks(random);
+  spread.Emplace(collection, kMaxAge);
+  spread.Run();
+  time.RunFor(CheckTimingFor(kMaxAge).interval);
+  // One check, and at most two after pauses of 500 ms.
+  BOOST_TEST(collection.checks >= 1);
+  BOOST_TEST(collection.checks <= 3);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
