Notice a suspend of the machine before peers are heard or told

Cause: the steady clock stands still during a suspend. Until the next housekeeping, up to 250 ms, a read from before it could be told with a peer's clock from after it, as if it were later than it was. A changed store-id did not make revisions count anew. Change: PeerLink calls CheckForSuspend before each message and timer; revisions are dropped when the identity of the store changes, not its address.

--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -143,7 +143,7 @@
               {"store", ToString(settings_.store)}});
   WatchSignals();
   StartReaders();
-  if (peers_) peers_->Start();
+  if (peers_) peers_->Start([this] { CheckForSuspend(); });
   initial_load_timer_.expires_after(kInitialLoadTimeout);
   initial_load_timer_.async_wait([this](const error_code& error) {
     if (!error) port_->Start();
@@ -241,7 +241,7 @@
 void EdgeInstance::Housekeep() {
   CheckForSuspend();
   const TimePoint now = clock_.Now();
-  // Peers may have told that the store has not changed since.
+  // Peers may have told a later revision time, which extends the views.
   if (peers_) CheckAges();
   OnViewChanged();
   targets_.Expire(now, view_.targets_age().complete_until());
@@ -335,7 +335,9 @@
       next->config_bound != settings_.config_bound ||
       next->evacuation_bound != settings_.evacuation_bound ||
       ConfigWatchInterval(*next) != ConfigWatchInterval(settings_);
-  if (next->store != settings_.store) view_.ForgetRevisions();
+  if (next->StoreIdentity() != settings_.StoreIdentity()) {
+    view_.ForgetRevisions();
+  }
   settings_ = *next;
   if (peers_) {
     peers_->SetSeeds(settings_.seeds);
--- a/src/sapphirestream/edge_io/peer_link.cc
+++ b/src/sapphirestream/edge_io/peer_link.cc
@@ -40,7 +40,7 @@
 
 leaf::result<std::unique_ptr<PeerLink>> PeerLink::Open(
     boost::asio::io_context& context, const EdgeSettings& settings,
-    SampleStore& store, RevisionTimes& revision_times, Random& random,
+    SampleStore& store, StoreProgress& store_progress, Random& random,
     const Clock& clock, EventLog& log, CounterSet& counters) {
   std::unique_ptr<PeerLink> link(new PeerLink(context, clock, log));
   BOOST_LEAF_ASSIGN(
@@ -49,11 +49,12 @@
                      [self = link.get()](V4Endpoint from,
                                          std::span<const std::byte> datagram,
                                          Duration age) {
+                       self->before_event_();
                        self->exchange_->OnDatagram(from, datagram, age,
                                                    self->clock_.Now());
                      }));
   link->exchange_ = std::make_unique<PeerExchange>(
-      OptionsFor(settings, *link->port_, random, log), store, revision_times,
+      OptionsFor(settings, *link->port_, random, log), store, store_progress,
       *link->port_, random, log, counters, clock.Now());
   return link;
 }
@@ -62,12 +63,14 @@
   exchange_->SetSeeds(PeerAddressesOf(seeds, port_->local().port, log_));
 }
 
-void PeerLink::Start() {
+void PeerLink::Start(std::function<void()> before_event) {
+  before_event_ = std::move(before_event);
   port_->Start();
   Tick();
 }
 
 void PeerLink::Tick() {
+  before_event_();
   exchange_->Tick(clock_.Now());
   timer_.expires_after(PeerExchange::kTickInterval);
   timer_.async_wait([this](const boost::system::error_code& error) {
--- a/src/sapphirestream/edge_io/peer_link.h
+++ b/src/sapphirestream/edge_io/peer_link.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <string_view>
 #include <vector>
@@ -25,11 +26,13 @@
   // set. The references must outlive the link.
   [[nodiscard]] static leaf::result<std::unique_ptr<PeerLink>> Open(
       boost::asio::io_context& context, const EdgeSettings& settings,
-      SampleStore& store, RevisionTimes& revision_times, Random& random,
+      SampleStore& store, StoreProgress& store_progress, Random& random,
       const Clock& clock, EventLog& log, CounterSet& counters);
 
-  // Starts to exchange messages.
-  void Start();
+  // Starts to exchange messages. `before_event` is called before each message
+  // and timer is handled; it has to discard what was read from the store before
+  // the machine was suspended, since the clocks of peers went on meanwhile.
+  void Start(std::function<void()> before_event);
   // Replaces the seeds; only their IP addresses are used. Seeds that are not
   // IPv4 addresses are logged and ignored.
   void SetSeeds(const std::vector<Endpoint>& seeds);
@@ -45,6 +48,7 @@
   const Clock& clock_;
   EventLog& log_;
   boost::asio::steady_timer timer_;
+  std::function<void()> before_event_;
   std::unique_ptr<PeerPort> port_;
   std::unique_ptr<PeerExchange> exchange_;
 };
