Names and comments after a newcomer's reading

Cause: findings of a reader who had not seen the change. Change: StoreProgress, LatestTime, predecessor_expires, MemberViewKind and peer_revisions_learned_total as names; comments and pages say what the code does. A read counts as told only if a neighbor's clock was known. Result: domain, flow, store, edge and edge_io tests pass.

--- a/src/sapphirestream/base/revision_time.h
+++ b/src/sapphirestream/base/revision_time.h
@@ -18,10 +18,10 @@
   bool operator==(const RevisionTime&) const = default;
 };
 
-// What an instance knows of the store's progress, and may tell others.
-class RevisionTimes {
+// Source and destination of revision times that instances tell each other.
+class StoreProgress {
  public:
-  virtual ~RevisionTimes() = default;
+  virtual ~StoreProgress() = default;
   // Returns the latest time for which a revision is known.
   [[nodiscard]] virtual std::optional<RevisionTime> Latest() const = 0;
   // Adds what another instance has read. Returns false if it contradicts what
--- a/src/sapphirestream/domain/member_table.cc
+++ b/src/sapphirestream/domain/member_table.cc
@@ -84,7 +84,7 @@
   // earlier. A process that left or is dead has no authority any more.
   if (record.is_heard &&
       MemberView::IsEligible({id, record.domain, record.state(), {}})) {
-    record.echo_from = record.last_heard + kEchoLifetime;
+    record.predecessor_expires = record.last_heard + kEchoLifetime;
   }
   record.incarnation = incarnation;
   record.sequence = 0;
--- a/src/sapphirestream/domain/member_table.h
+++ b/src/sapphirestream/domain/member_table.h
@@ -40,9 +40,9 @@
   TimePoint last_probe;
   // Highest heartbeat sequence received from the current incarnation.
   std::uint64_t sequence = 0;
-  // Its heartbeats are not echoed before this time, since the process that it
-  // replaced may still hold decision authority.
-  TimePoint echo_from;
+  // Until then the process that it replaced may hold decision authority: its
+  // heartbeats are not echoed, and its echoes do not count.
+  TimePoint predecessor_expires;
   // Members of the own domain whose latest report on this incarnation was dead
   // or left.
   std::set<InstanceId> confirmers;
--- a/src/sapphirestream/domain/membership.cc
+++ b/src/sapphirestream/domain/membership.cc
@@ -116,6 +116,7 @@
   const bool is_alone = PresentNeighbours().empty();
   if (is_alone && !table_.InDomain(domain_).empty()) return false;
   if (!IsLarge()) {
+    // All members have to echo, whatever the key.
     return now < authority_.ValidUntil(view_, ineligible_peers_, 0);
   }
   return std::all_of(keys_.begin(), keys_.end(), [&](std::uint64_t key) {
@@ -181,7 +182,7 @@
   for (const InstanceId id : table_.InDomain(domain_)) {
     MemberRecord& record = *table_.Find(id);
     const MemberState state = record.state();
-    const bool is_replaced = record.echo_from > now;
+    const bool is_replaced = record.predecessor_expires > now;
     const bool is_joining = state == MemberState::kJoining && record.is_heard;
     if (!MemberView::IsEligible({id, domain_, state, {}}) &&
         (is_joining || is_replaced)) {
--- a/src/sapphirestream/domain/membership_receive.cc
+++ b/src/sapphirestream/domain/membership_receive.cc
@@ -89,7 +89,7 @@
     if (echo.instance != self_) continue;
     // The process that the peer replaced may have taken over and still decide;
     // the new process does not know that.
-    if (record.domain == domain_ && now < record.echo_from) continue;
+    if (record.domain == domain_ && now < record.predecessor_expires) continue;
     const TimePoint sent_at = authority_.OnEcho(from, echo.sequence);
     if (record.domain == domain_) continue;
     external_echo_sent_at_ = std::max(external_echo_sent_at_, sent_at);
--- a/src/sapphirestream/domain/membership_send.cc
+++ b/src/sapphirestream/domain/membership_send.cc
@@ -64,7 +64,8 @@
   }
   // A peer may derive authority from an echo only if this instance ranks it.
   const bool may_echo = record != nullptr && record->is_heard &&
-                        record->sequence != 0 && now >= record->echo_from &&
+                        record->sequence != 0 &&
+                        now >= record->predecessor_expires &&
                         record->state() != MemberState::kDead &&
                         record->state() != MemberState::kLeft;
   if (may_echo) {
--- a/src/sapphirestream/edge/domain_reachability.h
+++ b/src/sapphirestream/edge/domain_reachability.h
@@ -17,7 +17,7 @@
  public:
   // Unreachable targets of a domain that show a partition if no target of the
   // domain has accepted a connection since; fewer may have failed by
-  // themselves.
+  // themselves. Targets that crash together look the same.
   static constexpr std::size_t kMinUnreachableTargets = 3;
   // A failed probe counts for this time. Unreachable targets are probed again
   // earlier, so that a partition stays known while it lasts.
--- a/src/sapphirestream/edge/peer_clock.h
+++ b/src/sapphirestream/edge/peer_clock.h
@@ -16,7 +16,7 @@
 
 class PeerClock {
  public:
-  // Older times are not converted.
+  // Older times are not converted; reads of the store are told for 2 s.
   static constexpr Duration kMaxAge = std::chrono::seconds(10);
 
   PeerClock(std::uint32_t origin, TimePoint started) noexcept
@@ -38,7 +38,8 @@
 struct PeerClockReading {
   // When the message was sent, on the clock of its sender.
   PeerTime sent{};
-  // When it had arrived, on the own clock.
+  // When it was handled, on the own clock: not earlier than its arrival, so
+  // that At() errs towards earlier times.
   TimePoint received;
 
   // Returns a time on the clock of the sender that is not later than `time` on
--- a/src/sapphirestream/edge/peer_counters.h
+++ b/src/sapphirestream/edge/peer_counters.h
@@ -21,7 +21,7 @@
         sent_bytes(counters.Emplace("peer_sent_bytes_total")),
         received(counters.Emplace("peer_messages_received_total")),
         received_bytes(counters.Emplace("peer_received_bytes_total")),
-        revisions_learned(counters.Emplace("peer_store_reads_total")) {
+        revisions_learned(counters.Emplace("peer_revisions_learned_total")) {
     for (std::size_t i = 0; i < kPeerRejections; ++i) {
       const auto reason = static_cast<PeerRejection>(i);
       rejected[i] = &counters.Emplace("peer_messages_rejected_total{reason=\"" +
--- a/src/sapphirestream/edge/peer_directory.h
+++ b/src/sapphirestream/edge/peer_directory.h
@@ -83,7 +83,8 @@
   // partitioned domain find each other again.
   static constexpr Duration kForgetAfter = std::chrono::seconds(60);
   static constexpr Duration kFirstContactDelay = std::chrono::milliseconds(200);
-  // At this delay, an address is contacted three times within kForgetAfter.
+  // At this delay, an address is contacted at least three times in
+  // kForgetAfter.
   static constexpr Duration kMaxContactDelay = std::chrono::seconds(16);
 
   struct LostPeer {
--- a/src/sapphirestream/edge/peer_exchange.cc
+++ b/src/sapphirestream/edge/peer_exchange.cc
@@ -50,13 +50,13 @@
 }  // namespace
 
 PeerExchange::PeerExchange(const PeerExchangeOptions& options,
-                           SampleStore& store, RevisionTimes& revision_times,
+                           SampleStore& store, StoreProgress& store_progress,
                            PeerSink& sink, Random& random, EventLog& log,
                            CounterSet& counters, TimePoint now)
     : id_(options.id),
       domain_(HashOfDomain(options.domain)),
       store_(store),
-      revision_times_(revision_times),
+      store_progress_(store_progress),
       sink_(sink),
       random_(random),
       log_(log),
@@ -75,7 +75,7 @@
 }
 
 void PeerExchange::OnStoreRead(TimePoint now) {
-  const auto latest = revision_times_.Latest();
+  const auto latest = store_progress_.Latest();
   if (!latest || latest->time <= shared_read_ || neighbors_.empty()) return;
   SendSamples(now);
 }
@@ -206,20 +206,20 @@
                                  TimePoint now) {
   if (!time || time->store != store_hash_) return;
   const auto read = clock_.FromPeerTime(time->time, now);
-  if (!read || !revision_times_.Merge({*read, time->revision})) return;
+  if (!read || !store_progress_.Merge({*read, time->revision})) return;
   shared_read_ = *read;
   sent_reads_ = 0;
   counters_.revisions_learned.Add();
 }
 
-std::optional<RevisionTime> PeerExchange::TakeRevision(TimePoint now) {
-  auto latest = revision_times_.Latest();
+std::optional<RevisionTime> PeerExchange::RevisionToTell(TimePoint now) {
+  auto latest = store_progress_.Latest();
   if (!latest || now - latest->time > kMaxRevisionAge) return std::nullopt;
   if (latest->time > shared_read_) {
     shared_read_ = latest->time;
     sent_reads_ = 0;
   }
-  if (sent_reads_++ >= kRevisionRepeats) return std::nullopt;
+  if (sent_reads_ >= kRevisionSends) return std::nullopt;
   return latest;
 }
 
@@ -296,25 +296,28 @@
 
 void PeerExchange::SendSamples(TimePoint now) {
   ++sequence_;
-  const auto revision = TakeRevision(now);
+  const auto revision = RevisionToTell(now);
   const bool has_addresses = sequence_ % kAddressesEvery == 0 ||
                              now - neighbors_changed_ < kSettlingTime;
   const std::size_t addresses = has_addresses ? kAddressesPerMessage : 0;
   const auto samples = backlog_.Take(RoomForSamples(addresses, revision), now);
   const auto live = directory_.LivePeers(now);
   std::size_t bytes = 0;
+  bool is_read_told = false;
   for (const V4Endpoint neighbor : neighbors_) {
     PeerSamples body{sequence_,
                      samples,
                      {},
                      clock_.ToPeerTime(now),
                      RevisionFor(neighbor, revision, now)};
+    is_read_told = is_read_told || body.revision_time.has_value();
     if (addresses > 0) {
       body.addresses = live;
       SelectAddressesFor(neighbor, addresses, random_, body.addresses);
     }
     bytes += Send(neighbor, {id_, domain_, std::move(body)});
   }
+  if (is_read_told) ++sent_reads_;
   const Duration interval = std::clamp(TimeFor(bytes, SamplesRate()),
                                        kTickInterval, kMaxSendInterval);
   send_at_ = std::max(send_at_, now) + interval;
--- a/src/sapphirestream/edge/peer_exchange.h
+++ b/src/sapphirestream/edge/peer_exchange.h
@@ -81,10 +81,11 @@
   // Messages with samples that are accepted from one peer per second; twice as
   // many as it may send.
   static constexpr std::uint32_t kMaxMessagesPerSecond = 20;
-  // Messages that tell a read of the store; the first one may be lost.
-  static constexpr std::uint32_t kRevisionRepeats = 2;
-  // Older reads of the store are not passed on: they complete no view that is
-  // due for a check.
+  // Messages to each neighbor that tell a read of the store; the first one may
+  // be lost.
+  static constexpr std::uint32_t kRevisionSends = 2;
+  // Older reads of the store are not passed on: with bounds of a few seconds,
+  // views that they complete are due for a check already.
   static constexpr Duration kMaxRevisionAge = std::chrono::seconds(2);
   // Limits of what is accepted about one target in one message. An instance
   // does not handle more requests in half a second.
@@ -95,7 +96,7 @@
 
   // The references must outlive the exchange.
   PeerExchange(const PeerExchangeOptions& options, SampleStore& store,
-               RevisionTimes& revision_times, PeerSink& sink, Random& random,
+               StoreProgress& store_progress, PeerSink& sink, Random& random,
                EventLog& log, CounterSet& counters, TimePoint now);
 
   // Sends what is due. To be called every kTickInterval.
@@ -104,8 +105,9 @@
   void OnDatagram(V4Endpoint from, std::span<const std::byte> datagram,
                   Duration age, TimePoint now);
 
-  // The store may have been read. Tells the neighbors at once: those that are
-  // due for a read soon need none of their own.
+  // The store may have been read. Tells the neighbors at once, ahead of the
+  // next regular message, which is sent later instead: they need no current
+  // read of their own then.
   void OnStoreRead(TimePoint now);
 
   // Replaces the addresses of the seeds.
@@ -137,8 +139,8 @@
   void MergeRevision(const std::optional<PeerRevisionTime>& time,
                      TimePoint now);
   // Returns what the neighbors are told about the store, if anything.
-  [[nodiscard]] std::optional<RevisionTime> TakeRevision(TimePoint now);
-  // Returns it on the clock of the neighbor, if that is known.
+  [[nodiscard]] std::optional<RevisionTime> RevisionToTell(TimePoint now);
+  // Returns `time` on the clock of the neighbor, if that is known.
   [[nodiscard]] std::optional<PeerRevisionTime> RevisionFor(
       V4Endpoint neighbor, const std::optional<RevisionTime>& time,
       TimePoint now) const;
@@ -170,7 +172,7 @@
   PeerId id_;
   DomainHash domain_;
   SampleStore& store_;
-  RevisionTimes& revision_times_;
+  StoreProgress& store_progress_;
   PeerSink& sink_;
   Random& random_;
   EventLog& log_;
--- a/src/sapphirestream/edge/peer_message.h
+++ b/src/sapphirestream/edge/peer_message.h
@@ -76,7 +76,8 @@
   std::vector<V4Endpoint> addresses;
   // On the clock of the sender.
   PeerTime sent{};
-  // Set if the sender knows the receiver's clock and has read lately.
+  // Set if the sender knows the receiver's clock and a recent read of the
+  // store, its own or one that it was told of.
   std::optional<PeerRevisionTime> revision_time;
 
   bool operator==(const PeerSamples&) const = default;
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -10,8 +10,8 @@
 struct EntryChange {
   // The target is new, or another process has its key.
   bool restarted = false;
-  // The target has written its entry again since it was unlisted. The copy of a
-  // restored store does not show that.
+  // The target has written its entry again while it was missing or gone. The
+  // copy of a restored store does not show that.
   bool registered_again = false;
   // The entry is the copy of a restored store, and the target was gone.
   bool is_copy_of_gone = false;
--- a/src/sapphirestream/edge/target_samples.h
+++ b/src/sapphirestream/edge/target_samples.h
@@ -11,7 +11,7 @@
 
 namespace sapphirestream {
 
-// A peer whose samples are silent for this time is lost, and its counts of
+// A peer from which no samples arrived for this time is lost, and its counts of
 // outstanding requests no longer apply. Leaves time for three messages, two of
 // which may be lost in the network.
 inline constexpr Duration kSamplesTimeout = std::chrono::milliseconds(1500);
--- a/src/sapphirestream/flow/ownership.cc
+++ b/src/sapphirestream/flow/ownership.cc
@@ -59,14 +59,14 @@
   return best;
 }
 
-const std::vector<DomainSchedulers>& SchedulersOf(const ServiceView& view,
-                                                  ViewAge age) noexcept {
-  switch (age) {
-    case ViewAge::kCurrent:
+const std::vector<DomainSchedulers>& SchedulersIn(
+    const ServiceView& view, MemberViewKind kind) noexcept {
+  switch (kind) {
+    case MemberViewKind::kCurrent:
       break;
-    case ViewAge::kPrevious:
+    case MemberViewKind::kPrevious:
       return view.previous_schedulers;
-    case ViewAge::kAfterJoining:
+    case MemberViewKind::kAfterJoining:
       return view.schedulers_after_joining;
   }
   return view.schedulers;
@@ -87,8 +87,9 @@
 }
 
 Owners OwnersOf(const Snapshot& snapshot, const ServiceView& view,
-                const FlowKey& key, std::uint64_t hash, ViewAge age) noexcept {
-  const std::vector<DomainSchedulers>& schedulers = SchedulersOf(view, age);
+                const FlowKey& key, std::uint64_t hash,
+                MemberViewKind kind) noexcept {
+  const std::vector<DomainSchedulers>& schedulers = SchedulersIn(view, kind);
   const std::size_t none = schedulers.size();
   // The low bits of the hash are independent of the bucket.
   const std::uint64_t flow_key =
--- a/src/sapphirestream/flow/ownership.h
+++ b/src/sapphirestream/flow/ownership.h
@@ -24,7 +24,7 @@
   bool operator==(const Owners&) const = default;
 };
 
-enum class ViewAge : std::uint8_t {
+enum class MemberViewKind : std::uint8_t {
   kCurrent,
   kPrevious,
   // The current view once the instances that are joining have joined. OwnersOf
@@ -50,9 +50,10 @@
 // domain stays the same even without an eligible instance, so that two sides of
 // a partition never decide the same flow; other flows move to the domain that
 // ranks next.
-[[nodiscard]] Owners OwnersOf(const Snapshot& snapshot, const ServiceView& view,
-                              const FlowKey& key, std::uint64_t hash,
-                              ViewAge age = ViewAge::kCurrent) noexcept;
+[[nodiscard]] Owners OwnersOf(
+    const Snapshot& snapshot, const ServiceView& view, const FlowKey& key,
+    std::uint64_t hash,
+    MemberViewKind kind = MemberViewKind::kCurrent) noexcept;
 
 // Returns the scheduler of a service in the failure domain of a target, or
 // kNoInstance. It gets a copy of the records of streams on that target, since
--- a/src/sapphirestream/flow/steering_packet.cc
+++ b/src/sapphirestream/flow/steering_packet.cc
@@ -234,6 +234,8 @@
       ctx.owners.replica != kNoInstance && ctx.hop_limit > 0) {
     return RedirectTo(ctx.owners.replica, ctx);
   }
+  // Unlike an owner, a replica does not skip instances that left lookups
+  // unanswered: it is asked only while the owner does not answer.
   const Owners joined = OwnersAfterJoining(ctx);
   for (const InstanceId other : {joined.owner, joined.replica}) {
     const bool has_searched = other == ctx.owners.owner;
@@ -277,7 +279,7 @@
 std::array<InstanceId, 4> Steering::Impl::RecordHolders(
     const PacketContext& ctx) const noexcept {
   const Owners previous = OwnersOf(*snapshot_, ctx.view, ctx.packet.key,
-                                   ctx.packet.hash, ViewAge::kPrevious);
+                                   ctx.packet.hash, MemberViewKind::kPrevious);
   const bool has_joined =
       previous.owner == kNoInstance || previous.owner == snapshot_->self;
   const InstanceId former =
@@ -307,7 +309,7 @@
     return {};
   }
   return OwnersOf(*snapshot_, ctx.view, ctx.packet.key, ctx.packet.hash,
-                  ViewAge::kAfterJoining);
+                  MemberViewKind::kAfterJoining);
 }
 
 TargetId Steering::Impl::TargetWithoutRecord(
--- a/src/sapphirestream/store/collection_checker.h
+++ b/src/sapphirestream/store/collection_checker.h
@@ -65,7 +65,8 @@
     unsigned failures = 0;
     // End of the pause after a check that was rejected.
     TimePoint not_before{};
-    // Latest current read for which a cached check was tried.
+    // Latest current read, own or of a peer, for which a cached check was
+    // tried.
     TimePoint tried_cached{};
   };
 
--- a/src/sapphirestream/store/revision_clock.h
+++ b/src/sapphirestream/store/revision_clock.h
@@ -16,7 +16,7 @@
 // Remembers which revision the store had reached at which time. The revision is
 // common to all collections of the store, so that a current read of one
 // collection also tells the age of a cached read of another one.
-class RevisionClock final : public RevisionTimes {
+class RevisionClock final : public StoreProgress {
  public:
   // A current read that began at `time` was answered at `revision`: all changes
   // that were acknowledged before `time` have this revision or a lower one.
@@ -44,7 +44,7 @@
     }
     return time;
   }
-  // RevisionTimes. The store's revision never falls, so a later time with a
+  // StoreProgress. The store's revision never falls, so a later time with a
   // lower revision is wrong.
   [[nodiscard]] std::optional<RevisionTime> Latest() const override {
     if (marks_.empty()) return std::nullopt;
@@ -58,8 +58,9 @@
     Observe(time.time, time.revision);
     return true;
   }
-  // Returns the start of the latest current read; unset if there was none.
-  [[nodiscard]] TimePoint latest() const noexcept {
+  // Returns the start of the latest current read, own or of a peer; unset if
+  // none is known.
+  [[nodiscard]] TimePoint LatestTime() const noexcept {
     return marks_.empty() ? TimePoint{} : marks_.back().time;
   }
 
--- a/test/edge/peer_exchange_test.cc
+++ b/test/edge/peer_exchange_test.cc
@@ -337,11 +337,11 @@
   StartAll(5);
   network.Run(2s);
   const RevisionTime read{network.clock.Now(), {StoreEra{1}, 42}};
-  network.At(3).revision_times.latest = read;
+  network.At(3).store_progress.latest = read;
   network.At(3).exchange->OnStoreRead(network.clock.Now());
   network.Run(20ms);
   for (const std::size_t i : {0U, 1U, 2U, 4U}) {
-    const auto latest = network.At(i).revision_times.latest;
+    const auto latest = network.At(i).store_progress.latest;
     BOOST_REQUIRE(latest);
     BOOST_TEST((latest->revision == read.revision));
     BOOST_TEST((latest->time <= read.time));
@@ -354,10 +354,10 @@
   StartAll(5);
   network.Run(2s);
   const RevisionTime read{network.clock.Now(), {StoreEra{1}, 42}};
-  network.At(3).revision_times.latest = read;
+  network.At(3).store_progress.latest = read;
   network.Run(3s);
   for (const std::size_t i : {0U, 1U, 2U, 4U}) {
-    const auto latest = network.At(i).revision_times.latest;
+    const auto latest = network.At(i).store_progress.latest;
     BOOST_REQUIRE(latest);
     BOOST_TEST((latest->time <= read.time));
   }
@@ -368,10 +368,10 @@
   StartAll(2);
   network.Run(2s);
   network.At(1).exchange->SetStore("another store");
-  network.At(0).revision_times.latest = {network.clock.Now(),
+  network.At(0).store_progress.latest = {network.clock.Now(),
                                          {StoreEra{1}, 42}};
   network.Run(1s);
-  BOOST_TEST(!network.At(1).revision_times.latest);
+  BOOST_TEST(!network.At(1).store_progress.latest);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/edge_io/peer_link_test.cc
+++ b/test/edge_io/peer_link_test.cc
@@ -20,7 +20,7 @@
   EventLog log{*this, clock};
   boost::asio::io_context context{1};
   testing::FakeSampleStore store;
-  testing::FakeRevisionTimes revision_times;
+  testing::FakeStoreProgress store_progress;
   SeededRandom random{1};
   CounterSet counters;
 };
@@ -35,7 +35,7 @@
   EdgeSettings settings;
   settings.peer = ParseEndpoint("127.0.0.1:0");
   settings.seeds = seeds;
-  const auto link = PeerLink::Open(context, settings, store, revision_times,
+  const auto link = PeerLink::Open(context, settings, store, store_progress,
                                    random, clock, log, counters);
   BOOST_REQUIRE(link);
   BOOST_TEST(lines == expected, boost::test_tools::per_element());
--- a/test/edge_io/peer_port_test.cc
+++ b/test/edge_io/peer_port_test.cc
@@ -144,7 +144,7 @@
   struct Instance {
     std::unique_ptr<PeerPort> port;
     testing::FakeSampleStore store;
-    testing::FakeRevisionTimes revision_times;
+    testing::FakeStoreProgress store_progress;
     CounterSet counters;
     std::unique_ptr<PeerExchange> exchange;
   };
@@ -165,7 +165,7 @@
     address = "127.0.0.2:" + std::to_string(own.port);
     instance.exchange = std::make_unique<PeerExchange>(
         PeerExchangeOptions{own, PeerId{random.Next()}, "a", seeds, "store"},
-        instance.store, instance.revision_times, *instance.port, random, log,
+        instance.store, instance.store_progress, *instance.port, random, log,
         instance.counters, clock.Now());
     instance.port->Start();
   }
--- a/test/store/revision_clock_test.cc
+++ b/test/store/revision_clock_test.cc
@@ -17,7 +17,7 @@
 BOOST_AUTO_TEST_CASE(nothing_is_known_without_a_current_read) {
   const RevisionClock clock;
   BOOST_TEST((clock.CompleteUntil(At(7)) == TimePoint{}));
-  BOOST_TEST((clock.latest() == TimePoint{}));
+  BOOST_TEST((clock.LatestTime() == TimePoint{}));
 }
 
 BOOST_AUTO_TEST_CASE(a_view_is_complete_until_the_last_read_that_it_covers) {
@@ -28,7 +28,7 @@
   BOOST_TEST((clock.CompleteUntil(At(7)) == kStart));
   BOOST_TEST((clock.CompleteUntil(At(8)) == kStart));
   BOOST_TEST((clock.CompleteUntil(At(9)) == kStart + 2s));
-  BOOST_TEST((clock.latest() == kStart + 2s));
+  BOOST_TEST((clock.LatestTime() == kStart + 2s));
 }
 
 // Without a change in the store, the same revision is complete until later.
--- a/testing/peer_network.h
+++ b/testing/peer_network.h
@@ -50,7 +50,7 @@
   std::uint64_t received_requests = 0;
 };
 
-struct FakeRevisionTimes final : RevisionTimes {
+struct FakeStoreProgress final : StoreProgress {
   [[nodiscard]] std::optional<RevisionTime> Latest() const override {
     return latest;
   }
@@ -90,7 +90,7 @@
     PeerNetwork& network;
     std::size_t number;
     FakeSampleStore store;
-    FakeRevisionTimes revision_times;
+    FakeStoreProgress store_progress;
     CounterSet counters;
     std::unique_ptr<PeerExchange> exchange;
     TimePoint next_tick;
@@ -117,7 +117,7 @@
     node->exchange = std::make_unique<PeerExchange>(
         PeerExchangeOptions{PeerAddress(number), id, domain, std::move(seeds),
                             "store"},
-        node->store, node->revision_times, *node, random, log, node->counters,
+        node->store, node->store_progress, *node, random, log, node->counters,
         clock.Now());
     node->next_tick = clock.Now();
     return id;
