Soak: a comment where the formatter accepts it

Cause: the format check failed on a comment inside an expression. Change: the comment stands before the expression.

--- a/testing/soak/edge_process.cc
+++ b/testing/soak/edge_process.cc
@@ -25,13 +25,12 @@
 
 void EdgeProcess::WriteSettings(const std::string& log_level) const {
   std::ofstream file(options_.folder / (options_.name + ".settings"));
+  // Instances reach the store by different addresses, each over its own link.
   file << "name = " << options_.name << "\ndomain = " << options_.domain
        << "\ndata = " << ToString(options_.data)
        << "\nready = " << ToString(options_.ready)
        << "\nmetrics = " << ToString(options_.metrics)
-       << "\nstore = " << ToString(options_.store)
-       // Each instance has a link of its own to the store.
-       << "\nstore-id = store"
+       << "\nstore = " << ToString(options_.store) << "\nstore-id = store"
        << "\npeer = " << ToString(options_.peer)
        << "\nseeds = " << options_.seeds << "\nrules = health,places"
        << "\nevacuation-bound-ms = " << options_.evacuation_bound.count()
