Reserve the reads of a test's instances

Cause: clang-tidy rejects push_back in a loop without a reservation. Change: the vector is reserved.

--- a/test/store/collection_checker_test.cc
+++ b/test/store/collection_checker_test.cc
@@ -273,6 +273,7 @@
   for (Duration elapsed{}; elapsed < period; elapsed += exchange_delay) {
     if (elapsed % 1s == 0s) PutInBoth(static_cast<int>(elapsed / 1s));
     std::vector<RevisionTime> reads;
+    reads.reserve(size);
     for (const auto& instance : instances) {
       reads.push_back(*instance->revision_clock.Latest());
     }
