--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,110 @@
+"""A route is dropped and added again while instances are rolled. Open flows of the added
+route are reset by an instance that still has the version without it."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+
+HERE = pathlib.Path(__file__).resolve().parent
+sys.path.insert(0, str(HERE.parent / "standins-2"))
+
+from world import config, main  # noqa: E402
+
+SERVICE = "loja"
+ENDPOINTS = 6
+CLIENTS = 16
+INSTANCES = 5
+STALE_S = 2.0
+ROUNDS = 5
+ROUND_S = 20.0
+FIRST = 9.0
+GAP_S = 2.2  # between the two versions
+
+
+async def scenario(world, trouble):
+    await world.start_platform()
+    kept, mended = world.route(1, 8443), world.route(1, 8080)
+    both = [(*kept, "safe", SERVICE), (*mended, "safe", SERVICE)]
+    version = 4
+    world.store.put("config", "main", config(version, both, [SERVICE]))
+    world.store.stale_s = lambda: STALE_S
+    for number in range(1, ENDPOINTS + 1):
+        await world.add_endpoint(number, SERVICE)
+    for number in range(1, INSTANCES + 1):
+        world.add_instance(number)
+    await world.wait_serving()
+    clients = [world.add_client(number) for number in range(1, CLIENTS + 1)]
+    tasks = []
+    open_flows = {}  # ends -> when the flow was opened
+    dropped, added = [], [0.0]  # when versions without and with the route were acknowledged
+    violations = []
+    world_on_open, world_on_system_reset = world.on_open, world.on_system_reset
+
+    def on_open(endpoint, key, flow):
+        world_on_open(endpoint, key, flow)
+        open_flows[key] = (world.now(), endpoint, flow)
+
+    def on_system_reset(key):
+        world_on_system_reset(key)
+        opened = open_flows.get(key)
+        client = world.flows.get(key)
+        if opened is None or client is None or not client.open:
+            return
+        moment, endpoint, flow = opened
+        # A flow that is older than the latest version, which has the route, may have been dropped by the one before.
+        first_opening = flow.opening["sent"]
+        if flow.ended or first_opening <= added[-1] or any(acked > added[-1] for acked in dropped):
+            return
+        violations.append(
+            f"FLOW: the flow of port {key[1]} on {endpoint.name} is open since {moment:.3f}; the version that has its route "
+            f"was acknowledged at {added[-1]:.3f} and is the latest; reset at {world.now():.3f} by the system, last packet "
+            f"through {world.last_via.get(key)}")
+
+    world.on_open, world.on_system_reset = on_open, on_system_reset
+    end = FIRST + ROUNDS * ROUND_S
+
+    async def client_loop(client):
+        """Holds a flow with a request each 100 ms or so; opens another when it ends."""
+        port = 2000
+        await world.wait_until(FIRST - 2)
+        while world.now() < end - 2:
+            port += 1
+            flow = world.flow(client, port, mended, requests=40, pause_s=0.05 + 0.1 * random.random(), budget_s=2.5)
+            await flow.run()
+            if flow.outcome != "answered":
+                await asyncio.sleep(0.05 + 0.1 * random.random())
+
+    async def roll():
+        """Each instance in turn, 1.3 s apart."""
+        for node in world.instances:
+            node.send_signal(signal.SIGTERM)
+            await asyncio.get_running_loop().run_in_executor(None, node.process.wait)
+            await asyncio.sleep(0.3)
+            node.start()
+            await asyncio.sleep(1.3)
+
+    tasks += [asyncio.create_task(client_loop(client)) for client in clients]
+    for number in range(ROUNDS):
+        await world.wait_until(FIRST + number * ROUND_S)
+        rolling = asyncio.create_task(roll())
+        while not rolling.done():
+            await asyncio.sleep(1 + random.random())
+            if trouble:
+                version += 3
+                acked = world.store.put("config", "main", config(version, both[:1], [SERVICE])) - world.began
+                dropped.append(acked)
+                world.record("config_acked", version=version, routes=1)
+            await asyncio.sleep(GAP_S)
+            version += 2
+            added.append(world.store.put("config", "main", config(version, both, [SERVICE])) - world.began)
+            world.record("config_acked", version=version, routes=2)
+            await asyncio.sleep(1)
+        await rolling
+    await world.wait_until(end)
+    await asyncio.gather(*tasks)
+    return violations
+
+
+main(HERE, scenario)
