--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -20,6 +20,7 @@
         self.calls = 0
         self.beats = {}  # endpoint -> time of its last report
         self.waiting = set()  # connections whose watch waits for a change
+        self.min_rev = 0  # changes up to here have left the history
         self.server = None
 
     async def start(self, ip, port):
@@ -126,6 +127,8 @@
         if len(parts) > 3:
             item = self.objects.get(kind, {}).get(urllib.parse.unquote(parts[3]))
             return (200, item) if item else (404, {})
+        if "Watch" in query and int(query["Watch"]) < self.min_rev:
+            return 410, {}
         if "Watch" in query:
             self.waiting.add(writer)
             try:
