--- a/review/7/case.py
+++ b/review/7/case.py
@@ -34,14 +34,14 @@
         """The desired state of the version; each version with the second route gives it a new name."""
         routes = [(*kept, "safe", SERVICE, "r-kept")]
         if with_mended:
-            routes.append((*mended, "safe", SERVICE, f"r-added-in-{added_in}"))
+            routes.append((*mended, "unsafe", SERVICE, f"r-added-in-{added_in}"))
         return config(version, routes, [SERVICE])
 
     added_in = version
     world.store.put("config", "main", desired(True))
     world.store.stale_s = lambda: STALE_S
     for number in range(1, ENDPOINTS + 1):
-        await world.add_endpoint(number, SERVICE)
+        await world.add_endpoint(number, SERVICE, work_s=0.04)
     for number in range(1, INSTANCES + 1):
         world.add_instance(number)
     await world.wait_serving()
@@ -51,6 +51,7 @@
     disturbed = {}  # instance -> when it was last told to stop or started
     dropped, added = [], [0.0]  # when versions without and with the route were acknowledged
     violations = []
+    hit = set()  # beginnings of the request ids of the counted flows
     world_on_open, world_on_system_reset = world.on_open, world.on_system_reset
 
     def on_open(endpoint, key, flow):
@@ -71,6 +72,7 @@
         through = world.last_via.get(key)
         if world.now() - disturbed.get(through, 0.0) < STABLE_S:
             return  # not in touch; planned work counts in any case, but isn't needed here
+        hit.add(f"{client.port}-{client.first_seq:x}-")
         violations.append(
             f"FLOW: the flow of port {key[1]} on {endpoint.name} is open since {moment:.3f}; the version that has its route "
             f"was acknowledged at {added[-1]:.3f} and is the latest; reset at {world.now():.3f} by the system, last packet "
@@ -121,6 +123,8 @@
         await rolling
     await world.wait_until(end)
     await asyncio.gather(*tasks)
+    lost = [r for r in world.unanswered() if any(r.startswith(h) for h in hit)]
+    world.record("counted_flows", flows=len(hit), orders_sent_and_never_answered=len(lost))
     return violations
 
 
--- a/review/standins-2/flows.py
+++ b/review/standins-2/flows.py
@@ -356,7 +356,7 @@
                 self.seq = (self.seq + len(text)) & MASK
                 self.send(ACK)
                 self.answered += 1
-                self.world.record("answered", flow=self.port, request=request)
+                self.world.on_answer(self, request)
                 return "answered"
         return "timed_out"
 
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -174,7 +174,8 @@
         self.sent, self.via, self.last_via = {}, {}, {}
         self.flows, self.tasks, self.endpoints, self.instances = {}, [], [], []
         self.datagrams = 0
-        self.runs = {}
+        self.runs = {}  # request -> how often it ran
+        self.requests, self.answers = {}, set()  # request -> when it was sent
         self.store = Store()
         self.router = Router(self)
         self.clients = {}
@@ -274,7 +275,16 @@
         self.runs[request] = self.runs.get(request, 0) + 1
         self.record("run", request=request, endpoint=endpoint.name, flow=flow.peer[1])
 
+    def on_answer(self, flow, request):
+        self.answers.add(request)
+        self.record("answered", flow=flow.port, request=request)
+
+    def unanswered(self):
+        """Requests that clients sent on open flows and that were never answered."""
+        return [r for r in self.requests if r not in self.answers]
+
     def on_request(self, flow, request):
+        self.requests[request] = self.now()
         self.record("request", flow=flow.port, request=request)
 
     def on_flow_end(self, flow):
@@ -334,17 +344,22 @@
             violations = await asyncio.wait_for(scenario(world, trouble), limit_s)
             for line in violations:
                 world.record("VIOLATION", text=line)
-            world.record("result", violations=len(violations), datagrams=world.datagrams)
-            return violations
+            lost = world.unanswered()
+            for request in lost:
+                world.record("never_answered", request=request, ran=world.runs.get(request, 0))
+            world.record("result", violations=len(violations), never_answered=len(lost),
+                         of_these_ran=sum(1 for r in lost if r in world.runs), datagrams=world.datagrams)
+            return violations, lost
         finally:
             await world.stop()
 
     try:
-        violations = asyncio.run(go())
+        violations, lost = asyncio.run(go())
     except (CannotRun, OSError, asyncio.TimeoutError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
     for line in violations[:10]:
         print(line)
-    print(f"{'broken' if violations else 'held'}: {len(violations)} violations, trouble={int(trouble)}")
+    print(f"{'broken' if violations else 'held'}: {len(violations)} violations, {len(lost)} requests on open flows never "
+          f"answered, trouble={int(trouble)}")
     sys.exit(1 if violations else 0)
