--- a/review/7/case.py
+++ b/review/7/case.py
@@ -43,7 +43,7 @@
     for number in range(1, ENDPOINTS + 1):
         await world.add_endpoint(number, SERVICE, work_s=0.04)
     for number in range(1, INSTANCES + 1):
-        world.add_instance(number)
+        await world.add_instance(number)
     await world.wait_serving()
     clients = [world.add_client(number) for number in range(1, CLIENTS + 1)]
     tasks = []
--- a/review/standins-2/store.py
+++ b/review/standins-2/store.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import json
+import socket
+import struct
 import time
 import urllib.parse
 
@@ -19,16 +21,17 @@
         self.changed = asyncio.Event()
         self.calls = 0
         self.beats = {}  # endpoint -> time of its last report
-        self.waiting = set()  # connections whose watch waits for a change
+        self.waiting = {}  # connection whose watch waits -> the address that it was made to, and the kind
         self.min_rev = 0  # changes up to here have left the history
-        self.server = None
+        self.servers = []
 
-    async def start(self, ip, port):
-        self.server = await asyncio.start_server(self._serve, ip, port)
+    async def listen(self, ip, port):
+        """Serves at one more address. Each instance has one, so that its connections are known."""
+        self.servers.append(await asyncio.start_server(self._serve, ip, port))
 
     def stop(self):
-        if self.server:
-            self.server.close()
+        for server in self.servers:
+            server.close()
 
     def put(self, kind, name, spec):
         """Writes an object and returns the time of the acknowledgement."""
@@ -110,12 +113,15 @@
             except asyncio.TimeoutError:
                 pass
 
-    def cut_off_watches(self):
-        """Ends the connections of all watches that are waiting, without an answer."""
-        cut = list(self.waiting)
-        for writer in cut:
-            writer.transport.abort()
-        return len(cut)
+    def reset_connection(self, ip, kind):
+        """Resets a connection that was made to `ip`, on which a watch of the kind waits."""
+        for writer, waiting in list(self.waiting.items()):
+            if waiting == (ip, kind):
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                writer.transport.abort()
+                return True
+        return False
 
     async def _answer(self, target, writer):
         url = urllib.parse.urlsplit(target)
@@ -130,11 +136,11 @@
         if "Watch" in query and int(query["Watch"]) < self.min_rev:
             return 410, {}
         if "Watch" in query:
-            self.waiting.add(writer)
+            self.waiting[writer] = (writer.get_extra_info("sockname")[0], kind)
             try:
                 return 200, await self._watch(kind, int(query["Watch"]), int(query.get("WaitMs", "0")), stale)
             finally:
-                self.waiting.discard(writer)
+                self.waiting.pop(writer, None)
         return 200, self._list(kind, query.get("after", ""), stale)
 
     async def _serve(self, reader, writer):
--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -47,6 +47,7 @@
         self.world, self.number, self.zone = world, number, zone
         self.name = f"frontend-{zone}-{number}"
         self.ip = world.ip(10 + number)
+        self.store_ip = world.ip(10 + number, 1)  # the store's address for this instance
         self.process = None
         self.starts = 0
 
@@ -58,7 +59,7 @@
             "InternalPorts": [w.internal_port, w.internal_port + 15], "Seeds": [f"{w.ip(11)}:{w.control_port}"],
             "HeartbeatMs": 770, "Invariants": ["base", "drain", "config", "cost", "recover", "flows", "platform"],
             "Bounds": {"GraceS": 6, "DrainMs": 3000, "ConfigApplyMs": 3000},
-            "platform": {"Address": f"{w.ip(2)}:{w.store_port}"},
+            "platform": {"Address": f"{self.store_ip}:{w.store_port}"},
         }
         return fill((ROOT / w.role["template"]).read_text(), fields)
 
@@ -217,11 +218,11 @@
 
     async def start_platform(self):
         self.store.clock = time.monotonic
-        await self.store.start(self.ip(2), self.store_port)
         self.tasks.append(asyncio.create_task(self.store.expire_entries(3 * 0.77, lambda *a: self.on_expired(*a))))
 
-    def add_instance(self, number, zone="poa-a"):
+    async def add_instance(self, number, zone="poa-a"):
         node = Instance(self, number, zone)
+        await self.store.listen(node.store_ip, self.store_port)
         self.instances.append(node)
         node.start()
         self.router.add(node)
