--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -334,12 +334,15 @@
                        "IdleTimeoutMs": 15000}}
 
 
-def main(case, scenario, limit_s=118):
+def main(case, scenario, limit_s=113):
     """Runs `scenario(world, trouble)`, which returns a list of violations. Exits with 1 if
     there are any, with 2 if the case could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def go():
+        # A run that is stopped from outside ends its instances too.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
         world = World(case)
         try:
             violations = await asyncio.wait_for(scenario(world, trouble), limit_s)
@@ -356,7 +359,7 @@
 
     try:
         violations, lost = asyncio.run(go())
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except (CannotRun, OSError, asyncio.TimeoutError, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         sys.exit(2)
     for line in violations[:10]:
