--- a/review/standins-3/flows.h
+++ b/review/standins-3/flows.h
@@ -27,7 +27,8 @@
 };
 
 inline void PutNumber(Bytes& out, std::uint64_t value, int bytes) {
-  for (int i = bytes; i-- > 0;) out.push_back(static_cast<std::uint8_t>(value >> (8 * i)));
+  for (int i = bytes; i-- > 0;)
+    out.push_back(static_cast<std::uint8_t>(value >> (8 * i)));
 }
 inline std::uint64_t GetNumber(const std::uint8_t* in, int bytes) {
   std::uint64_t value = 0;
@@ -96,14 +97,17 @@
         born_(std::chrono::duration_cast<std::chrono::milliseconds>(
                   std::chrono::system_clock::now().time_since_epoch())
                   .count()),
-        socket_(net.context, udp::endpoint(asio::ip::make_address(address), net.target_port)),
-        acceptor_(net.context, tcp::endpoint(asio::ip::make_address(address), net.target_port)) {
+        socket_(net.context, udp::endpoint(asio::ip::make_address(address),
+                                           net.target_port)),
+        acceptor_(net.context, tcp::endpoint(asio::ip::make_address(address),
+                                             net.target_port)) {
     asio::co_spawn(net.context, Receive(), asio::detached);
     asio::co_spawn(net.context, Accept(), asio::detached);
   }
   [[nodiscard]] std::string name() const {
     std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "i-%llx", static_cast<unsigned long long>(id_));
+    std::snprintf(text.data(), text.size(), "i-%llx",
+                  static_cast<unsigned long long>(id_));
     return text.data();
   }
   [[nodiscard]] std::string Entry(int cold_ms = 0) {
@@ -111,7 +115,8 @@
            std::to_string(net_.target_port) + R"(","Zone":")" + zone_ +
            R"(","Version":"v1","Slots":2,"State":")" +
            (draining_ ? "draining" : "ready") + R"(","ColdRemainingMs":)" +
-           std::to_string(cold_ms) + R"(,"Seq":1,"born":)" + std::to_string(born_) + "}";
+           std::to_string(cold_ms) + R"(,"Seq":1,"born":)" +
+           std::to_string(born_) + "}";
   }
   void set_draining(bool draining) { draining_ = draining; }
   // The time that a request takes.
@@ -172,14 +177,16 @@
       if (!flow.open) Send(key, flow, kSyn | kAck, {});
       return;
     }
-    const bool held = it != flows_.end() && (it->second.open || p.ack == it->second.begin);
+    const bool held =
+        it != flows_.end() && (it->second.open || p.ack == it->second.begin);
     if (!held) {
       // Not a flow of this endpoint.
       Flow stranger;
       stranger.next = p.ack;
       stranger.echo = p.echo;
       if (!(p.flags & kFin)) {
-        net_.log("endpoint " + name() + " resets " + Text(p.src) + ":" + std::to_string(p.sport));
+        net_.log("endpoint " + name() + " resets " + Text(p.src) + ":" +
+                 std::to_string(p.sport));
         Send(key, stranger, kRst, {});
       }
       return;
@@ -190,7 +197,8 @@
     if (!p.data.empty() && p.seq == flow.expected) {
       flow.expected += p.data.size();
       flow.in += p.data;
-      if (const std::size_t end = flow.in.find("\r\n\r\n"); end != std::string::npos) {
+      if (const std::size_t end = flow.in.find("\r\n\r\n");
+          end != std::string::npos) {
         Run(key, flow.in.substr(0, end));
         flow.in.erase(0, end + 4);
       }
@@ -214,12 +222,14 @@
     if (it == flows_.end()) co_return;
     const std::string body = "done " + id;
     const std::string reply =
-        "HTTP/1.1 200 OK\r\nServer-Signature: " + name() + "\r\nContent-Length: " +
-        std::to_string(body.size()) + "\r\n\r\n" + body;
+        "HTTP/1.1 200 OK\r\nServer-Signature: " + name() +
+        "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+        body;
     Send(key, it->second, kAck, reply);
     it->second.next += reply.size();
   }
-  void Send(const Key& key, const Flow& flow, int flags, const std::string& data) {
+  void Send(const Key& key, const Flow& flow, int flags,
+            const std::string& data) {
     Packet p;
     p.seq = flow.next;
     p.ack = flow.expected;
@@ -244,11 +254,12 @@
       boost::beast::flat_buffer buffer;
       http::request<http::string_body> request;
       co_await http::async_read(socket, buffer, request, asio::use_awaitable);
-      const std::string reply = std::string("HTTP/1.1 ") +
-                                (draining_ ? "503 -" : "200 OK") +
-                                "\r\nInstance-Id: " + name() +
-                                "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-      co_await asio::async_write(socket, asio::buffer(reply), asio::use_awaitable);
+      const std::string reply =
+          std::string("HTTP/1.1 ") + (draining_ ? "503 -" : "200 OK") +
+          "\r\nInstance-Id: " + name() +
+          "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+      co_await asio::async_write(socket, asio::buffer(reply),
+                                 asio::use_awaitable);
     } catch (const std::exception&) {
       // A probe may only connect.
     }
@@ -271,8 +282,8 @@
 // How a client's attempt stands.
 enum class Attempt { kOpening, kOpen, kAnswered, kReset, kNotOpened, kSilent };
 inline const char* Name(Attempt state) {
-  static const char* const names[] = {"opening", "open", "answered",
-                                      "reset", "not opened", "no answer"};
+  static const char* const names[] = {"opening", "open",       "answered",
+                                      "reset",   "not opened", "no answer"};
   return names[static_cast<int>(state)];
 }
 
@@ -304,7 +315,8 @@
   Client(Net& net, const std::string& address)
       : net_(net),
         address_(address),
-        socket_(net.context, udp::endpoint(asio::ip::make_address(address), net.data_port)) {
+        socket_(net.context,
+                udp::endpoint(asio::ip::make_address(address), net.data_port)) {
     asio::co_spawn(net.context, Receive(), asio::detached);
   }
   FlowPtr Open(const std::string& route_address, std::uint16_t route_port) {
@@ -318,7 +330,8 @@
   }
   // Sends the opening packet and its copies until the flow is open or over.
   asio::awaitable<void> Connect(FlowPtr flow, Way way) {
-    static constexpr std::array<std::chrono::milliseconds, 3> waits{200ms, 400ms, 800ms};
+    static constexpr std::array<std::chrono::milliseconds, 3> waits{
+        200ms, 400ms, 800ms};
     for (std::uint32_t copy = 0; copy < waits.size(); ++copy) {
       Packet p = Header(*flow, kSyn);
       p.ack = copy;
@@ -326,7 +339,8 @@
       flow->sent.push_back(Clock::now());
       Send(*flow, p, way);
       const auto until = Clock::now() + waits[copy];
-      while (flow->state == Attempt::kOpening && Clock::now() < until) co_await Sleep(5ms);
+      while (flow->state == Attempt::kOpening && Clock::now() < until)
+        co_await Sleep(5ms);
       if (flow->state != Attempt::kOpening) break;
     }
     if (flow->state == Attempt::kOpening) flow->state = Attempt::kNotOpened;
@@ -336,12 +350,14 @@
   }
   // Sends a request on an open flow and waits for its answer until the time
   // budget ends.
-  asio::awaitable<void> Request(FlowPtr flow, std::string method, std::string id,
+  asio::awaitable<void> Request(FlowPtr flow, std::string method,
+                                std::string id,
                                 std::chrono::milliseconds budget, Way way) {
     flow->id = id;
     flow->answer.clear();
     Packet p = Header(*flow, kAck);
-    p.data = method + " /work HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id + "\r\n\r\n";
+    p.data =
+        method + " /work HTTP/1.1\r\nHost: x\r\nRequest-Id: " + id + "\r\n\r\n";
     flow->seq += p.data.size();
     const auto end = Clock::now() + budget;
     auto wait = 200ms;
@@ -351,7 +367,8 @@
       Send(*flow, p, way);
       const auto until = std::min(end, Clock::now() + wait);
       wait = std::min(wait * 2, std::chrono::milliseconds(1600));
-      while (flow->state == Attempt::kOpen && Clock::now() < until) co_await Sleep(5ms);
+      while (flow->state == Attempt::kOpen && Clock::now() < until)
+        co_await Sleep(5ms);
     }
     if (flow->state == Attempt::kOpen) flow->state = Attempt::kSilent;
   }
@@ -380,7 +397,8 @@
     flow.last_way = instance;
     boost::system::error_code ignored;
     socket_.send_to(asio::buffer(Encode(p)),
-                    {asio::ip::make_address(instance), net_.data_port}, 0, ignored);
+                    {asio::ip::make_address(instance), net_.data_port}, 0,
+                    ignored);
   }
   asio::awaitable<void> Receive() {
     std::array<std::uint8_t, 2048> in{};
@@ -388,7 +406,8 @@
       udp::endpoint from;
       boost::system::error_code error;
       const std::size_t size = co_await socket_.async_receive_from(
-          asio::buffer(in), from, asio::redirect_error(asio::use_awaitable, error));
+          asio::buffer(in), from,
+          asio::redirect_error(asio::use_awaitable, error));
       if (error) continue;
       const auto p = Decode(in.data(), size);
       const auto it = p ? flows_.find(p->dport) : flows_.end();
@@ -401,8 +420,10 @@
   void OnPacket(ClientFlow& flow, const Packet& p) {
     if (p.flags & kRst) {
       const auto distance = static_cast<std::int32_t>(p.seq - flow.last_ack);
-      const bool valid = !flow.opened || (distance <= 76'800 && distance >= -76'800);
-      if (valid && (flow.state == Attempt::kOpening || flow.state == Attempt::kOpen)) {
+      const bool valid =
+          !flow.opened || (distance <= 76'800 && distance >= -76'800);
+      if (valid &&
+          (flow.state == Attempt::kOpening || flow.state == Attempt::kOpen)) {
         flow.state = Attempt::kReset;
         flow.reset_by_system = p.sum == 0;
       }
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -83,7 +83,8 @@
   }
   [[nodiscard]] std::uint64_t revision() const { return revision_; }
   [[nodiscard]] bool away() const { return away_; }
-  [[nodiscard]] bool Contains(const std::string& kind, const std::string& name) {
+  [[nodiscard]] bool Contains(const std::string& kind,
+                              const std::string& name) {
     return objects_[kind].contains(name);
   }
 
@@ -151,12 +152,14 @@
     for (const auto& timer : waiting) timer->cancel();
   }
   void ForgetOldHistory() {
-    while (!history_.empty() && Clock::now() - history_.front().time > kHistory) {
+    while (!history_.empty() &&
+           Clock::now() - history_.front().time > kHistory) {
       history_from_ = history_.front().revision;
       history_.pop_front();
     }
   }
-  static std::string Parameter(const std::string& query, const std::string& name) {
+  static std::string Parameter(const std::string& query,
+                               const std::string& name) {
     std::size_t at = 0;
     while (at < query.size()) {
       const std::size_t end = std::min(query.find('&', at), query.size());
@@ -213,23 +216,29 @@
       boost::beast::flat_buffer buffer;
       for (;;) {
         http::request<http::string_body> request;
-        co_await http::async_read(*socket, buffer, request, asio::use_awaitable);
-        const auto [status, body] = co_await Answer(std::string(request.target()));
+        co_await http::async_read(*socket, buffer, request,
+                                  asio::use_awaitable);
+        const auto [status, body] =
+            co_await Answer(std::string(request.target()));
         if (away_) break;
-        std::string reply = "HTTP/1.1 " + std::to_string(status) +
-                            " -\r\nContent-Type: application/json\r\nStore-Era: " +
-                            std::to_string(era_) + "\r\nContent-Length: " +
-                            std::to_string(body.size()) + "\r\n\r\n" + body;
+        std::string reply =
+            "HTTP/1.1 " + std::to_string(status) +
+            " -\r\nContent-Type: application/json\r\nStore-Era: " +
+            std::to_string(era_) +
+            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+            body;
         if (body.size() > 500'000) {
           log_("store: a reply of " + std::to_string(body.size()) +
                " bytes begins, " + std::string(request.target()));
         }
         for (std::size_t at = 0; at < reply.size();) {
-          const std::size_t size = std::min<std::size_t>(16384, reply.size() - at);
+          const std::size_t size =
+              std::min<std::size_t>(16384, reply.size() - at);
           asio::steady_timer timer(context_);
           timer.expires_at(link->Reserve(size));
           co_await timer.async_wait(asio::use_awaitable);
-          co_await asio::async_write(*socket, asio::buffer(reply.data() + at, size),
+          co_await asio::async_write(*socket,
+                                     asio::buffer(reply.data() + at, size),
                                      asio::use_awaitable);
           at += size;
         }
@@ -245,23 +254,27 @@
     co_await Sleep(4ms);
     const std::size_t mark = std::min(target.find('?'), target.size());
     const std::string kind = target.substr(path.size(), mark - path.size());
-    const std::string query = mark < target.size() ? target.substr(mark + 1) : "";
+    const std::string query =
+        mark < target.size() ? target.substr(mark + 1) : "";
     const std::string watch = Parameter(query, "Watch");
-    if (watch.empty()) co_return std::pair(200, List(kind, Parameter(query, "after")));
+    if (watch.empty())
+      co_return std::pair(200, List(kind, Parameter(query, "after")));
     const std::uint64_t since = std::stoull(watch);
     ForgetOldHistory();
     if (since < history_from_ || since > revision_) {
       co_return std::pair(410, std::string("{}"));
     }
     const auto until =
-        Clock::now() + std::chrono::milliseconds(std::stoul("0" + Parameter(query, "WaitMs")));
+        Clock::now() +
+        std::chrono::milliseconds(std::stoul("0" + Parameter(query, "WaitMs")));
     const std::uint64_t era = era_;
     while (Events(kind, since).empty() && Clock::now() < until && era == era_) {
       auto timer = std::make_shared<asio::steady_timer>(context_);
       timer->expires_at(until);
       waiting_.push_back(timer);
       boost::system::error_code ignored;
-      co_await timer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      co_await timer->async_wait(
+          asio::redirect_error(asio::use_awaitable, ignored));
     }
     co_return std::pair(200, R"({"events":[)" + Events(kind, since) +
                                  R"(],"CurrentRev":)" +
--- a/review/standins-3/storm.cc
+++ b/review/standins-3/storm.cc
@@ -27,61 +27,82 @@
 }
 
 // A flow to a route that the last version has added.
-asio::awaitable<void> LookAtAdded(World& world, Client& client, World::Instance& instance,
-                                  RouteText route, double acked, Result& result) {
-  const auto way = [&instance](std::uint16_t, const ClientFlow&) { return instance.address; };
+asio::awaitable<void> LookAtAdded(World& world, Client& client,
+                                  World::Instance& instance, RouteText route,
+                                  double acked, Result& result) {
+  const auto way = [&instance](std::uint16_t, const ClientFlow&) {
+    return instance.address;
+  };
   const double sent = world.Now();
-  const FlowPtr flow = client.Open(route.host, static_cast<std::uint16_t>(route.port));
+  const FlowPtr flow =
+      client.Open(route.host, static_cast<std::uint16_t>(route.port));
   co_await client.Connect(flow, way);
   ++result.looks;
   if (flow->state == Attempt::kOpen) {
     ++result.served;
   } else {
     ++(flow->state == Attempt::kReset ? result.reset : result.silent);
-    world.Log("client: opening at " + instance.name + " for the added route, sent " +
-              Seconds(sent - acked) + " after the ack: " + Name(flow->state));
+    world.Log("client: opening at " + instance.name +
+              " for the added route, sent " + Seconds(sent - acked) +
+              " after the ack: " + Name(flow->state));
   }
   client.Close(flow, way);
 }
 
 // A request to a route that the last version has dropped.
-asio::awaitable<void> LookAtDropped(World& world, Client& client, World::Instance& instance,
-                                    RouteText route, std::string id, double acked, Result& result) {
-  const auto way = [&instance](std::uint16_t, const ClientFlow&) { return instance.address; };
+asio::awaitable<void> LookAtDropped(World& world, Client& client,
+                                    World::Instance& instance, RouteText route,
+                                    std::string id, double acked,
+                                    Result& result) {
+  const auto way = [&instance](std::uint16_t, const ClientFlow&) {
+    return instance.address;
+  };
   const double sent = world.Now();
-  const FlowPtr flow = client.Open(route.host, static_cast<std::uint16_t>(route.port));
+  const FlowPtr flow =
+      client.Open(route.host, static_cast<std::uint16_t>(route.port));
   co_await client.Connect(flow, way);
   ++result.dropped_sent;
-  if (flow->state == Attempt::kOpen) co_await client.Request(flow, "POST", id, 2000ms, way);
+  if (flow->state == Attempt::kOpen)
+    co_await client.Request(flow, "POST", id, 2000ms, way);
   if (flow->state == Attempt::kAnswered) {
     ++result.dropped_run;
-    world.Log("client: request " + id + " at " + instance.name + " for the dropped route, sent " +
-              Seconds(sent - acked) + " after the ack: answered, it has run");
+    world.Log("client: request " + id + " at " + instance.name +
+              " for the dropped route, sent " + Seconds(sent - acked) +
+              " after the ack: answered, it has run");
   }
   client.Close(flow, way);
 }
 
 asio::awaitable<void> Run(World& world, int& exit_code) {
-  const Site site{.rules = "base,drain,config,cost,recover,health,flows,platform",
-                  .heartbeat_ms = 1200, .drain_ms = 5000, .config_ms = 5000, .grace_s = 6};
+  const Site site{
+      .rules = "base,drain,config,cost,recover,health,flows,platform",
+      .heartbeat_ms = 1200,
+      .drain_ms = 5000,
+      .config_ms = 5000,
+      .grace_s = 6};
   const std::vector<std::string> zones{"colima-a", "colima-b", "colima-c"};
   std::vector<std::unique_ptr<Endpoint>> endpoints;
   int number = 0;
   for (const std::string& zone : zones) {
     for (int i = 0; i < 2; ++i) {
       ++number;
-      endpoints.push_back(std::make_unique<Endpoint>(
-          world.net, world.TargetAddress(number), 0x7f3a91c200 + number, "citas", zone));
-      world.store->Put("servers", endpoints.back()->name(), endpoints.back()->Entry());
+      endpoints.push_back(
+          std::make_unique<Endpoint>(world.net, world.TargetAddress(number),
+                                     0x7f3a91c200 + number, "citas", zone));
+      world.store->Put("servers", endpoints.back()->name(),
+                       endpoints.back()->Entry());
     }
   }
   std::vector<RouteText> routes;
   for (int i = 0; i < kRoutes; ++i) {
-    routes.push_back({"198.18." + std::to_string(i / 250) + "." + std::to_string(1 + i % 250), 8080,
-                      "unsafe", "citas"});
+    routes.push_back({"198.18." + std::to_string(i / 250) + "." +
+                          std::to_string(1 + i % 250),
+                      8080, "unsafe", "citas"});
   }
   // Each storm ends with the drop of one of these.
-  for (int i = 0; i < kStorms; ++i) routes.push_back({"198.18.30." + std::to_string(1 + i), 9443, "unsafe", "citas"});
+  for (int i = 0; i < kStorms; ++i)
+    routes.push_back(
+        {"198.18.30." + std::to_string(1 + i), 9443, "unsafe", "citas"});
   int version = 7;
   const auto put = [&] {
     const std::string config = Config(version++, routes, {"citas"});
@@ -90,7 +111,8 @@
   };
   put();
   std::vector<World::Instance*> instances;
-  for (const std::string& zone : zones) instances.push_back(&world.AddInstance(zone, kLinkMbps));
+  for (const std::string& zone : zones)
+    instances.push_back(&world.AddInstance(zone, kLinkMbps));
   for (auto* instance : instances) world.Start(*instance, site);
   for (auto* instance : instances) {
     if (!co_await world.AwaitReady(*instance, 10)) {
@@ -106,29 +128,38 @@
   bool good = true;
   int request = 0;
   for (int storm = 0; storm < kStorms && !broken; ++storm) {
-    const RouteText dropped{"198.18.30." + std::to_string(1 + storm), 9443, "unsafe", "citas"};
+    const RouteText dropped{"198.18.30." + std::to_string(1 + storm), 9443,
+                            "unsafe", "citas"};
     const int count = World::HasTrouble() ? kVersions : 1;
     for (int i = 0; i < count; ++i) {
-      routes.push_back({"198.18.20." + std::to_string(1 + storm), 9000 + i, "unsafe", "citas"});
+      routes.push_back({"198.18.20." + std::to_string(1 + storm), 9000 + i,
+                        "unsafe", "citas"});
       if (i + 1 == count) {
-        std::erase_if(routes, [&](const RouteText& r) { return r.host == dropped.host; });
+        std::erase_if(
+            routes, [&](const RouteText& r) { return r.host == dropped.host; });
       }
       const std::size_t size = put();
       if (i == 0 || i + 1 == count) {
-        world.Log("operator: version " + std::to_string(version - 1) + " is acknowledged, " +
-                  std::to_string(size) + " bytes");
+        world.Log("operator: version " + std::to_string(version - 1) +
+                  " is acknowledged, " + std::to_string(size) + " bytes");
       }
       if (i + 1 < count) co_await Sleep(kGap);
     }
     const double acked = world.Now();
     const RouteText added = routes.back();
-    co_await Sleep(std::chrono::milliseconds(static_cast<int>(kApplyS * 1000) + 300));
+    co_await Sleep(
+        std::chrono::milliseconds(static_cast<int>(kApplyS * 1000) + 300));
     std::vector<Result> results(instances.size());
     while (world.Now() < acked + kWatchS) {
       for (std::size_t i = 0; i < instances.size(); ++i) {
-        asio::co_spawn(world.context, LookAtAdded(world, client, *instances[i], added, acked, results[i]), asio::detached);
+        asio::co_spawn(
+            world.context,
+            LookAtAdded(world, client, *instances[i], added, acked, results[i]),
+            asio::detached);
         asio::co_spawn(world.context,
-                       LookAtDropped(world, client, *instances[i], dropped, "dropped-" + std::to_string(++request), acked, results[i]),
+                       LookAtDropped(world, client, *instances[i], dropped,
+                                     "dropped-" + std::to_string(++request),
+                                     acked, results[i]),
                        asio::detached);
       }
       co_await Sleep(1s);
@@ -136,10 +167,13 @@
     co_await Sleep(3s);
     for (std::size_t i = 0; i < instances.size(); ++i) {
       const Result& r = results[i];
-      world.Log(instances[i]->name + ", later than ConfigApplyMs after the ack: " + std::to_string(r.looks) +
-                " openings for the added route, " + std::to_string(r.served) + " taken, " + std::to_string(r.reset) +
-                " reset, " + std::to_string(r.silent) + " without an answer; " + std::to_string(r.dropped_sent) +
-                " requests for the dropped route, " + std::to_string(r.dropped_run) + " run");
+      world.Log(
+          instances[i]->name + ", later than ConfigApplyMs after the ack: " +
+          std::to_string(r.looks) + " openings for the added route, " +
+          std::to_string(r.served) + " taken, " + std::to_string(r.reset) +
+          " reset, " + std::to_string(r.silent) + " without an answer; " +
+          std::to_string(r.dropped_sent) + " requests for the dropped route, " +
+          std::to_string(r.dropped_run) + " run");
       broken = broken || r.reset > 0 || r.dropped_run > 0;
       good = good && r.looks > 0;
     }
@@ -156,12 +190,14 @@
   int exit_code = 2;
   try {
     review::World world(argc > 1 ? argv[1] : ".");
-    review::asio::co_spawn(world.context, review::Run(world, exit_code), [&](std::exception_ptr error) {
-      if (error) world.context.stop();
-    });
+    review::asio::co_spawn(world.context, review::Run(world, exit_code),
+                           [&](std::exception_ptr error) {
+                             if (error) world.context.stop();
+                           });
     world.context.run();
     world.StopAll();
-    world.AppendLogs({"collection=routes", "store_check_failed", "store_reply_unusable"});
+    world.AppendLogs(
+        {"collection=routes", "store_check_failed", "store_reply_unusable"});
   } catch (const std::exception& error) {
     std::fprintf(stderr, "%s\n", error.what());
     return 2;
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -43,7 +43,8 @@
   ~World() { StopAll(); }
 
   void Log(const std::string& line) {
-    const double now = std::chrono::duration<double>(Clock::now() - start_).count();
+    const double now =
+        std::chrono::duration<double>(Clock::now() - start_).count();
     std::array<char, 32> time{};
     std::snprintf(time.data(), time.size(), "%8.3f  ", now);
     record_ << time.data() << line << std::endl;
@@ -72,7 +73,9 @@
     instance->address = "127.71." + subnet_ + "." + number;
     instance->store_address = "127.72." + subnet_ + "." + number;
     instance->link->bytes_per_s = link_mbps * 1e6 / 8;
-    store->Listen({asio::ip::make_address(instance->store_address), store_port_}, instance->link);
+    store->Listen(
+        {asio::ip::make_address(instance->store_address), store_port_},
+        instance->link);
     instances_.push_back(std::move(instance));
     Instance& added = *instances_.back();
     asio::co_spawn(context, CheckReady(added), asio::detached);
@@ -142,7 +145,8 @@
   }
   // The router: a hash of addresses and ports over the nodes of a zone that are
   // in rotation.
-  [[nodiscard]] std::string Route(const std::string& zone, std::uint16_t port) const {
+  [[nodiscard]] std::string Route(const std::string& zone,
+                                  std::uint16_t port) const {
     std::vector<const Instance*> all;
     std::vector<const Instance*> in_rotation;
     for (const auto& instance : instances_) {
@@ -162,7 +166,8 @@
       while (std::getline(log, line)) {
         for (const std::string& word : words) {
           if (line.find(word) == std::string::npos) continue;
-          record_ << "log of " << instance->name << ": " << line.substr(0, 240) << "\n";
+          record_ << "log of " << instance->name << ": " << line.substr(0, 240)
+                  << "\n";
           break;
         }
       }
@@ -213,7 +218,8 @@
         {"Listen.Ready", at(ready_port_)},
         {"InternalPorts.0", std::to_string(metrics_port_)},
         {"InternalPorts.1", std::to_string(peer_port_)},
-        {"platform.Address", instance.store_address + ":" + std::to_string(store_port_)},
+        {"platform.Address",
+         instance.store_address + ":" + std::to_string(store_port_)},
         {"Bounds.GraceS", std::to_string(site.grace_s)},
         {"Bounds.DrainMs", std::to_string(site.drain_ms)},
         {"Bounds.ConfigApplyMs", std::to_string(site.config_ms)},
@@ -227,7 +233,8 @@
     for (std::size_t begin; (begin = out.find("{{")) != std::string::npos;) {
       const std::size_t end = out.find("}}", begin);
       const auto value = values.find(out.substr(begin + 2, end - begin - 2));
-      out.replace(begin, end + 2 - begin, value == values.end() ? "" : value->second);
+      out.replace(begin, end + 2 - begin,
+                  value == values.end() ? "" : value->second);
     }
     return out;
   }
@@ -241,7 +248,8 @@
       instance.misses = good ? 0 : instance.misses + 1;
       const bool ready = good || (instance.ready && instance.misses < 2);
       if (ready != instance.ready) {
-        Log("router: " + instance.name + (ready ? " is in rotation" : " is out of rotation"));
+        Log("router: " + instance.name +
+            (ready ? " is in rotation" : " is out of rotation"));
       }
       instance.ready = ready;
     }
@@ -253,7 +261,8 @@
       co_await stream.async_connect(
           tcp::endpoint(asio::ip::make_address(instance.address), ready_port_),
           asio::use_awaitable);
-      http::request<http::empty_body> request{http::verb::get, "/sapphirestream/ready", 11};
+      http::request<http::empty_body> request{http::verb::get,
+                                              "/sapphirestream/ready", 11};
       request.set(http::field::host, instance.address);
       request.set(http::field::connection, "close");
       co_await http::async_write(stream, request, asio::use_awaitable);
@@ -272,7 +281,8 @@
   // Of this run, so that two runs do not meet.
   std::string subnet_ = std::to_string(1 + ::getpid() % 250);
   std::vector<std::unique_ptr<Instance>> instances_;
-  std::uint16_t ready_port_ = 0, metrics_port_ = 0, peer_port_ = 0, store_port_ = 0;
+  std::uint16_t ready_port_ = 0, metrics_port_ = 0, peer_port_ = 0,
+                store_port_ = 0;
 };
 
 struct RouteText {
@@ -284,21 +294,25 @@
 // A desired state as on the users' page.
 inline std::string Config(int version, const std::vector<RouteText>& routes,
                           const std::vector<std::string>& services) {
-  std::string text = R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)";
+  std::string text =
+      R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)";
   for (std::size_t i = 0; i < routes.size(); ++i) {
     const RouteText& route = routes[i];
     std::array<char, 16> name{};
-    std::snprintf(name.data(), name.size(), "r-%07zx", i * 2654435761U & 0xfffffff);
-    text += std::string(i ? "," : "") + R"({"Name":")" + name.data() + R"(","Host":")" +
-            route.host + R"(","PathPrefix":"/)" + std::to_string(route.port) +
-            R"(/","Type":")" + route.type +
-            R"(","TimeoutMs":3000,"TargetLatencyMs":250,"Priority":1,"Service":")" +
-            route.service + R"(","MaxAttempts":2})";
+    std::snprintf(name.data(), name.size(), "r-%07zx",
+                  i * 2654435761U & 0xfffffff);
+    text +=
+        std::string(i ? "," : "") + R"({"Name":")" + name.data() +
+        R"(","Host":")" + route.host + R"(","PathPrefix":"/)" +
+        std::to_string(route.port) + R"(/","Type":")" + route.type +
+        R"(","TimeoutMs":3000,"TargetLatencyMs":250,"Priority":1,"Service":")" +
+        route.service + R"(","MaxAttempts":2})";
   }
   text += R"(],"Services":[)";
   for (std::size_t i = 0; i < services.size(); ++i) {
-    text += std::string(i ? "," : "") + R"({"Name":")" + services[i] +
-            R"(","HealthPath":"/health","MaxFlows":2000,"Protocol":"h1","Tls":false})";
+    text +=
+        std::string(i ? "," : "") + R"({"Name":")" + services[i] +
+        R"(","HealthPath":"/health","MaxFlows":2000,"Protocol":"h1","Tls":false})";
   }
   return text +
          R"(],"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
