Review cases: replies to watches end after about 1 MB

Cause: the stand-in of the store sent any number of changes in one reply.

Change: replies to watches end after about 1 MB, with Truncated.

--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -182,13 +182,28 @@
            (it != all.end() ? "true" : "false") + R"(,"CurrentRev":)" +
            std::to_string(revision_) + "}";
   }
-  [[nodiscard]] std::string Events(const std::string& kind,
-                                   std::uint64_t since) const {
-    std::string events;
+  // The changes after a revision, about 1 MB at most, like the items of a list.
+  struct Events {
+    std::string text;
+    bool truncated = false;
+    // From where to continue.
+    std::uint64_t revision = 0;
+  };
+  [[nodiscard]] Events ChangesOf(const std::string& kind,
+                                 std::uint64_t since) const {
+    constexpr std::size_t limit = 1'000'000;
+    Events events;
+    events.revision = revision_;
     for (const Change& change : history_) {
       if (change.kind != kind || change.revision <= since) continue;
-      events += (events.empty() ? "" : ",") + change.text;
+      if (events.text.size() >= limit) {
+        events.truncated = true;
+        break;
+      }
+      events.text += (events.text.empty() ? "" : ",") + change.text;
+      events.revision = change.revision;
     }
+    if (!events.truncated) events.revision = revision_;
     return events;
   }
 
@@ -268,7 +283,8 @@
         Clock::now() +
         std::chrono::milliseconds(std::stoul("0" + Parameter(query, "WaitMs")));
     const std::uint64_t era = era_;
-    while (Events(kind, since).empty() && Clock::now() < until && era == era_) {
+    while (ChangesOf(kind, since).text.empty() && Clock::now() < until &&
+           era == era_) {
       auto timer = std::make_shared<asio::steady_timer>(context_);
       timer->expires_at(until);
       waiting_.push_back(timer);
@@ -276,9 +292,11 @@
       co_await timer->async_wait(
           asio::redirect_error(asio::use_awaitable, ignored));
     }
-    co_return std::pair(200, R"({"events":[)" + Events(kind, since) +
-                                 R"(],"CurrentRev":)" +
-                                 std::to_string(revision_) + "}");
+    const Events events = ChangesOf(kind, since);
+    co_return std::pair(
+        200, R"({"events":[)" + events.text + R"(],"Truncated":)" +
+                 (events.truncated ? "true" : "false") + R"(,"CurrentRev":)" +
+                 std::to_string(events.revision) + "}");
   }
 
   asio::io_context& context_;
--- a/review/standins-3/storm.cc
+++ b/review/standins-3/storm.cc
@@ -12,8 +12,14 @@
 constexpr double kApplyS = 5.0;
 constexpr double kWatchS = 24.0;
 constexpr int kStorms = 3;
-// Versions of a storm: 15 gaps of 80 ms are 1.2 s.
-constexpr int kVersions = 16;
+// Versions of a storm: 25 gaps of 80 ms are 2.0 s.
+constexpr int kVersions = 26;
+
+// The time budget of an order, and when the second request on a held flow is
+// sent, after the ack.
+constexpr auto kBudget = 4000ms;
+constexpr double kRollS = 5.5;
+constexpr double kSecondRequestS = 7.3;
 
 struct Result {
   int looks = 0, served = 0, reset = 0, silent = 0;
@@ -73,6 +79,47 @@
   client.Close(flow, way);
 }
 
+// A long flow on the added route: a request through the fast machine, and one
+// after that machine was stopped as planned, through the other of its zone.
+asio::awaitable<void> HoldFlow(World& world, Client& client, std::string zone,
+                               World::Instance& fast, RouteText route,
+                               std::string id, double acked, int& open,
+                               int& lost) {
+  const auto first = [&fast](std::uint16_t, const ClientFlow&) {
+    return fast.address;
+  };
+  const auto later = [&world, zone](std::uint16_t port, const ClientFlow&) {
+    return world.Route(zone, port);
+  };
+  const FlowPtr flow =
+      client.Open(route.host, static_cast<std::uint16_t>(route.port));
+  co_await client.Connect(flow, first);
+  if (flow->state != Attempt::kOpen) co_return;
+  co_await client.Request(flow, "POST", id + "-1", kBudget, first);
+  if (flow->state != Attempt::kAnswered) co_return;
+  ++open;
+  while (world.Now() < acked + kSecondRequestS) co_await Sleep(50ms);
+  flow->state = Attempt::kOpen;
+  co_await client.Request(flow, "POST", id + "-2", kBudget, later);
+  if (flow->state != Attempt::kAnswered) {
+    ++lost;
+    world.Log("client: request " + id + "-2 on the open flow, sent to " +
+              flow->last_way + ": " + Name(flow->state));
+  }
+  client.Close(flow, later);
+}
+
+// Stops and starts the machine as planned.
+asio::awaitable<void> Roll(World& world, World::Instance& instance, Site site,
+                           double at) {
+  while (world.Now() < at) co_await Sleep(50ms);
+  world.Log("planned work: SIGTERM to " + instance.name);
+  world.Signal(instance, SIGTERM);
+  while (!world.HasEnded(instance)) co_await Sleep(50ms);
+  while (world.Now() < at + 12) co_await Sleep(50ms);
+  world.Start(instance, site);
+}
+
 asio::awaitable<void> Run(World& world, int& exit_code) {
   const Site site{
       .rules = "base,drain,config,cost,recover,health,flows,platform",
@@ -113,6 +160,9 @@
   std::vector<World::Instance*> instances;
   for (const std::string& zone : zones)
     instances.push_back(&world.AddInstance(zone, kLinkMbps));
+  // One machine has a link of 200 Mbit/s.
+  World::Instance& fast = world.AddInstance(zones.front(), 200);
+  instances.push_back(&fast);
   for (auto* instance : instances) world.Start(*instance, site);
   for (auto* instance : instances) {
     if (!co_await world.AwaitReady(*instance, 10)) {
@@ -122,6 +172,7 @@
       co_return;
     }
   }
+  instances.pop_back();
   Client client(world.net, world.ClientAddress(1));
   co_await Sleep(7s);
   bool broken = false;
@@ -150,6 +201,16 @@
     co_await Sleep(
         std::chrono::milliseconds(static_cast<int>(kApplyS * 1000) + 300));
     std::vector<Result> results(instances.size());
+    int held = 0, lost = 0;
+    for (int i = 1; i <= 3; ++i) {
+      asio::co_spawn(
+          world.context,
+          HoldFlow(world, client, zones.front(), fast, added,
+                   "held-" + std::to_string(3 * storm + i), acked, held, lost),
+          asio::detached);
+    }
+    asio::co_spawn(world.context, Roll(world, fast, site, acked + kRollS),
+                   asio::detached);
     while (world.Now() < acked + kWatchS) {
       for (std::size_t i = 0; i < instances.size(); ++i) {
         asio::co_spawn(
@@ -165,6 +226,10 @@
       co_await Sleep(1s);
     }
     co_await Sleep(3s);
+    world.Log("long flows on the added route, opened through " + fast.name +
+              ": " + std::to_string(held) +
+              "; requests after it was stopped that were never answered: " +
+              std::to_string(lost));
     for (std::size_t i = 0; i < instances.size(); ++i) {
       const Result& r = results[i];
       world.Log(
