--- a/review/standins-3/flows.h
+++ b/review/standins-3/flows.h
@@ -121,6 +121,14 @@
   void set_draining(bool draining) { draining_ = draining; }
   // The time that a request takes.
   void set_work(Clock::duration work) { work_ = work; }
+  // The endpoint ends: it answers nothing more, and its address refuses
+  // connections.
+  void Exit() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    socket_.close(ignored);
+    flows_.clear();
+  }
   // Flows that it holds at most; it answers no opening packet beyond.
   void set_max_flows(std::size_t flows) { max_flows_ = flows; }
   [[nodiscard]] std::size_t flows() const { return flows_.size(); }
@@ -219,7 +227,7 @@
   asio::awaitable<void> Respond(Key key, std::string id) {
     co_await Sleep(work_);
     const auto it = flows_.find(key);
-    if (it == flows_.end()) co_return;
+    if (it == flows_.end() || !socket_.is_open()) co_return;
     const std::string body = "done " + id;
     const std::string reply =
         "HTTP/1.1 200 OK\r\nServer-Signature: " + name() +
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -36,6 +36,9 @@
   double bytes_per_s = 125e6;
   Clock::time_point free_at{};
   std::uint64_t bytes = 0;
+  // While the machine is cut off from the store, nothing passes; what is under
+  // way is held up.
+  bool cut = false;
 
   // Returns when a chunk of this size has passed.
   Clock::time_point Reserve(std::size_t size) {
@@ -235,6 +238,7 @@
                                   asio::use_awaitable);
         const auto [status, body] =
             co_await Answer(std::string(request.target()));
+        while (link->cut) co_await Sleep(10ms);
         if (away_) break;
         std::string reply =
             "HTTP/1.1 " + std::to_string(status) +
--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -52,6 +52,9 @@
   [[nodiscard]] double Now() const {
     return std::chrono::duration<double>(Clock::now() - start_).count();
   }
+  [[nodiscard]] double Since(Clock::time_point time) const {
+    return std::chrono::duration<double>(time - start_).count();
+  }
   [[nodiscard]] static bool HasTrouble() {
     const char* const value = std::getenv("TROUBLE");
     return value == nullptr || std::string(value) != "0";
