--- a/review/standins-3/world.h
+++ b/review/standins-3/world.h
@@ -125,15 +125,6 @@
     instance.ready = false;
     return true;
   }
-  // Peak of the memory that a process occupies, in KB.
-  [[nodiscard]] static long PeakKb(const Instance& instance) {
-    std::ifstream status("/proc/" + std::to_string(instance.pid) + "/status");
-    std::string line;
-    while (std::getline(status, line)) {
-      if (line.rfind("VmHWM:", 0) == 0) return std::stol(line.substr(6));
-    }
-    return 0;
-  }
   void StopAll() {
     for (auto& instance : instances_) Signal(*instance, SIGKILL);
     for (auto& instance : instances_) {
