--- a/test/platform/odd_entry_test.cc
+++ b/test/platform/odd_entry_test.cc
@@ -24,7 +24,8 @@
 std::vector<std::string> OddEntries() {
   std::vector<std::string> entries;
   for (const auto& specs :
-       {testing::UndecodableTargetSpecs(), testing::OutOfRangeTargetSpecs()}) {
+       {testing::UndecodableTargetSpecs(), testing::OutOfRangeTargetSpecs(),
+        testing::ForeignTargetSpecs()}) {
     for (const std::string& spec : specs) {
       entries.push_back(Entry("i-9", spec));
     }
@@ -110,6 +111,28 @@
   for (const std::string& odd : NamelessEntries()) CheckEverywhere(odd);
 }
 
+// An entry without `Version` that named the address of a living target retired
+// that target.
+BOOST_AUTO_TEST_CASE(an_entry_with_a_field_missing_or_of_another_type_is_odd) {
+  for (const std::string& spec : testing::ForeignTargetSpecs()) {
+    const auto reply = DecodeTargets(ListReply(Entry("i-9", spec)));
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(!reply->items.at(0).record.has_value(), spec);
+  }
+}
+
+// The page names no values of these fields that a target could not have.
+BOOST_AUTO_TEST_CASE(an_unknown_zone_or_version_is_not_odd) {
+  for (const std::string& spec :
+       {testing::TargetSpecWith("Zone", R"("nowhere")"),
+        testing::TargetSpecWith("Version", R"("0.0-\u00e4?")"),
+        testing::TargetSpecWith("Version", R"("")")}) {
+    const auto reply = DecodeTargets(ListReply(Entry("i-9", spec)));
+    BOOST_REQUIRE(reply.has_value());
+    BOOST_TEST(reply->items.at(0).record.has_value(), spec);
+  }
+}
+
 // The entry of a known target that was damaged must be found by its name.
 BOOST_AUTO_TEST_CASE(an_odd_entry_keeps_its_name_and_revision) {
   for (const std::string& odd : OddEntries()) {
--- a/testing/odd_target_specs.cc
+++ b/testing/odd_target_specs.cc
@@ -5,12 +5,14 @@
 std::string TargetSpecWith(const std::string& field, const std::string& value) {
   std::string spec;
   const auto add = [&](const std::string& name, const std::string& usual) {
+    if (name == field && value.empty()) return;
     spec += (spec.empty() ? "{\"" : ",\"") + name +
             "\":" + (name == field ? value : usual);
   };
   add("Service", R"("desk")");
   add("Address", R"("10.128.0.9:8080")");
   add("Zone", R"("a")");
+  add("Version", R"("v1")");
   add("Slots", "2");
   add("State", R"("ready")");
   add("ColdRemainingMs", "0");
@@ -35,6 +37,30 @@
           "{\"Service\":\"desk\"\x01}"};
 }
 
+std::vector<std::string> ForeignTargetSpecs() {
+  const std::vector<const char*> types{"null",        "true", "7",
+                                       R"("text")",   "1.5",  "[]",
+                                       R"(["text"])", "{}",   R"({"Value":7})"};
+  const auto is_text = [](const std::string& value) {
+    return value.front() == '"';
+  };
+  const auto is_number = [](const std::string& value) { return value == "7"; };
+  std::vector<std::string> specs;
+  const auto add = [&](const std::string& field, const auto& is_own_type) {
+    specs.push_back(TargetSpecWith(field, ""));
+    for (const char* const value : types) {
+      if (!is_own_type(value)) specs.push_back(TargetSpecWith(field, value));
+    }
+  };
+  for (const char* field : {"Service", "Address", "Zone", "Version", "State"}) {
+    add(field, is_text);
+  }
+  for (const char* field : {"Slots", "ColdRemainingMs", "Seq", "born"}) {
+    add(field, is_number);
+  }
+  return specs;
+}
+
 std::vector<std::string> OutOfRangeTargetSpecs() {
   std::vector<std::string> specs;
   const auto add = [&](const std::string& field, const std::string& value) {
@@ -48,9 +74,6 @@
        {"18446744073709551616", "1e400", "1.5", "-1", "\"2\"", "null", "true",
         "99999999999999999999999999999999999999999"}) {
     for (const char* field : {"Slots", "ColdRemainingMs", "Seq", "born"}) {
-      // A target may have no time of its start.
-      const bool is_missing = std::string(number) == "null";
-      if (is_missing && std::string(field) == "born") continue;
       add(field, number);
     }
   }
--- a/testing/odd_target_specs.h
+++ b/testing/odd_target_specs.h
@@ -9,7 +9,7 @@
 namespace sapphirestream::testing {
 
 // Returns the spec of a valid entry, as JSON, in which one field has another
-// value.
+// value, or is missing if the value is empty.
 [[nodiscard]] std::string TargetSpecWith(const std::string& field,
                                          const std::string& value);
 // Returns an array that contains `depth - 1` arrays within each other.
@@ -19,6 +19,8 @@
 // those of the second one have names, numbers or addresses out of range.
 [[nodiscard]] std::vector<std::string> UndecodableTargetSpecs();
 [[nodiscard]] std::vector<std::string> OutOfRangeTargetSpecs();
+// Each field of a valid entry in turn is missing, or of each other JSON type.
+[[nodiscard]] std::vector<std::string> ForeignTargetSpecs();
 
 }  // namespace sapphirestream::testing
 
