Decide by who answers which of several targets has an address

Cause: TargetDirectory::TakeAddress marked the holder of an address as gone for good on the word of any later entry that names it, and a probe that another target answered did the same. Nothing listed the holder again: its own entry does not change, so Upsert ignored it as known. A probe tells which target answers at an address, but its answer was never used to keep a target.

Logs: target_listed of the foreign entries, then probes with outcome=stranger that retire these as well. On target_directory/a_target_returns_when_the_other_entry_is_removed and .../moves failed.

Change: edge/address_claim decides from evidence with an age: which target last answered at the address (a flow that goes on, or an identity probe), and only without it, which one started and wrote its entry later. An answer within the time in which an address cannot be used again (new setting address-reuse-s) refutes a claim at once. A target whose address is in doubt gets no new flows until an identity probe tells; openings wait for it instead of being refused. The probes are paced, and the decision is taken anew whenever an entry, an answer or a service changes, so that it ends with its cause. Flows of an address that really has a new owner still do not reach it: the probe that the new one answers settles the claim.

--- a/src/sapphirestream/edge/edge_log.cc
+++ b/src/sapphirestream/edge/edge_log.cc
@@ -157,6 +157,15 @@
        {"life_age_ms", Milliseconds(now - target.health.last_progress())}});
 }
 
+void EdgeLog::ClaimChanged(const ClaimChange& change, TimePoint now) {
+  const bool is_held = change.status == ClaimStatus::kHeld;
+  log_.Write(is_held ? LogLevel::kInfo : LogLevel::kWarn, "target_address",
+             {{"target", ToString(change.target)},
+              {"address", ToString(change.address)},
+              {"status", Name(change.status)},
+              {"view_age_ms", ViewAge(now)}});
+}
+
 void EdgeLog::ProbeIgnored(const EdgeTarget& target, ProbeOutcome outcome,
                            TimePoint begun, TimePoint now) {
   log_.Write(LogLevel::kInfo, "probe_ignored",
--- a/src/sapphirestream/edge/edge_log.h
+++ b/src/sapphirestream/edge/edge_log.h
@@ -51,6 +51,9 @@
   void Probed(const EdgeTarget& target, ProbeOutcome outcome, TimePoint begun,
               TimePoint now);
 
+  // A target gained or lost its address.
+  void ClaimChanged(const ClaimChange& change, TimePoint now);
+
   // A probe ended that began before the target registered.
   void ProbeIgnored(const EdgeTarget& target, ProbeOutcome outcome,
                     TimePoint begun, TimePoint now);
--- a/src/sapphirestream/edge/edge_sink.h
+++ b/src/sapphirestream/edge/edge_sink.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string_view>
 
+#include "sapphirestream/base/clock.h"
 #include "sapphirestream/edge/edge_packet.h"
 #include "sapphirestream/edge/fwd.h"
 #include "sapphirestream/edge/target_health.h"
@@ -25,6 +26,14 @@
   std::optional<V4Endpoint> control;
 };
 
+struct ProbeResult {
+  ProbeOutcome outcome = ProbeOutcome::kFailed;
+  // When the probe was requested.
+  TimePoint begun{};
+  // The target that identified itself; zero if none did.
+  TargetKey answered_by{};
+};
+
 class EdgeSink {
  public:
   virtual ~EdgeSink() = default;
--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -1,5 +1,6 @@
 // Opening packets and timers. edge_steering_flows.cc handles the packets of
-// established flows, edge_steering_failover.cc lost targets, and
+// established flows, edge_steering_failover.cc lost targets,
+// edge_steering_addresses.cc targets with one address, and
 // edge_steering_routes.cc packets without a route.
 #include "sapphirestream/edge/edge_steering.h"
 
@@ -34,7 +35,8 @@
       unknown_tokens_(counters.Emplace("packets_unknown_token_total")),
       contradictory_(counters.Emplace("packets_contradictory_total")),
       repeats_(counters.Emplace("packets_repeated_total")),
-      probes_(counters.Emplace("target_probes_total")) {}
+      probes_(counters.Emplace("target_probes_total")),
+      unconfirmed_(counters.Emplace("target_addresses_unconfirmed")) {}
 
 void EdgeSteering::OnPacket(const EdgePacket& packet, TimePoint now,
                             const ViewGaps& gaps) {
@@ -119,7 +121,8 @@
 
 void EdgeSteering::OnNoTarget(const EdgePacket& packet, const Route& route,
                               TimePoint now) {
-  if (gaps_.targets_recovering || WillBeWarm(packet, route, now)) {
+  if (gaps_.targets_recovering || WillBeWarm(packet, route, now) ||
+      AwaitsConfirmation(packet, route, now)) {
     // A target may be available when the client retransmits; a reset would use
     // up one of the client's attempts.
     unplaced_.Add();
@@ -131,6 +134,17 @@
   sink_.Reset({packet.client, packet.service, 0});
 }
 
+bool EdgeSteering::AwaitsConfirmation(const EdgePacket& packet,
+                                      const Route& route, TimePoint now) const {
+  const std::vector<EdgeTarget*>& targets =
+      targets_.OfService(route.Pick(FlowHash(packet.client, packet.service)));
+  return std::any_of(
+      targets.begin(), targets.end(), [now](const EdgeTarget* target) {
+        return target->claim_status == ClaimStatus::kUnconfirmed &&
+               !target->record.draining && target->health.AcceptsNewFlows(now);
+      });
+}
+
 bool EdgeSteering::WillBeWarm(const EdgePacket& packet, const Route& route,
                               TimePoint now) const {
   const PlacementQuery query = selector_.QueryFor(packet.client, packet.service,
@@ -249,6 +263,7 @@
   ExpireRequests(now);
   CheckUnansweredOpenings(now);
   RecheckUnreachable(now);
+  ConfirmAddresses(now);
 }
 
 std::optional<TimePoint> EdgeSteering::NextDeadline() const noexcept {
@@ -257,6 +272,8 @@
   if (!unreachable_.empty() && (!next || next_recheck_ < *next)) {
     next = next_recheck_;
   }
+  const auto next_probe = address_probes_.NextDue();
+  if (next_probe && (!next || *next_probe < *next)) next = next_probe;
   return next;
 }
 
--- a/src/sapphirestream/edge/edge_steering.h
+++ b/src/sapphirestream/edge/edge_steering.h
@@ -20,6 +20,7 @@
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/counter.h"
+#include "sapphirestream/edge/address_probes.h"
 #include "sapphirestream/edge/admission_control.h"
 #include "sapphirestream/edge/domain_reachability.h"
 #include "sapphirestream/edge/edge_log.h"
@@ -88,9 +89,10 @@
   // Drops an opening packet that arrived before the view was read again after a
   // pause; the client retransmits it.
   void DropOpening(const EdgePacket& packet, TimePoint now);
-  // `begun` is when the probe was requested.
-  void OnProbe(TargetKey key, ProbeOutcome outcome, TimePoint begun,
-               TimePoint now);
+  void OnProbe(TargetKey key, const ProbeResult& result, TimePoint now);
+  // The targets have been read. Probes those whose address another target
+  // claims.
+  void OnTargetsRead(TimePoint now);
   // The routes have been read: they contain every change that was acknowledged
   // before `complete_until`; unset if that is not known. Resets the waiting
   // flows whose route was dropped.
@@ -146,6 +148,10 @@
   // Opening packets (SYN).
   void OnOpening(const EdgePacket& packet, const Route& route, TimePoint now);
   void OnNoTarget(const EdgePacket& packet, const Route& route, TimePoint now);
+  // Whether the service has a target that a probe of its address may confirm.
+  [[nodiscard]] bool AwaitsConfirmation(const EdgePacket& packet,
+                                        const Route& route,
+                                        TimePoint now) const;
   // Whether the client will send the opening packet again when a target that is
   // cold now can be selected.
   [[nodiscard]] bool WillBeWarm(const EdgePacket& packet, const Route& route,
@@ -204,11 +210,17 @@
   [[nodiscard]] bool IsPathSuspect(ServiceNumber service) const;
   // Probes the unreachable targets that are due.
   void RecheckUnreachable(TimePoint now);
+  // Probes the targets whose claim of their address is due to be confirmed.
+  void ConfirmAddresses(TimePoint now);
+  void OnAddressProbe(EdgeTarget& target, const ProbeResult& result);
+  void LogClaimChanges(TimePoint now);
   void OnTargetProgress(EdgeTarget& target, TimePoint now);
   // Returns a target other than `target` that is known to answer.
   [[nodiscard]] std::optional<V4Endpoint> ControlFor(const EdgeTarget& target,
                                                      TimePoint now) const;
   [[nodiscard]] static bool IsUnreachable(const EdgeTarget& target) noexcept;
+  // Whether the target is listed and no other one has answered at its address.
+  [[nodiscard]] static bool IsPresent(const EdgeTarget& target) noexcept;
   // Whether the flow's pending request may be reset if its target is lost.
   [[nodiscard]] static bool IsResettable(const CachedFlow& flow,
                                          const Route& route,
@@ -264,6 +276,7 @@
   // flows, and kept here while they are gone, since they may register again.
   std::vector<TargetKey> unreachable_;
   TimePoint next_recheck_{};
+  AddressProbes address_probes_;
   // The two targets with the most recent progress, the latest one first.
   std::array<Progress, 2> progress_;
   TimePoint last_refresh_{};
@@ -281,6 +294,7 @@
   Counter& contradictory_;
   Counter& repeats_;
   Counter& probes_;
+  Counter& unconfirmed_;
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge/edge_steering_failover.cc
+++ b/src/sapphirestream/edge/edge_steering_failover.cc
@@ -49,6 +49,7 @@
 void EdgeSteering::OnTargetProgress(EdgeTarget& target, TimePoint now) {
   OnDomainAnswer(target, now);
   target.health.OnFlowProgress(now);
+  targets_.OnAnswer(target, now);
   if (progress_[0].target != target.record.key) progress_[1] = progress_[0];
   progress_[0] = {target.record.key, target.record.address, now};
 }
@@ -63,8 +64,9 @@
   return latest.address;
 }
 
-void EdgeSteering::OnProbe(TargetKey key, ProbeOutcome outcome, TimePoint begun,
+void EdgeSteering::OnProbe(TargetKey key, const ProbeResult& result,
                            TimePoint now) {
+  const auto [outcome, begun, answered_by] = result;
   EdgeTarget* const target = targets_.Find(key);
   if (target == nullptr) return;
   if (!target->health.IsValid(begun)) {
@@ -74,7 +76,7 @@
   const bool was_unreachable = IsUnreachable(*target);
   const bool is_path_suspect = IsPathSuspect(target->service);
   const bool became_unreachable = target->health.OnProbe(outcome, begun, now);
-  if (outcome == ProbeOutcome::kStranger) targets_.Retire(*target, now);
+  OnAddressProbe(*target, result);
   if (outcome == ProbeOutcome::kSilent || outcome == ProbeOutcome::kRefused) {
     OnDomainUnreachable(*target, begun, now);
   } else if (outcome != ProbeOutcome::kFailed) {
@@ -92,6 +94,7 @@
   if (became_unreachable || target->has_waiting_request) {
     FailOverFlows(*target, now);
   }
+  ConfirmAddresses(now);
   std::erase_if(openings_awaiting_probe_, [this](const Opening& opening) {
     return !IsAwaitingProbe(opening);
   });
@@ -160,12 +163,14 @@
   return target.health.state() == Reachability::kUnreachable;
 }
 
+bool EdgeSteering::IsPresent(const EdgeTarget& target) noexcept {
+  return target.listing == TargetPresence::kListed && !target.claim.IsDenied();
+}
+
 bool EdgeSteering::IsResettable(const CachedFlow& flow, const Route& route,
                                 const EdgeTarget& target) noexcept {
   // A draining target may refuse connections while it completes its flows.
-  if (target.record.draining && target.presence == TargetPresence::kListed) {
-    return false;
-  }
+  if (target.record.draining && IsPresent(target)) return false;
   // The target may be unreachable only from this instance, so it may still
   // process a request that must not run twice and answer the client directly.
   return flow.phase == FlowPhase::kOpen && flow.waiting &&
@@ -180,7 +185,7 @@
   if (!target.health.IsLostSince(flow.waiting_since, now)) return false;
   return flow.repeats > 0 ||
          target.health.failed_probes() >= min_failed_probes ||
-         target.presence == TargetPresence::kGone;
+         target.listing == TargetPresence::kGone || target.claim.IsDenied();
 }
 
 void EdgeSteering::ProbeForPacket(const CachedFlow& flow, const Route& route,
--- a/src/sapphirestream/edge/placement_explanation.cc
+++ b/src/sapphirestream/edge/placement_explanation.cc
@@ -19,6 +19,9 @@
 
 // Returns why a target must not be selected.
 SelectionOutcome ExclusionOf(const EdgeTarget& target) {
+  if (target.claim_status != ClaimStatus::kHeld) {
+    return SelectionOutcome::kContested;
+  }
   if (target.presence == TargetPresence::kGone) return SelectionOutcome::kGone;
   if (target.record.draining) return SelectionOutcome::kDraining;
   if (target.evacuated) return SelectionOutcome::kEvacuated;
@@ -149,9 +152,10 @@
 }  // namespace
 
 std::string_view Name(SelectionOutcome outcome) noexcept {
-  constexpr std::array<std::string_view, 10> names{
-      "gone",     "draining", "evacuated",    "unreachable", "cold",
-      "unproven", "queue",    "other_domain", "lower_rank",  "selected"};
+  constexpr std::array<std::string_view, 11> names{
+      "gone",         "contested",  "draining", "evacuated",
+      "unreachable",  "cold",       "unproven", "queue",
+      "other_domain", "lower_rank", "selected"};
   return names[static_cast<std::size_t>(outcome)];
 }
 
--- a/src/sapphirestream/edge/placement_explanation.h
+++ b/src/sapphirestream/edge/placement_explanation.h
@@ -21,9 +21,10 @@
 
 namespace sapphirestream {
 
-// Why a target is not selected. The first five exclude it altogether.
+// Why a target is not selected. The first six exclude it altogether.
 enum class SelectionOutcome : std::uint8_t {
   kGone,         // not listed any more
+  kContested,    // another target has its address, or may have it
   kDraining,     // gets no new flows
   kEvacuated,    // its failure domain is evacuated
   kUnreachable,  // probes found no target there
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -13,7 +13,9 @@
   // The target has written its entry again while it was missing or gone. The
   // copy of a restored store does not show that.
   bool registered_again = false;
-  // The entry is the copy of a restored store, and the target was gone.
+  // The entry is the copy of a restored store.
+  bool is_copy = false;
+  // The same, and the target was gone.
   bool is_copy_of_gone = false;
   bool moved = false;
   bool affects_flows = false;
@@ -23,11 +25,12 @@
 EntryChange ChangeOf(const EdgeTarget& target, bool is_new,
                      const TargetRecord& record, StoreRevision revision) {
   const bool was_listed = target.presence == TargetPresence::kListed;
-  const bool is_copy = !is_new && target.revision.era < revision.era;
   EntryChange change;
+  change.is_copy = !is_new && target.revision.era < revision.era;
   change.restarted = is_new || target.record.incarnation != record.incarnation;
-  change.registered_again = !was_listed && !is_copy;
-  change.is_copy_of_gone = is_copy && target.presence == TargetPresence::kGone;
+  change.registered_again = !was_listed && !change.is_copy;
+  change.is_copy_of_gone =
+      change.is_copy && target.presence == TargetPresence::kGone;
   change.moved = target.record.address != record.address;
   change.affects_flows = change.restarted || !was_listed || change.moved ||
                          target.record.draining != record.draining ||
@@ -63,6 +66,7 @@
     RemoveFromIndexes(target);
   }
   const EntryChange change = ChangeOf(target, is_new, record, revision);
+  const V4Endpoint former_address = target.record.address;
   if (change.restarted || change.registered_again || change.moved) {
     target.health = TargetHealth(now);
   }
@@ -71,7 +75,6 @@
   if (change.restarted) {
     target.usable_from = propagated ? now : now + kPropagationDelay;
     target.cold_until = cold_until;
-    target.owns_address = false;
   } else {
     if (change.is_copy_of_gone) {
       target.usable_from = now + entry_lifetime_ + kPropagationDelay;
@@ -80,7 +83,10 @@
   }
   SetEntry(target, record, revision);
   AddToIndexes(target);
-  TakeAddress(target, now);
+  UpdateClaim(target, revision, change.restarted || change.moved,
+              change.is_copy, now);
+  if (change.moved) UpdateClaimsAt(former_address);
+  UpdateClaimsAt(record.address);
   return change.affects_flows ? EntryOutcome::kApplied
                               : EntryOutcome::kUnchanged;
 }
@@ -90,7 +96,7 @@
   target.record = record;
   target.revision = revision;
   target.service = routes_.Number(record.service);
-  target.presence = TargetPresence::kListed;
+  target.listing = TargetPresence::kListed;
   target.is_local = record.domain == domain_;
   target.evacuated = IsEvacuated(record.domain);
   const auto cut_off = cut_off_.find(record.domain);
@@ -117,23 +123,88 @@
   });
 }
 
-void TargetDirectory::TakeAddress(EdgeTarget& target, TimePoint now) {
-  // Any writer may name any address under a service of its own.
-  if (target.owns_address || !routes_.IsConfigured(target.service)) return;
-  target.owns_address = true;
-  const auto [begin, end] = by_address_.equal_range(target.record.address);
+void TargetDirectory::UpdateClaim(EdgeTarget& target, StoreRevision revision,
+                                  bool is_new_claim, bool is_copy,
+                                  TimePoint now) {
+  AddressClaim& claim = target.claim;
+  if (is_new_claim) {
+    claim = {.incarnation = target.record.incarnation,
+             .written = revision,
+             .made = now};
+  } else if (!is_copy) {
+    claim.written = revision;
+    claim.denied = {};
+  }
+}
+
+void TargetDirectory::UpdateClaimsAt(V4Endpoint address) {
+  const auto [begin, end] = by_address_.equal_range(address);
+  std::vector<EdgeTarget*> claimants;
   for (auto it = begin; it != end; ++it) {
-    EdgeTarget& other = *it->second;
-    if (other.record.incarnation < target.record.incarnation) {
-      Retire(other, now);
+    if (it->second->listing == TargetPresence::kGone) {
+      it->second->is_contested = false;
+      SetClaimStatus(*it->second, ClaimStatus::kHeld);
+    } else {
+      claimants.push_back(it->second);
+    }
+  }
+  for (EdgeTarget* const target : claimants) {
+    std::vector<AddressClaim> rivals;
+    for (const EdgeTarget* const other : claimants) {
+      // Any writer may name any address under a service of its own.
+      if (other != target && routes_.IsConfigured(other->service)) {
+        rivals.push_back(other->claim);
+      }
     }
+    target->is_contested = !rivals.empty() || target->claim.IsDenied();
+    SetClaimStatus(*target,
+                   StatusOf(target->claim, rivals, address_reuse_delay_));
   }
 }
 
-void TargetDirectory::OnServicesConfigured(TimePoint now) {
+void TargetDirectory::SetClaimStatus(EdgeTarget& target, ClaimStatus status) {
+  const TargetKey key = target.record.key;
+  if (target.claim_status != status &&
+      target.listing != TargetPresence::kGone) {
+    claim_changes_.push_back({key, target.record.address, status});
+  }
+  target.claim_status = status;
+  target.presence =
+      status == ClaimStatus::kHeld ? target.listing : TargetPresence::kGone;
+  if (status == ClaimStatus::kUnconfirmed) {
+    unconfirmed_.insert(key);
+  } else {
+    unconfirmed_.erase(key);
+  }
+}
+
+void TargetDirectory::OnAnswer(EdgeTarget& target, TimePoint at) {
+  target.claim.seen = std::max(target.claim.seen, at);
+  if (target.is_contested) UpdateClaimsAt(target.record.address);
+}
+
+void TargetDirectory::OnOtherAnswer(EdgeTarget& target, TargetKey answered_by,
+                                    TimePoint begun) {
+  target.claim.denied = std::max(target.claim.denied, begun);
+  EdgeTarget* const other = Find(answered_by);
+  if (other != nullptr && other->record.address == target.record.address) {
+    other->claim.seen = std::max(other->claim.seen, begun);
+  }
+  UpdateClaimsAt(target.record.address);
+}
+
+void TargetDirectory::ForgetAnswers() {
   for (auto& [key, target] : targets_) {
-    if (target.presence == TargetPresence::kListed) TakeAddress(target, now);
+    target.claim.seen = {};
+    target.claim.denied = {};
   }
+  UpdateAllClaims();
+}
+
+void TargetDirectory::OnServicesConfigured() { UpdateAllClaims(); }
+
+void TargetDirectory::UpdateAllClaims() {
+  for (auto& [key, target] : targets_) UpdateClaimsAt(target.record.address);
 }
 
 bool TargetDirectory::SetEvacuated(const std::string& domain, bool evacuated,
@@ -164,12 +235,6 @@
                                now + routes_.SpecOf(target.service).cold_start);
 }
 
-void TargetDirectory::Retire(EdgeTarget& target, TimePoint now) noexcept {
-  if (target.presence == TargetPresence::kGone) return;
-  target.presence = TargetPresence::kGone;
-  target.unlisted_at = now;
-}
-
 EntryOutcome TargetDirectory::Erase(TargetKey key, StoreRevision revision,
                                     bool store_was_unavailable, TimePoint now) {
   EdgeTarget* target = Find(key);
@@ -177,31 +242,37 @@
   if (revision < target->revision) return EntryOutcome::kOutdated;
   const bool is_restored = target->revision.era < revision.era;
   target->revision = revision;
-  if (is_restored && target->presence == TargetPresence::kMissing) {
+  if (is_restored && target->listing == TargetPresence::kMissing) {
     target->unlisted_at = now;
   }
-  if (target->presence != TargetPresence::kListed) {
+  if (target->listing != TargetPresence::kListed) {
     return EntryOutcome::kUnchanged;
   }
   const bool may_return = store_was_unavailable && !target->record.draining;
-  target->presence =
+  target->listing =
       may_return ? TargetPresence::kMissing : TargetPresence::kGone;
   target->unlisted_at = now;
+  UpdateClaimsAt(target->record.address);
   return EntryOutcome::kApplied;
 }
 
 void TargetDirectory::ForgetRevisions() noexcept {
-  for (auto& [key, target] : targets_) target.revision = {};
+  for (auto& [key, target] : targets_) {
+    target.revision = {};
+    target.claim.written = {};
+  }
 }
 
 void TargetDirectory::Expire(TimePoint now, TimePoint confirmed) {
   for (auto it = targets_.begin(); it != targets_.end();) {
     EdgeTarget& target = it->second;
-    if (target.presence == TargetPresence::kMissing &&
+    if (target.listing == TargetPresence::kMissing &&
         confirmed - target.unlisted_at >= kReregistrationGrace) {
-      Retire(target, now);
+      target.listing = TargetPresence::kGone;
+      target.unlisted_at = now;
+      UpdateClaimsAt(target.record.address);
     }
-    if (target.presence == TargetPresence::kGone &&
+    if (target.listing == TargetPresence::kGone &&
         now - target.unlisted_at >= kGoneRetention) {
       RemoveFromIndexes(target);
       it = targets_.erase(it);
@@ -247,7 +318,7 @@
 std::size_t TargetDirectory::listed() const noexcept {
   return static_cast<std::size_t>(
       std::count_if(targets_.begin(), targets_.end(), [](const auto& entry) {
-        return entry.second.presence == TargetPresence::kListed;
+        return entry.second.listing == TargetPresence::kListed;
       }));
 }
 
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -5,14 +5,17 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/store_revision.h"
+#include "sapphirestream/edge/address_claim.h"
 #include "sapphirestream/edge/flow_token.h"
 #include "sapphirestream/edge/fwd.h"
 #include "sapphirestream/edge/route_table.h"
@@ -42,6 +45,9 @@
 struct EdgeTarget {
   TargetRecord record;
   ServiceNumber service{};
+  // As service discovery has it.
+  TargetPresence listing = TargetPresence::kListed;
+  // The same, but kGone while another target has its address, or may have it.
   TargetPresence presence = TargetPresence::kListed;
   // Store revision of the entry. Entries with an earlier one are ignored.
   StoreRevision revision;
@@ -58,14 +64,22 @@
   TimePoint unlisted_at{};
   // Requests forwarded by this instance that are still in progress.
   std::uint32_t outstanding = 0;
-  // Whether earlier targets at its address have been retired. Only a target of
-  // a configured service takes its address from them.
-  bool owns_address = false;
+  AddressClaim claim;
+  ClaimStatus claim_status = ClaimStatus::kHeld;
+  // Whether what answers at its address can change a claim.
+  bool is_contested = false;
   // Whether a request that may be reset waits for a probe of this target.
   bool has_waiting_request = false;
   TargetHealth health;
 };
 
+// A target gained or lost its address.
+struct ClaimChange {
+  TargetKey target{};
+  V4Endpoint address;
+  ClaimStatus status = ClaimStatus::kHeld;
+};
+
 class TargetDirectory {
  public:
   // Delay before a new target gets flows: the packets of a flow may arrive at
@@ -86,10 +100,15 @@
   // Heartbeats that a target must miss until its entry expires.
   static constexpr int kHeartbeatsPerLifetime = 3;
 
-  // `domain` is the failure domain of this instance.
+  // `domain` is the failure domain of this instance. `address_reuse_delay`: see
+  // StatusOf; zero if it is not known.
   TargetDirectory(RouteTable& routes, std::string_view domain,
-                  Duration entry_lifetime = kDefaultEntryLifetime)
-      : routes_(routes), domain_(domain), entry_lifetime_(entry_lifetime) {}
+                  Duration entry_lifetime = kDefaultEntryLifetime,
+                  Duration address_reuse_delay = Duration::zero())
+      : routes_(routes),
+        domain_(domain),
+        entry_lifetime_(entry_lifetime),
+        address_reuse_delay_(address_reuse_delay) {}
 
   // Adds or updates a target, unless a later revision is known. `propagated`:
   // the other instances know the entry as well. The first entry after the store
@@ -107,8 +126,8 @@
   // kApplied if the target was listed.
   EntryOutcome Erase(TargetKey key, StoreRevision revision,
                      bool store_was_unavailable, TimePoint now);
-  // Applies the entries of services that were unknown when they were read.
-  void OnServicesConfigured(TimePoint now);
+  // Decides the claims of services that were unknown when they were read.
+  void OnServicesConfigured();
   // Sets whether a failure domain is evacuated. When an evacuation ends, the
   // domain's targets count as cold: they may have become so without an entry
   // that shows it yet. Returns whether this is a change.
@@ -122,8 +141,23 @@
   [[nodiscard]] bool IsEvacuated(const std::string& domain) const {
     return evacuated_.contains(domain);
   }
-  // Marks a target as gone, regardless of service discovery.
-  static void Retire(EdgeTarget& target, TimePoint now) noexcept;
+  // The target has answered at its address: it is not another one that has it.
+  void OnAnswer(EdgeTarget& target, TimePoint at);
+  // Another target has answered a probe of the target's address that began at
+  // `begun`. `answered_by`: its key; zero if it is not known.
+  void OnOtherAnswer(EdgeTarget& target, TargetKey answered_by,
+                     TimePoint begun);
+  // Targets that are listed or missing and whose address another one may have.
+  [[nodiscard]] const std::set<TargetKey>& unconfirmed() const noexcept {
+    return unconfirmed_;
+  }
+  // Returns the changes of claims since the last call.
+  [[nodiscard]] std::vector<ClaimChange> TakeClaimChanges() {
+    return std::exchange(claim_changes_, {});
+  }
+  // What was observed before a pause of the process does not count any more:
+  // its clock may have stood still.
+  void ForgetAnswers();
   // Makes the next entry or removal of each target count, whatever its
   // revision. For use when another store is read, whose revisions are
   // unrelated.
@@ -168,13 +202,18 @@
                                   const EdgeTarget& held) const;
   // Whether a target that started later has the same address.
   [[nodiscard]] bool HasLaterOwner(const TargetRecord& record) const;
-  // An address that is reused by a new target shows that its previous owner has
-  // stopped.
-  void TakeAddress(EdgeTarget& target, TimePoint now);
+  // Updates a target's claim of its address after its entry has changed.
+  static void UpdateClaim(EdgeTarget& target, StoreRevision revision,
+                          bool is_new_claim, bool is_copy, TimePoint now);
+  // Decides again which of the targets at an address has it.
+  void UpdateClaimsAt(V4Endpoint address);
+  void UpdateAllClaims();
+  void SetClaimStatus(EdgeTarget& target, ClaimStatus status);
 
   RouteTable& routes_;
   std::string domain_;
   Duration entry_lifetime_;
+  Duration address_reuse_delay_;
   std::unordered_set<std::string> evacuated_;
   std::unordered_map<std::string, TimePoint> cut_off_;
   // The indexes point into this node-based map; pointers to its elements stay
@@ -183,6 +222,8 @@
   std::unordered_multimap<FlowToken, EdgeTarget*> by_token_;
   std::unordered_map<ServiceNumber, std::vector<EdgeTarget*>> by_service_;
   std::unordered_multimap<V4Endpoint, EdgeTarget*, V4EndpointHash> by_address_;
+  std::set<TargetKey> unconfirmed_;
+  std::vector<ClaimChange> claim_changes_;
 };
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -80,7 +80,8 @@
       read_settings_(std::move(read_settings)),
       random_(std::random_device{}()),
       targets_(routes_, settings.domain,
-               TargetDirectory::kHeartbeatsPerLifetime * settings.heartbeat),
+               TargetDirectory::kHeartbeatsPerLifetime * settings.heartbeat,
+               settings.address_reuse),
       flow_log_(log, routes_),
       load_(settings.IsInForce(PlatformRule::kTargetHealth)
                 ? std::make_unique<LoadDecisions>(targets_)
@@ -244,6 +245,8 @@
   steering_.OnRoutesRead(view_.RoutesConfirmedUntil(), now);
   OnViewChanged();
   targets_.Expire(now, view_.targets_age().complete_until());
+  steering_.OnTargetsRead(now);
+  ArmSteering();
   view_.ExpireEvacuations();
   if (now - last_settings_check_ >= kSettingsCheckPeriod) {
     last_settings_check_ = now;
@@ -273,6 +276,7 @@
                std::chrono::duration_cast<std::chrono::milliseconds>(*pause)
                    .count()}});
   view_.Invalidate();
+  targets_.ForgetAnswers();
   // Pending calls may be waiting for a response on a broken connection.
   StartReaders();
 }
@@ -282,6 +286,8 @@
       target_reader_->CompleteUntil(), route_reader_->CompleteUntil(),
       evacuation_reader_ ? evacuation_reader_->CompleteUntil() : TimePoint{});
   steering_.OnRoutesRead(view_.RoutesConfirmedUntil(), clock_.Now());
+  steering_.OnTargetsRead(clock_.Now());
+  ArmSteering();
   checker_->Run();
   if (peers_) peers_->OnStoreRead();
   OnViewChanged();
@@ -321,6 +327,7 @@
       next->domain != settings_.domain || next->data != settings_.data ||
       next->ready != settings_.ready || next->metrics != settings_.metrics ||
       next->heartbeat != settings_.heartbeat ||
+      next->address_reuse != settings_.address_reuse ||
       next->EvacuatesDomains() != settings_.EvacuatesDomains() ||
       next->IsInForce(PlatformRule::kTargetHealth) != (load_ != nullptr) ||
       next->peer != settings_.peer ||
@@ -374,11 +381,11 @@
 void EdgeInstance::Reset(const ClientReset& reset) { port_->SendReset(reset); }
 
 void EdgeInstance::Probe(const ProbeRequest& probe) {
-  prober_.Probe(probe, [this, target = probe.target](ProbeOutcome outcome,
-                                                     TimePoint begun) {
-    steering_.OnProbe(target, outcome, begun, clock_.Now());
-    ArmSteering();
-  });
+  prober_.Probe(probe,
+                [this, target = probe.target](const ProbeResult& result) {
+                  steering_.OnProbe(target, result, clock_.Now());
+                  ArmSteering();
+                });
 }
 
 void EdgeInstance::RefreshTargets() { target_reader_->Refresh(); }
--- a/src/sapphirestream/edge_io/edge_settings.cc
+++ b/src/sapphirestream/edge_io/edge_settings.cc
@@ -211,6 +211,16 @@
                [](std::string_view v, EdgeSettings& s) {
                  return AssignMs(v, 10, 600000, s.heartbeat);
                }},
+    SettingRow{"address-reuse-s", "",
+               "shortest time between the end of a target and the start of "
+               "another one at its address in seconds; empty if not known",
+               [](std::string_view v, EdgeSettings& s) -> std::string {
+                 s.address_reuse = {};
+                 if (v.empty()) return {};
+                 return AssignTime(v, std::chrono::seconds(0),
+                                   std::chrono::seconds(3600), "seconds",
+                                   s.address_reuse);
+               }},
     SettingRow{"flow-capacity", "2048",
                "flows tracked for load and failure detection",
                [](std::string_view v, EdgeSettings& s) {
--- a/src/sapphirestream/edge_io/edge_settings.h
+++ b/src/sapphirestream/edge_io/edge_settings.h
@@ -79,6 +79,9 @@
   std::optional<Endpoint> peer;
   // Interval at which targets confirm their entries.
   std::chrono::milliseconds heartbeat{};
+  // Shortest time between the end of a target and the start of another one at
+  // its address; zero if it is not known.
+  std::chrono::milliseconds address_reuse{};
   std::size_t flow_capacity = 0;
   // Maximum number of log lines per event in 10 s; further lines are only
   // counted.
--- a/src/sapphirestream/edge_io/edge_view.cc
+++ b/src/sapphirestream/edge_io/edge_view.cc
@@ -64,8 +64,8 @@
   std::vector<TargetKey> vanished;
   targets_.ForEach([&](const EdgeTarget& target) {
     const bool is_expected =
-        target.presence == TargetPresence::kListed ||
-        (is_first_of_era && target.presence == TargetPresence::kMissing);
+        target.listing == TargetPresence::kListed ||
+        (is_first_of_era && target.listing == TargetPresence::kMissing);
     if (is_expected && !seen.contains(target.record.key)) {
       vanished.push_back(target.record.key);
     }
@@ -178,7 +178,7 @@
   }
   config_entry_ = item.name;
   has_all_routes_ = config.ignored_routes == 0;
-  targets_.OnServicesConfigured(clock_.Now());
+  targets_.OnServicesConfigured();
   config_version_.Set(routes_.version());
   log_.Write(LogLevel::kInfo, "config_applied",
              {{"version", routes_.version()},
@@ -236,7 +236,7 @@
   const auto key = key_of_(item.name);
   const EdgeTarget* const target = key ? targets_.Find(*key) : nullptr;
   return !item.record && target != nullptr && !target->record.draining &&
-         target->presence == TargetPresence::kListed;
+         target->listing == TargetPresence::kListed;
 }
 
 void EdgeView::DetectMassExpiry(std::size_t vanished) {
@@ -294,7 +294,7 @@
   }
   log_.Write(LogLevel::kInfo, "target_unlisted",
              {{"target", ToString(key)},
-              {"presence", Name(targets_.Find(key)->presence)},
+              {"presence", Name(targets_.Find(key)->listing)},
               {"store_was_away", was_unavailable ? 1 : 0},
               {"revision", removal.revision.number},
               {"era", Value(removal.revision.era)}});
@@ -314,7 +314,7 @@
       offered.record &&
       offered.record->incarnation == target.record.incarnation &&
       offered.record->draining == target.record.draining &&
-      target.presence == TargetPresence::kListed;
+      target.listing == TargetPresence::kListed;
   if (is_same) return;
   ignored_entries_.Add();
   log_.Write(LogLevel::kWarn, "target_entry_ignored",
--- a/src/sapphirestream/edge_io/target_prober.cc
+++ b/src/sapphirestream/edge_io/target_prober.cc
@@ -78,10 +78,13 @@
     const bool needs_control = outcome == ProbeOutcome::kSilent &&
                                !control_sockets_.empty() && !control_answered_;
     control_sockets_.clear();
-    done(needs_control ? ProbeOutcome::kFailed : outcome, begun_);
+    done({.outcome = needs_control ? ProbeOutcome::kFailed : outcome,
+          .begun = begun_,
+          .answered_by = answered_by_});
   }
 
   [[nodiscard]] bool is_over() const noexcept { return !done_; }
+  void set_answered_by(TargetKey key) noexcept { answered_by_ = key; }
   // Returns the outcome if the timeout expires.
   [[nodiscard]] virtual ProbeOutcome OutcomeOnTimeout() const noexcept = 0;
   virtual void CloseSockets() = 0;
@@ -109,6 +112,7 @@
   Done done_;
   std::vector<tcp::socket> control_sockets_;
   bool control_answered_ = false;
+  TargetKey answered_by_{};
   TimePoint begun_ = std::chrono::steady_clock::now();
 };
 
@@ -211,12 +215,13 @@
         });
   }
 
-  [[nodiscard]] ProbeOutcome OutcomeOfResponse() const {
+  [[nodiscard]] ProbeOutcome OutcomeOfResponse() {
     const auto& fields = parser_.get();
     const auto it = fields.find(identity_field_);
     // A response without the field is assumed to come from the target.
     if (it == fields.end()) return ProbeOutcome::kAccepted;
     const auto key = key_of_({it->value().data(), it->value().size()});
+    set_answered_by(key.value_or(TargetKey{}));
     return key == key_ ? ProbeOutcome::kAccepted : ProbeOutcome::kStranger;
   }
 
--- a/src/sapphirestream/edge_io/target_prober.h
+++ b/src/sapphirestream/edge_io/target_prober.h
@@ -28,8 +28,7 @@
   // be waiting in the sockets.
   static constexpr std::chrono::milliseconds kTimerLatenessLimit{10};
 
-  // `begun` is when the probe was requested.
-  using Done = std::function<void(ProbeOutcome outcome, TimePoint begun)>;
+  using Done = std::function<void(const ProbeResult& result)>;
   using KeyOf = std::optional<TargetKey> (*)(std::string_view name);
 
   // `identity_field` is the HTTP header field that identifies a target in its
--- a/test/edge/edge_steering_fixture.h
+++ b/test/edge/edge_steering_fixture.h
@@ -65,8 +65,13 @@
     clock.Advance(by);
     steering.Tick(clock.Now());
   }
-  void FinishProbe(TargetKey target, ProbeOutcome outcome) {
-    steering.OnProbe(target, outcome, probe_begun, clock.Now());
+  // `answered_by`: the target that identified itself.
+  void FinishProbe(TargetKey target, ProbeOutcome outcome,
+                   TargetKey answered_by = {}) {
+    steering.OnProbe(
+        target,
+        {.outcome = outcome, .begun = probe_begun, .answered_by = answered_by},
+        clock.Now());
   }
   // Opens a flow and completes its first request; returns its target.
   TargetKey Open(std::uint32_t client, V4Endpoint service = sample::kFeed) {
--- a/test/edge/target_directory_test.cc
+++ b/test/edge/target_directory_test.cc
@@ -23,6 +23,14 @@
   return record;
 }
 
+// A later target at the address of another one.
+TargetRecord WithAddressOf(std::uint64_t holder, std::uint64_t key) {
+  TargetRecord record = sample::Target(key, "a", "intake");
+  record.address = sample::Target(holder, "a").address;
+  record.incarnation = Incarnation{6000};
+  return record;
+}
+
 struct Fixture {
   EdgeTarget& Add(const TargetRecord& record, std::uint64_t revision = 1) {
     targets.Upsert(record, At(revision), /*propagated=*/true, now);
@@ -274,18 +282,117 @@
   const auto presence_of_first = [&early] {
     return early.Find(TargetKey{1})->presence;
   };
-  early.OnServicesConfigured(now);
+  early.OnServicesConfigured();
   BOOST_TEST((presence_of_first() == TargetPresence::kListed));
   empty.Apply(sample::Routes(1));
-  early.OnServicesConfigured(now);
+  early.OnServicesConfigured();
   BOOST_TEST((presence_of_first() == TargetPresence::kGone));
   // It takes them once: a target that registers again afterwards is alive.
   early.Upsert(first, At(2), /*propagated=*/true, now);
   empty.Apply(sample::Routes(2));
-  early.OnServicesConfigured(now);
+  early.OnServicesConfigured();
   BOOST_TEST((presence_of_first() == TargetPresence::kListed));
 }
 
+// A living target was given up for good because an entry of another writer
+// named its address.
+BOOST_AUTO_TEST_CASE(a_target_returns_when_the_other_entry_is_removed) {
+  Add(sample::Target(1, "a"));
+  Add(WithAddressOf(1, 7), 2);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+  targets.Erase(TargetKey{7}, At(3), /*store_was_unavailable=*/false, now);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_returns_when_the_other_entry_moves) {
+  Add(sample::Target(1, "a"));
+  TargetRecord other = WithAddressOf(1, 7);
+  Add(other, 2);
+  other.address = sample::Target(7, "a").address;
+  Add(other, 3);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
+  BOOST_TEST((PresenceOf(7) == TargetPresence::kListed));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_returns_when_it_answers_at_its_address) {
+  Add(sample::Target(1, "a"));
+  Add(WithAddressOf(1, 7), 2);
+  BOOST_TEST(targets.unconfirmed().contains(TargetKey{1}));
+  targets.OnAnswer(*targets.Find(TargetKey{1}), now + 10ms);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
+  BOOST_TEST((PresenceOf(7) == TargetPresence::kGone));
+  BOOST_TEST(targets.unconfirmed().empty());
+}
+
+// The same entry, written again and again.
+BOOST_AUTO_TEST_CASE(an_entry_written_again_does_not_take_the_address_back) {
+  Add(sample::Target(1, "a"));
+  Add(WithAddressOf(1, 7), 2);
+  targets.OnAnswer(*targets.Find(TargetKey{1}), now + 10ms);
+  TargetRecord again = WithAddressOf(1, 7);
+  again.draining = true;
+  Add(again, 3);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
+  BOOST_TEST((PresenceOf(7) == TargetPresence::kGone));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_whose_address_another_one_answers_at_is_gone) {
+  Add(sample::Target(1, "a"));
+  Add(WithAddressOf(1, 7), 2);
+  targets.OnOtherAnswer(*targets.Find(TargetKey{1}), TargetKey{7}, now + 10ms);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+  BOOST_TEST((PresenceOf(7) == TargetPresence::kListed));
+  // No further probe is needed.
+  BOOST_TEST(targets.unconfirmed().empty());
+  // Its flows are still forwarded.
+  BOOST_TEST(targets.FindByToken(targets.TokenOf(TargetKey{1}), feed) !=
+             nullptr);
+}
+
+// An instance that starts reads both entries at once.
+BOOST_AUTO_TEST_CASE(a_first_list_with_both_entries_is_decided_by_an_answer) {
+  targets.Upsert(WithAddressOf(1, 7), At(2), true, now);
+  targets.Upsert(sample::Target(1, "a"), At(1), true, now);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+  BOOST_TEST(targets.unconfirmed().contains(TargetKey{1}));
+  targets.OnAnswer(*targets.Find(TargetKey{1}), now + 10ms);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
+}
+
+// The removal of a target that has lost its address must not be missed.
+BOOST_AUTO_TEST_CASE(a_target_without_its_address_can_be_removed) {
+  Add(sample::Target(1, "a"));
+  Add(WithAddressOf(1, 7), 2);
+  BOOST_TEST((targets.Erase(TargetKey{1}, At(3), false, now) ==
+              EntryOutcome::kApplied));
+  targets.Erase(TargetKey{7}, At(4), false, now);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+}
+
+// The steady clock may have stood still while another target got the address.
+BOOST_AUTO_TEST_CASE(answers_from_before_a_pause_do_not_count) {
+  TargetDirectory paused(routes, "a", TargetDirectory::kDefaultEntryLifetime,
+                         /*address_reuse_delay=*/2s);
+  paused.Upsert(sample::Target(1, "a"), At(1), true, now);
+  paused.OnAnswer(*paused.Find(TargetKey{1}), now);
+  paused.ForgetAnswers();
+  paused.Upsert(WithAddressOf(1, 7), At(2), true, now);
+  BOOST_TEST(paused.unconfirmed().contains(TargetKey{1}));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_heard_of_lately_keeps_its_address) {
+  TargetDirectory reusing(routes, "a", TargetDirectory::kDefaultEntryLifetime,
+                          /*address_reuse_delay=*/2s);
+  reusing.Upsert(sample::Target(1, "a"), At(1), true, now);
+  reusing.OnAnswer(*reusing.Find(TargetKey{1}), now);
+  reusing.Upsert(WithAddressOf(1, 7), At(2), true, now + 1s);
+  const auto presence_of = [&reusing](std::uint64_t key) {
+    return reusing.Find(TargetKey{key})->presence;
+  };
+  BOOST_TEST((presence_of(1) == TargetPresence::kListed));
+  BOOST_TEST((presence_of(7) == TargetPresence::kGone));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/test/edge_io/target_prober_test.cc
+++ b/test/edge_io/target_prober_test.cc
@@ -48,13 +48,12 @@
                           return std::nullopt;
                         });
     std::optional<ProbeOutcome> result;
-    prober.Probe(
-        {.kind = ProbeKind::kConnection,
-         .target = TargetKey{1},
-         .address = target,
-         .health_path = {},
-         .control = control},
-        [&](ProbeOutcome outcome, TimePoint /*begun*/) { result = outcome; });
+    prober.Probe({.kind = ProbeKind::kConnection,
+                  .target = TargetKey{1},
+                  .address = target,
+                  .health_path = {},
+                  .control = control},
+                 [&](const ProbeResult& probe) { result = probe.outcome; });
     context.restart();
     context.run();
     BOOST_REQUIRE(result.has_value());
--- a/testing/flow_ends/edge_field.cc
+++ b/testing/flow_ends/edge_field.cc
@@ -68,7 +68,8 @@
     field_.time_.After(time, [this, target = probe.target, outcome, begun] {
       if (!alive_) return;
       field_.observer_.OnProbed(id_, target, outcome);
-      steering_.OnProbe(target, outcome, begun, field_.time_.Now());
+      steering_.OnProbe(target, {.outcome = outcome, .begun = begun},
+                        field_.time_.Now());
       ArmTimer();
     });
   }
