Let an entry whose name has the key of a living target replace nothing

Callers saw (by test, not in the field): an entry of another writer with the id of a living target in another spelling, such as i-01F beside i-1f, removed that target if it could not be decoded, or when it was removed itself, and replaced its address otherwise.

Cause: entries were told apart by the number that their names denote. Leading zeros and case do not change the number, and any name may have zeros, so that the spelling alone tells nothing.

Change: a target remembers the name of its entry. An entry of another name is kept as a spare one (edge_io/spare_entries) and used when the first is removed, or when a probe finds nobody or another target at the address; the first is the spare one then. What cannot be decoded under another name concerns no target.

--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -256,6 +256,16 @@
   return EntryOutcome::kApplied;
 }
 
+void TargetDirectory::Remove(TargetKey key) {
+  const auto it = targets_.find(key);
+  if (it == targets_.end()) return;
+  const V4Endpoint address = it->second.record.address;
+  RemoveFromIndexes(it->second);
+  unconfirmed_.erase(key);
+  targets_.erase(it);
+  UpdateClaimsAt(address);
+}
+
 void TargetDirectory::ForgetRevisions() noexcept {
   for (auto& [key, target] : targets_) {
     target.revision = {};
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -158,6 +158,8 @@
   // What was observed before a pause of the process does not count any more:
   // its clock may have stood still.
   void ForgetAnswers();
+  // Removes a target as if it had never been listed.
+  void Remove(TargetKey key);
   // Makes the next entry or removal of each target count, whatever its
   // revision. For use when another store is read, whose revisions are
   // unrelated.
--- a/src/sapphirestream/edge/target_record.h
+++ b/src/sapphirestream/edge/target_record.h
@@ -14,6 +14,8 @@
 
 struct TargetRecord {
   TargetKey key{};
+  // Name of the entry. Several names may have the same key.
+  std::string name;
   // Increases when a target restarts under the same key.
   Incarnation incarnation{};
   std::string service;
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -18,6 +18,7 @@
 #include "sapphirestream/edge/route_table.h"
 #include "sapphirestream/edge/target_directory.h"
 #include "sapphirestream/edge_io/malformed_entries.h"
+#include "sapphirestream/edge_io/spare_entries.h"
 #include "sapphirestream/edge_io/view_age.h"
 #include "sapphirestream/store/collection.h"
 
@@ -89,6 +90,9 @@
   }
   // Whether a current read of the routes would confirm them.
   [[nodiscard]] bool AreRoutesConfirmable() const noexcept;
+  // A probe of a target has ended. If the target was not found at its address,
+  // another entry of its key is used.
+  void OnTargetProbed(TargetKey key);
   // Makes the next entry of each collection count; see
   // TargetDirectory::ForgetRevisions.
   void ForgetRevisions() noexcept;
@@ -182,6 +186,16 @@
                   StoreRevision revision);
 
   void ApplyTarget(const CollectionItem<TargetRecord>& item, bool propagated);
+  // Whether the target is listed by an entry of another name.
+  [[nodiscard]] bool HasOtherName(TargetKey key, std::string_view name);
+  // Keeps an entry of a target that another entry lists.
+  void KeepSpare(TargetKey key, const TargetItem& item);
+  // Lists a target by a spare entry in place of the one before.
+  void ApplySpare(TargetKey key, const TargetItem& spare);
+  // Removes the targets of a list whose entry has been replaced by one of
+  // another name.
+  void ReleaseRemovedNames(const std::vector<TargetItem>& items,
+                           StoreRevision revision);
   // Reports an entry that cannot be used, once for each of its revisions.
   void ReportMalformed(const TargetItem& item);
   // Whether targets may be missing from a list because they registered after
@@ -231,6 +245,7 @@
   bool has_targets_ = false;
   // Era of the last list of targets.
   StoreEra targets_era_ = kUnknownEra;
+  SpareEntries spare_entries_;
   MalformedEntries malformed_targets_;
   MalformedEntries unusable_config_entries_;
   ViewAge targets_age_;
--- a/test/edge_io/edge_view_test.cc
+++ b/test/edge_io/edge_view_test.cc
@@ -3,64 +3,14 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "test/edge/sample.h"
-#include "testing/manual_clock.h"
+#include "test/edge_io/edge_view_fixture.h"
 
 namespace sapphirestream {
 namespace {
 
 using namespace std::chrono_literals;
 
-std::optional<TargetKey> KeyOf(std::string_view name) {
-  return TargetKey{static_cast<std::uint64_t>(name.front() - '0')};
-}
-
-StoreRevision At(std::uint64_t number) { return {StoreEra{1}, number}; }
-
-CollectionItem<TargetRecord> Item(std::uint64_t key, std::uint64_t revision) {
-  return {std::to_string(key), At(revision), false, sample::Target(key, "a")};
-}
-
-struct Fixture : LogSink {
-  void Write(LogLevel /*level*/, const std::string& line) override {
-    lines.push_back(line);
-  }
-  CollectionObserver<TargetRecord>& observer() {
-    return view.target_observer();
-  }
-  void ReadRoutes(std::uint64_t version) {
-    view.route_observer().OnSnapshot(
-        {{"main", At(version), false, sample::Routes(version)}}, At(version));
-  }
-  TargetPresence PresenceOf(std::uint64_t key) {
-    return targets.Find(TargetKey{key})->presence;
-  }
-
-  std::vector<std::string> lines;
-  testing::ManualClock clock;
-  EventLog log{*this, clock, 1000};
-  CounterSet counters;
-  RouteTable routes;
-  TargetDirectory targets{routes, "a"};
-  EdgeLog flow_log{log, routes};
-  int reads = 0;
-  int recoveries = 0;
-  // Last era that a reader was told to read a list of.
-  StoreEra restored = kUnknownEra;
-  EdgeView view{
-      routes,
-      targets,
-      flow_log,
-      log,
-      clock,
-      counters,
-      KeyOf,
-      {.on_read = [this] { ++reads; },
-       .on_store_recovered = [this] { ++recoveries; },
-       .on_store_restored = [this](StoreEra era) { restored = era; }}};
-};
-
-BOOST_FIXTURE_TEST_SUITE(edge_view, Fixture)
+BOOST_FIXTURE_TEST_SUITE(edge_view, EdgeViewFixture)
 
 // Regression: an outage of some milliseconds sent flows to evacuated targets.
 BOOST_AUTO_TEST_CASE(evacuations_are_unconfirmed_after_a_long_outage_only) {
@@ -97,7 +47,7 @@
   } sink;
   EventLog info(sink, clock, 1000);
   EdgeView fresh(
-      routes, targets, flow_log, info, clock, counters, KeyOf,
+      routes, targets, flow_log, info, clock, counters, KeyOfDigit,
       {.on_read = [] {}, .on_store_recovered = [] {}, .on_store_restored = {}});
   fresh.target_observer().OnSnapshot({Item(1, 1), Item(2, 1)}, At(7));
   BOOST_REQUIRE(sink.lines.size() == 1U);
