Try targets whose address is in doubt, and ask which entry is their own

Callers saw (by test): while an entry of another writer named a target's address, that target got no flows at all if its health check does not identify targets; openings that had gone to the other entry's target stayed there until their client gave up; an entry of another spelling that says draining kept the target out of use.

Cause: the decision about an address waited for one kind of evidence, which may never come, and an opening moved only off targets that are unreachable.

Change: a target in doubt whose address answers without an identity is of the class kUnproven, as is a target that takes the address of another one without having answered. An opening leaves a target that lost its address. A probe reports who answered and by what name; of two entries of one key, the one by whose name the target answers is used.

--- a/src/sapphirestream/edge/edge_placement.cc
+++ b/src/sapphirestream/edge/edge_placement.cc
@@ -47,7 +47,12 @@
   if (query.exclude_cold && query.now < target.cold_until) {
     return PlacementTier::kNone;
   }
-  if (query.now < target.usable_from || query.now < target.cut_off_until ||
+  // Another target claims its address, and no answer has told them apart.
+  const bool is_in_doubt =
+      target.claim_status != ClaimStatus::kHeld ||
+      (target.is_contested && target.claim.seen == TimePoint{});
+  if (is_in_doubt || query.now < target.usable_from ||
+      query.now < target.cut_off_until ||
       !target.health.AcceptsNewFlows(query.now)) {
     return PlacementTier::kUnproven;
   }
--- a/src/sapphirestream/edge/edge_placement.h
+++ b/src/sapphirestream/edge/edge_placement.h
@@ -19,7 +19,8 @@
   kRemoteSlot,  // free slot in another failure domain
   kLocalQueue,  // no free slot; the shortest queue is preferred
   kRemoteQueue,
-  kUnproven,  // newly listed, or not responding to flows
+  kUnproven,  // newly listed, not responding to flows, or another target claims
+              // its address
   kNone,
 };
 
--- a/src/sapphirestream/edge/edge_sink.h
+++ b/src/sapphirestream/edge/edge_sink.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <optional>
 #include <span>
+#include <string>
 #include <string_view>
 
 #include "sapphirestream/base/clock.h"
@@ -32,6 +33,8 @@
   TimePoint begun{};
   // The target that identified itself; zero if none did.
   TargetKey answered_by{};
+  // The name of its entry; empty if it did not identify itself.
+  std::string answered_name{};
 };
 
 class EdgeSink {
--- a/src/sapphirestream/edge/edge_steering.cc
+++ b/src/sapphirestream/edge/edge_steering.cc
@@ -184,7 +184,7 @@
       selector_.QueryFor(flow.client, flow.service, route, TargetKey{}, now);
   // It has become cold since the first copy was sent.
   if (query.exclude_cold && now < target->cold_until) return true;
-  return IsUnreachable(*target) ||
+  return IsUnreachable(*target) || target->claim_status == ClaimStatus::kLost ||
          target->health.state() == Reachability::kUnresponsive;
 }
 
@@ -239,7 +239,7 @@
     EdgeTarget* const target = targets_.Find(flow->target);
     const Route* const route = routes_.Find(opening.service);
     if (target == nullptr || route == nullptr) continue;
-    if (IsUnreachable(*target)) {
+    if (IsUnreachable(*target) || target->claim_status == ClaimStatus::kLost) {
       MoveOpening(*flow, *route, {opening.bytes.data(), opening.size}, now);
       continue;
     }
--- a/src/sapphirestream/edge/edge_steering_addresses.cc
+++ b/src/sapphirestream/edge/edge_steering_addresses.cc
@@ -26,6 +26,11 @@
     targets_.OnOtherAnswer(target, result.answered_by, result.begun);
   } else if (result.answered_by == target.record.key) {
     targets_.OnAnswer(target, result.begun);
+  } else if (result.outcome == ProbeOutcome::kAccepted) {
+    targets_.OnAnonymousAnswer(target);
+  }
+  if (result.answered_name == target.record.name) {
+    targets_.SetNameDoubtful(target, false);
   }
 }
 
--- a/src/sapphirestream/edge/edge_steering_failover.cc
+++ b/src/sapphirestream/edge/edge_steering_failover.cc
@@ -66,7 +66,8 @@
 
 void EdgeSteering::OnProbe(TargetKey key, const ProbeResult& result,
                            TimePoint now) {
-  const auto [outcome, begun, answered_by] = result;
+  const ProbeOutcome outcome = result.outcome;
+  const TimePoint begun = result.begun;
   EdgeTarget* const target = targets_.Find(key);
   if (target == nullptr) return;
   if (!target->health.IsValid(begun)) {
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -131,6 +131,7 @@
     claim = {.incarnation = target.record.incarnation,
              .written = revision,
              .made = now};
+    target.is_anonymous = false;
   } else if (!is_copy) {
     claim.written = revision;
     claim.denied = {};
@@ -169,15 +170,35 @@
     claim_changes_.push_back({key, target.record.address, status});
   }
   target.claim_status = status;
-  target.presence =
-      status == ClaimStatus::kHeld ? target.listing : TargetPresence::kGone;
-  if (status == ClaimStatus::kUnconfirmed) {
-    unconfirmed_.insert(key);
+  const bool may_be_there = status == ClaimStatus::kUnconfirmed &&
+                            target.is_anonymous && !target.claim.IsDenied();
+  target.presence = status == ClaimStatus::kHeld || may_be_there
+                        ? target.listing
+                        : TargetPresence::kGone;
+  UpdateUnconfirmed(target);
+}
+
+void TargetDirectory::UpdateUnconfirmed(const EdgeTarget& target) {
+  const bool needs_probe = target.listing != TargetPresence::kGone &&
+                           (target.claim_status == ClaimStatus::kUnconfirmed ||
+                            target.is_name_doubtful);
+  if (needs_probe) {
+    unconfirmed_.insert(target.record.key);
   } else {
-    unconfirmed_.erase(key);
+    unconfirmed_.erase(target.record.key);
   }
 }
 
+void TargetDirectory::OnAnonymousAnswer(EdgeTarget& target) {
+  target.is_anonymous = true;
+  if (target.is_contested) UpdateClaimsAt(target.record.address);
+}
+
+void TargetDirectory::SetNameDoubtful(EdgeTarget& target, bool doubtful) {
+  target.is_name_doubtful = doubtful;
+  UpdateUnconfirmed(target);
+}
+
 void TargetDirectory::OnAnswer(EdgeTarget& target, TimePoint at) {
   target.claim.seen = std::max(target.claim.seen, at);
   if (target.is_contested) UpdateClaimsAt(target.record.address);
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -68,6 +68,11 @@
   ClaimStatus claim_status = ClaimStatus::kHeld;
   // Whether what answers at its address can change a claim.
   bool is_contested = false;
+  // Whether a probe of the address was answered, but not by an identity.
+  bool is_anonymous = false;
+  // Whether another entry has the same key, and no probe has told yet which of
+  // them is the target's own.
+  bool is_name_doubtful = false;
   // Whether a request that may be reset waits for a probe of this target.
   bool has_waiting_request = false;
   TargetHealth health;
@@ -147,7 +152,13 @@
   // `begun`. `answered_by`: its key; zero if it is not known.
   void OnOtherAnswer(EdgeTarget& target, TargetKey answered_by,
                      TimePoint begun);
-  // Targets that are listed or missing and whose address another one may have.
+  // Something answers at the target's address, but does not tell which target
+  // it is. The target may get new flows if there is no better one.
+  void OnAnonymousAnswer(EdgeTarget& target);
+  // Another entry has the key of the target.
+  void SetNameDoubtful(EdgeTarget& target, bool doubtful);
+  // Targets that are listed or missing, and for which a probe has to tell
+  // whether they have their address, or which of their entries is their own.
   [[nodiscard]] const std::set<TargetKey>& unconfirmed() const noexcept {
     return unconfirmed_;
   }
@@ -211,6 +222,7 @@
   void UpdateClaimsAt(V4Endpoint address);
   void UpdateAllClaims();
   void SetClaimStatus(EdgeTarget& target, ClaimStatus status);
+  void UpdateUnconfirmed(const EdgeTarget& target);
 
   RouteTable& routes_;
   std::string domain_;
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -384,7 +384,7 @@
   prober_.Probe(probe,
                 [this, target = probe.target](const ProbeResult& result) {
                   steering_.OnProbe(target, result, clock_.Now());
-                  view_.OnTargetProbed(target);
+                  view_.OnTargetProbed(target, result.answered_name);
                   ArmSteering();
                 });
 }
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -90,9 +90,10 @@
   }
   // Whether a current read of the routes would confirm them.
   [[nodiscard]] bool AreRoutesConfirmable() const noexcept;
-  // A probe of a target has ended. If the target was not found at its address,
-  // another entry of its key is used.
-  void OnTargetProbed(TargetKey key);
+  // A probe of a target has ended. If the target names itself as another entry
+  // of its key does, or was not found at its address, that entry is used.
+  // `answered_name` is empty if no target identified itself.
+  void OnTargetProbed(TargetKey key, std::string_view answered_name);
   // Makes the next entry of each collection count; see
   // TargetDirectory::ForgetRevisions.
   void ForgetRevisions() noexcept;
@@ -192,6 +193,8 @@
   void KeepSpare(TargetKey key, const TargetItem& item);
   // Lists a target by a spare entry in place of the one before.
   void ApplySpare(TargetKey key, const TargetItem& spare);
+  // The same; the one before is the spare entry then.
+  void ExchangeEntry(const EdgeTarget& target, const TargetItem& spare);
   // Removes the targets of a list whose entry has been replaced by one of
   // another name.
   void ReleaseRemovedNames(const std::vector<TargetItem>& items,
--- a/src/sapphirestream/edge_io/edge_view_targets.cc
+++ b/src/sapphirestream/edge_io/edge_view_targets.cc
@@ -134,7 +134,7 @@
               {"store_was_away", was_unavailable ? 1 : 0},
               {"revision", removal.revision.number},
               {"era", Value(removal.revision.era)}});
-  if (const auto spare = spare_entries_.Take(key)) ApplySpare(key, *spare);
+  if (const auto spare = spare_entries_.TakeFirst(key)) ApplySpare(key, *spare);
 }
 
 bool EdgeView::HasOtherName(TargetKey key, std::string_view name) {
@@ -145,6 +145,7 @@
 
 void EdgeView::KeepSpare(TargetKey key, const TargetItem& item) {
   if (!spare_entries_.Put(key, item)) return;
+  targets_.SetNameDoubtful(*targets_.Find(key), true);
   ignored_entries_.Add();
   log_.Write(LogLevel::kWarn, "target_entry_spare",
              {{"entry", PrintableName(item.name)},
@@ -160,17 +161,25 @@
   ApplyTarget(spare, /*propagated=*/false);
 }
 
-void EdgeView::OnTargetProbed(TargetKey key) {
+void EdgeView::OnTargetProbed(TargetKey key, std::string_view answered_name) {
   const EdgeTarget* const target = targets_.Find(key);
   if (target == nullptr || !spare_entries_.contains(key)) return;
+  if (auto spare = spare_entries_.Take(key, answered_name)) {
+    return ExchangeEntry(*target, *spare);
+  }
   const bool is_absent = target->claim.IsDenied() ||
                          target->health.state() == Reachability::kUnreachable;
-  if (!is_absent) return;
-  const TargetItem former{.name = target->record.name,
-                          .revision = target->revision,
+  if (is_absent) ExchangeEntry(*target, *spare_entries_.TakeFirst(key));
+}
+
+void EdgeView::ExchangeEntry(const EdgeTarget& target,
+                             const TargetItem& spare) {
+  const TargetItem former{.name = target.record.name,
+                          .revision = target.revision,
                           .deleted = false,
-                          .record = target->record};
-  ApplySpare(key, *spare_entries_.Take(key));
+                          .record = target.record};
+  const TargetKey key = target.record.key;
+  ApplySpare(key, spare);
   KeepSpare(key, former);
 }
 
--- a/src/sapphirestream/edge_io/spare_entries.cc
+++ b/src/sapphirestream/edge_io/spare_entries.cc
@@ -1,6 +1,7 @@
 #include "sapphirestream/edge_io/spare_entries.h"
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace sapphirestream {
@@ -24,14 +25,25 @@
   return is_new;
 }
 
-std::optional<SpareEntries::Item> SpareEntries::Take(TargetKey target) {
+std::optional<SpareEntries::Item> SpareEntries::Take(TargetKey target,
+                                                     std::string_view name) {
   const auto it = items_.find(target);
   if (it == items_.end()) return std::nullopt;
   std::vector<Item>& items = it->second;
-  Item first = std::move(items.front());
-  items.erase(items.begin());
+  const auto found =
+      std::find_if(items.begin(), items.end(),
+                   [name](const Item& item) { return item.name == name; });
+  if (found == items.end()) return std::nullopt;
+  Item item = std::move(*found);
+  items.erase(found);
   if (items.empty()) items_.erase(it);
-  return first;
+  return item;
+}
+
+std::optional<SpareEntries::Item> SpareEntries::TakeFirst(TargetKey target) {
+  const auto it = items_.find(target);
+  if (it == items_.end()) return std::nullopt;
+  return Take(target, std::string(it->second.front().name));
 }
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge_io/spare_entries.h
+++ b/src/sapphirestream/edge_io/spare_entries.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -24,8 +25,11 @@
   // Keeps the latest state of an entry. One without a record is forgotten.
   // Returns whether the entry was not kept before.
   bool Put(TargetKey target, const Item& item);
-  // Removes and returns the entry that was kept first.
-  [[nodiscard]] std::optional<Item> Take(TargetKey target);
+  // Removes and returns an entry: the one of this name, or the one that was
+  // kept first.
+  [[nodiscard]] std::optional<Item> Take(TargetKey target,
+                                         std::string_view name);
+  [[nodiscard]] std::optional<Item> TakeFirst(TargetKey target);
   [[nodiscard]] bool contains(TargetKey target) const {
     return items_.contains(target);
   }
--- a/src/sapphirestream/edge_io/target_prober.cc
+++ b/src/sapphirestream/edge_io/target_prober.cc
@@ -80,11 +80,15 @@
     control_sockets_.clear();
     done({.outcome = needs_control ? ProbeOutcome::kFailed : outcome,
           .begun = begun_,
-          .answered_by = answered_by_});
+          .answered_by = answered_by_,
+          .answered_name = std::move(answered_name_)});
   }
 
   [[nodiscard]] bool is_over() const noexcept { return !done_; }
-  void set_answered_by(TargetKey key) noexcept { answered_by_ = key; }
+  void SetAnsweredBy(TargetKey key, std::string_view name) {
+    answered_by_ = key;
+    answered_name_ = name;
+  }
   // Returns the outcome if the timeout expires.
   [[nodiscard]] virtual ProbeOutcome OutcomeOnTimeout() const noexcept = 0;
   virtual void CloseSockets() = 0;
@@ -113,6 +117,7 @@
   std::vector<tcp::socket> control_sockets_;
   bool control_answered_ = false;
   TargetKey answered_by_{};
+  std::string answered_name_;
   TimePoint begun_ = std::chrono::steady_clock::now();
 };
 
@@ -220,8 +225,9 @@
     const auto it = fields.find(identity_field_);
     // A response without the field is assumed to come from the target.
     if (it == fields.end()) return ProbeOutcome::kAccepted;
-    const auto key = key_of_({it->value().data(), it->value().size()});
-    set_answered_by(key.value_or(TargetKey{}));
+    const std::string_view name(it->value().data(), it->value().size());
+    const auto key = key_of_(name);
+    if (key) SetAnsweredBy(*key, name);
     return key == key_ ? ProbeOutcome::kAccepted : ProbeOutcome::kStranger;
   }
 
--- a/test/edge/edge_steering_addresses_test.cc
+++ b/test/edge/edge_steering_addresses_test.cc
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <set>
 
+#include "sapphirestream/base/id.h"
 #include "test/edge/edge_steering_fixture.h"
 
 namespace sapphirestream {
@@ -50,7 +51,9 @@
 BOOST_AUTO_TEST_CASE(a_target_that_answers_at_its_address_gets_flows_again) {
   Claim(1, 11);
   BOOST_REQUIRE(ProbesOf(1) == 1);
-  BOOST_TEST(!Place(100).contains(TargetKey{1}));
+  const std::set<TargetKey> before = Place(100);
+  BOOST_TEST(!before.contains(TargetKey{1}));
+  BOOST_TEST(!before.contains(TargetKey{11}));
   Answer(1, 1);
   BOOST_TEST(Place(200).contains(TargetKey{1}));
 }
@@ -82,6 +85,21 @@
   BOOST_TEST(Place(200).contains(TargetKey{1}));
 }
 
+// An instance that starts reads the entry of another writer beside that of the
+// target. Clients gave up openings that were sent to the former.
+BOOST_AUTO_TEST_CASE(an_opening_leaves_a_target_that_lost_its_address) {
+  for (std::uint64_t key : {1, 2, 3}) Claim(key, key + 10);
+  Handle(sample::Syn(1, sample::kFeed));
+  BOOST_REQUIRE(sent.size() == 1U);
+  const TargetKey claimant = sent.back().target;
+  BOOST_TEST(Value(claimant) > 10U);
+  for (std::uint64_t key : {1, 2, 3}) Answer(key, key);
+  Advance(EdgeSteering::kOpeningTimeout);
+  BOOST_REQUIRE(sent.size() == 2U);
+  BOOST_TEST(Value(sent.back().target) < 10U);
+  BOOST_TEST(resets.empty());
+}
+
 // No target of the service is known to have its address for a moment; a refusal
 // would cost the client an attempt.
 BOOST_AUTO_TEST_CASE(openings_wait_while_all_addresses_are_unconfirmed) {
@@ -95,6 +113,16 @@
   BOOST_TEST((sent.back().target == TargetKey{2}));
 }
 
+// The health check does not identify targets: their flows have to tell.
+BOOST_AUTO_TEST_CASE(targets_that_do_not_identify_themselves_are_tried) {
+  for (std::uint64_t key : {1, 2, 3}) {
+    Claim(key, key + 10, "intake");
+    FinishProbe(TargetKey{key}, ProbeOutcome::kAccepted);
+  }
+  const TargetKey target = Open(1);
+  BOOST_TEST((targets.Find(target)->claim_status == ClaimStatus::kHeld));
+}
+
 // Nobody answers at the address: the client is told at once.
 BOOST_AUTO_TEST_CASE(openings_are_refused_if_no_target_answers) {
   for (std::uint64_t key : {1, 2, 3}) {
--- a/test/edge_io/edge_view_targets_test.cc
+++ b/test/edge_io/edge_view_targets_test.cc
@@ -30,7 +30,7 @@
   void MakeUnreachable(std::uint64_t key) {
     EdgeTarget& target = *targets.Find(TargetKey{key});
     target.health.OnProbe(ProbeOutcome::kRefused, clock.Now(), clock.Now());
-    view.OnTargetProbed(TargetKey{key});
+    view.OnTargetProbed(TargetKey{key}, {});
   }
 
   V4Endpoint own = sample::Target(1, "a").address;
@@ -81,6 +81,18 @@
   BOOST_TEST((AddressOf(1) == foreign));
 }
 
+// An entry that says that the target drains would never be tried by a flow.
+BOOST_AUTO_TEST_CASE(the_entry_by_whose_name_the_target_answers_is_used) {
+  CollectionItem<TargetRecord> draining = Foreign(1);
+  draining.record->draining = true;
+  observer().OnSnapshot({draining, Item(1, 2)}, At(2));
+  BOOST_TEST(targets.Find(TargetKey{1})->record.draining);
+  BOOST_TEST(targets.unconfirmed().contains(TargetKey{1}));
+  view.OnTargetProbed(TargetKey{1}, "1");
+  BOOST_TEST(!targets.Find(TargetKey{1})->record.draining);
+  BOOST_TEST((AddressOf(1) == own));
+}
+
 BOOST_AUTO_TEST_CASE(a_list_without_the_entry_in_use_replaces_it) {
   observer().OnSnapshot({Item(1, 1)}, At(1));
   observer().OnSnapshot({Foreign(2)}, At(3));
--- a/test/edge_io/target_prober_test.cc
+++ b/test/edge_io/target_prober_test.cc
@@ -5,9 +5,15 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
+#include <functional>
+#include <memory>
 #include <optional>
+#include <string>
+#include <utility>
 #include <vector>
 
+#include "sapphirestream/admin/http_server.h"
+
 namespace sapphirestream {
 namespace {
 
@@ -60,6 +66,36 @@
     return *result;
   }
 
+  // Answers health checks at an address of its own.
+  std::unique_ptr<HttpServer> Serve(
+      std::function<void(const HttpServer::Reply&)> answer) {
+    return HttpServer::Open(
+               context, {MakeV4(127, 0, 0, 1), 0},
+               [answer = std::move(answer)](const HttpRequest& /*request*/,
+                                            const HttpServer::Reply& reply) {
+                 answer(reply);
+               })
+        .value();
+  }
+  ProbeResult ProbeIdentity(TargetKey target, const HttpServer& server) {
+    TargetProber prober(
+        context, "Identity",
+        [](std::string_view name) -> std::optional<TargetKey> {
+          return TargetKey{static_cast<std::uint64_t>(name.back() - '0')};
+        });
+    std::optional<ProbeResult> result;
+    prober.Probe(
+        {.kind = ProbeKind::kIdentity,
+         .target = target,
+         .address = {address_v4::loopback().to_uint(), server.local().port},
+         .health_path = "/health",
+         .control = std::nullopt},
+        [&](const ProbeResult& probe) { result = probe; });
+    context.restart();
+    while (!result) context.run_one();
+    return *result;
+  }
+
   boost::asio::io_context context;
   Listener accepting{context, /*full=*/false};
   Listener silent{context, /*full=*/true};
@@ -90,6 +126,28 @@
   BOOST_TEST((Probe(silent.address(), std::nullopt) == ProbeOutcome::kSilent));
 }
 
+// Which of several targets has an address was not known, although a probe had
+// been answered.
+BOOST_AUTO_TEST_CASE(an_identity_probe_tells_which_target_answered) {
+  std::string name = "i-7";
+  const std::unique_ptr<HttpServer> server = Serve([&name](const auto& reply) {
+    HttpResponse response;
+    if (!name.empty()) response.fields.emplace_back("Identity", name);
+    reply(std::move(response));
+  });
+  const ProbeResult own = ProbeIdentity(TargetKey{7}, *server);
+  BOOST_TEST((own.outcome == ProbeOutcome::kAccepted));
+  BOOST_TEST((own.answered_by == TargetKey{7}));
+  BOOST_TEST(own.answered_name == "i-7");
+  const ProbeResult other = ProbeIdentity(TargetKey{8}, *server);
+  BOOST_TEST((other.outcome == ProbeOutcome::kStranger));
+  BOOST_TEST((other.answered_by == TargetKey{7}));
+  name.clear();
+  const ProbeResult anonymous = ProbeIdentity(TargetKey{7}, *server);
+  BOOST_TEST((anonymous.outcome == ProbeOutcome::kAccepted));
+  BOOST_TEST((anonymous.answered_by == TargetKey{}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
