Use the entry of another spelling only for a target that nobody has heard of

Cause: an entry of another writer stays when those of the targets expire in an outage, and may be written after a target lost its entry. It then replaced the target, whose open flows went to the address that it names, and a probe of that address reset them.

The logs show target_entry_spare for the targets and failed probes of the other address.

Change: an entry of another name never replaces a known target at once. It is used if the target is gone, has not answered by the name of its entry, and no flow or probe has shown it at its address. No flow is reset while it is open which of two entries is the target's own.

--- a/src/sapphirestream/edge/edge_steering_addresses.cc
+++ b/src/sapphirestream/edge/edge_steering_addresses.cc
@@ -30,7 +30,7 @@
     targets_.OnAnonymousAnswer(target);
   }
   if (result.answered_name == target.record.name) {
-    targets_.SetNameDoubtful(target, false);
+    targets_.OnOwnName(target);
   }
 }
 
--- a/src/sapphirestream/edge/edge_steering_failover.cc
+++ b/src/sapphirestream/edge/edge_steering_failover.cc
@@ -183,6 +183,8 @@
   // Consecutive failed probes that suffice to reset a flow without a
   // retransmission.
   constexpr std::uint32_t min_failed_probes = 2;
+  // The address may be that of another writer's entry.
+  if (target.name_check == NameCheck::kPending) return false;
   if (!target.health.IsLostSince(flow.waiting_since, now)) return false;
   return flow.repeats > 0 ||
          target.health.failed_probes() >= min_failed_probes ||
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -181,7 +181,7 @@
 void TargetDirectory::UpdateUnconfirmed(const EdgeTarget& target) {
   const bool needs_probe = target.listing != TargetPresence::kGone &&
                            (target.claim_status == ClaimStatus::kUnconfirmed ||
-                            target.is_name_doubtful);
+                            target.name_check == NameCheck::kPending);
   if (needs_probe) {
     unconfirmed_.insert(target.record.key);
   } else {
@@ -194,8 +194,15 @@
   if (target.is_contested) UpdateClaimsAt(target.record.address);
 }
 
-void TargetDirectory::SetNameDoubtful(EdgeTarget& target, bool doubtful) {
-  target.is_name_doubtful = doubtful;
+void TargetDirectory::OnOtherName(EdgeTarget& target) {
+  if (target.name_check != NameCheck::kConfirmed) {
+    target.name_check = NameCheck::kPending;
+  }
+  UpdateUnconfirmed(target);
+}
+
+void TargetDirectory::OnOwnName(EdgeTarget& target) {
+  target.name_check = NameCheck::kConfirmed;
   UpdateUnconfirmed(target);
 }
 
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -42,6 +42,12 @@
 
 [[nodiscard]] std::string_view Name(EntryOutcome outcome) noexcept;
 
+enum class NameCheck : std::uint8_t {
+  kNotNeeded,  // no other entry has the key
+  kPending,    // a probe has to tell which entry is the target's own
+  kConfirmed,  // the target has answered by the name of its entry
+};
+
 struct EdgeTarget {
   TargetRecord record;
   ServiceNumber service{};
@@ -70,9 +76,8 @@
   bool is_contested = false;
   // Whether a probe of the address was answered, but not by an identity.
   bool is_anonymous = false;
-  // Whether another entry has the same key, and no probe has told yet which of
-  // them is the target's own.
-  bool is_name_doubtful = false;
+  // Whether the entry is the target's own, although others have the same key.
+  NameCheck name_check = NameCheck::kNotNeeded;
   // Whether a request that may be reset waits for a probe of this target.
   bool has_waiting_request = false;
   TargetHealth health;
@@ -156,7 +161,9 @@
   // it is. The target may get new flows if there is no better one.
   void OnAnonymousAnswer(EdgeTarget& target);
   // Another entry has the key of the target.
-  void SetNameDoubtful(EdgeTarget& target, bool doubtful);
+  void OnOtherName(EdgeTarget& target);
+  // The target has answered by the name of its entry.
+  void OnOwnName(EdgeTarget& target);
   // Targets that are listed or missing, and for which a probe has to tell
   // whether they have their address, or which of their entries is their own.
   [[nodiscard]] const std::set<TargetKey>& unconfirmed() const noexcept {
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -245,6 +245,7 @@
   steering_.OnRoutesRead(view_.RoutesConfirmedUntil(), now);
   OnViewChanged();
   targets_.Expire(now, view_.targets_age().complete_until());
+  view_.UseSpareEntries();
   steering_.OnTargetsRead(now);
   ArmSteering();
   view_.ExpireEvacuations();
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -94,6 +94,10 @@
   // of its key does, or was not found at its address, that entry is used.
   // `answered_name` is empty if no target identified itself.
   void OnTargetProbed(TargetKey key, std::string_view answered_name);
+  // Lists the targets that are gone by their spare entries, unless a target has
+  // answered at the address or by the name of the entry that was removed. An
+  // entry of another writer stays when those of targets expire.
+  void UseSpareEntries();
   // Makes the next entry of each collection count; see
   // TargetDirectory::ForgetRevisions.
   void ForgetRevisions() noexcept;
@@ -187,7 +191,7 @@
                   StoreRevision revision);
 
   void ApplyTarget(const CollectionItem<TargetRecord>& item, bool propagated);
-  // Whether the target is listed by an entry of another name.
+  // Whether the target is known by an entry of another name.
   [[nodiscard]] bool HasOtherName(TargetKey key, std::string_view name);
   // Keeps an entry of a target that another entry lists.
   void KeepSpare(TargetKey key, const TargetItem& item);
--- a/src/sapphirestream/edge_io/edge_view_targets.cc
+++ b/src/sapphirestream/edge_io/edge_view_targets.cc
@@ -134,18 +134,16 @@
               {"store_was_away", was_unavailable ? 1 : 0},
               {"revision", removal.revision.number},
               {"era", Value(removal.revision.era)}});
-  if (const auto spare = spare_entries_.TakeFirst(key)) ApplySpare(key, *spare);
 }
 
 bool EdgeView::HasOtherName(TargetKey key, std::string_view name) {
   const EdgeTarget* const target = targets_.Find(key);
-  return target != nullptr && target->listing == TargetPresence::kListed &&
-         target->record.name != name;
+  return target != nullptr && target->record.name != name;
 }
 
 void EdgeView::KeepSpare(TargetKey key, const TargetItem& item) {
   if (!spare_entries_.Put(key, item)) return;
-  targets_.SetNameDoubtful(*targets_.Find(key), true);
+  targets_.OnOtherName(*targets_.Find(key));
   ignored_entries_.Add();
   log_.Write(LogLevel::kWarn, "target_entry_spare",
              {{"entry", PrintableName(item.name)},
@@ -183,6 +181,20 @@
   KeepSpare(key, former);
 }
 
+void EdgeView::UseSpareEntries() {
+  // Open flows of a target whose entry was removed still go to its address.
+  const auto is_used = [](const EdgeTarget& target) {
+    return target.listing != TargetPresence::kGone ||
+           target.name_check == NameCheck::kConfirmed ||
+           target.claim.seen != TimePoint{};
+  };
+  for (const TargetKey key : spare_entries_.targets()) {
+    const EdgeTarget* const target = targets_.Find(key);
+    if (target == nullptr || !is_used(*target))
+      ApplySpare(key, *spare_entries_.TakeFirst(key));
+  }
+}
+
 void EdgeView::ReleaseRemovedNames(const std::vector<TargetItem>& items,
                                    StoreRevision revision) {
   spare_entries_.Clear();
--- a/src/sapphirestream/edge_io/spare_entries.cc
+++ b/src/sapphirestream/edge_io/spare_entries.cc
@@ -46,4 +46,10 @@
   return Take(target, std::string(it->second.front().name));
 }
 
+std::vector<TargetKey> SpareEntries::targets() const {
+  std::vector<TargetKey> targets;
+  for (const auto& [target, items] : items_) targets.push_back(target);
+  return targets;
+}
+
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge_io/spare_entries.h
+++ b/src/sapphirestream/edge_io/spare_entries.h
@@ -33,6 +33,8 @@
   [[nodiscard]] bool contains(TargetKey target) const {
     return items_.contains(target);
   }
+  // Returns the targets with spare entries.
+  [[nodiscard]] std::vector<TargetKey> targets() const;
   void Clear() noexcept { items_.clear(); }
 
  private:
--- a/test/edge_io/edge_view_targets_test.cc
+++ b/test/edge_io/edge_view_targets_test.cc
@@ -7,6 +7,8 @@
 namespace sapphirestream {
 namespace {
 
+using namespace std::chrono_literals;
+
 // An entry of another writer with the key of target 1.
 CollectionItem<TargetRecord> Foreign(std::uint64_t revision) {
   CollectionItem<TargetRecord> item = Item(1, revision);
@@ -63,10 +65,49 @@
   observer().OnSnapshot({Item(1, 1)}, At(1));
   observer().OnChanges({Foreign(2)});
   observer().OnChanges({WithoutRecord("1", 3, /*deleted=*/true)});
+  view.UseSpareEntries();
   BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
   BOOST_TEST((AddressOf(1) == foreign));
 }
 
+// The entry of another writer stayed when those of the targets expired in an
+// outage, and open flows were reset by probes of its address.
+BOOST_AUTO_TEST_CASE(a_spare_entry_is_not_used_while_the_other_may_return) {
+  observer().OnSnapshot({Item(1, 1)}, At(1));
+  observer().OnChanges({Foreign(2)});
+  observer().OnStoreUnavailable(ErrorKind::kTimedOut);
+  observer().OnStoreRecovered(3s);
+  observer().OnChanges({WithoutRecord("1", 3, /*deleted=*/true)});
+  view.UseSpareEntries();
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
+  BOOST_TEST((AddressOf(1) == own));
+}
+
+// Packets of the open flows of a target that lost its entry went to the address
+// of an entry that another writer wrote after that.
+BOOST_AUTO_TEST_CASE(a_spare_entry_does_not_replace_a_target_that_answered) {
+  observer().OnSnapshot({Item(1, 1)}, At(1));
+  targets.OnAnswer(*targets.Find(TargetKey{1}), clock.Now());
+  observer().OnChanges({WithoutRecord("1", 2, /*deleted=*/true)});
+  observer().OnChanges({Foreign(3)});
+  view.UseSpareEntries();
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+  BOOST_TEST((AddressOf(1) == own));
+  // Its own entry counts again.
+  observer().OnChanges({Item(1, 4)});
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
+}
+
+BOOST_AUTO_TEST_CASE(a_spare_entry_does_not_replace_one_that_was_confirmed) {
+  observer().OnSnapshot({Item(1, 1)}, At(1));
+  observer().OnChanges({Foreign(2)});
+  targets.OnOwnName(*targets.Find(TargetKey{1}));
+  observer().OnChanges({WithoutRecord("1", 3, /*deleted=*/true)});
+  view.UseSpareEntries();
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kGone));
+  BOOST_TEST((AddressOf(1) == own));
+}
+
 // An instance that starts may read the other entry first.
 BOOST_AUTO_TEST_CASE(a_spare_entry_is_used_if_nobody_answers_at_the_address) {
   observer().OnSnapshot({Foreign(1), Item(1, 2)}, At(2));
