Keep a target that a restored store lists by another writer's entry only

Callers saw (soak with entries of another writer): open flows were reset right after the store was restored, although their targets held them.

Cause: a list in which a target's own entry was missing and another one had its key replaced the target at once, by the address of the other entry. The copy of a restored store can lack the own entry, which the target writes again within two seconds.

Change: an entry of another name does not count as the target's in a list. The target is missing or gone like any other, and the spare entry waits.

--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -199,10 +199,6 @@
   void ApplySpare(TargetKey key, const TargetItem& spare);
   // The same; the one before is the spare entry then.
   void ExchangeEntry(const EdgeTarget& target, const TargetItem& spare);
-  // Removes the targets of a list whose entry has been replaced by one of
-  // another name.
-  void ReleaseRemovedNames(const std::vector<TargetItem>& items,
-                           StoreRevision revision);
   // Reports an entry that cannot be used, once for each of its revisions.
   void ReportMalformed(const TargetItem& item);
   // Whether targets may be missing from a list because they registered after
--- a/src/sapphirestream/edge_io/edge_view_targets.cc
+++ b/src/sapphirestream/edge_io/edge_view_targets.cc
@@ -26,11 +26,12 @@
   const bool is_first_of_era = IsFirstListOf(revision.era);
   if (is_first_of_era) recovered_at_ = clock_.Now();
   targets_era_ = revision.era;
-  ReleaseRemovedNames(items, revision);
+  spare_entries_.Clear();
   std::unordered_set<TargetKey> seen;
   for (const auto& item : items) {
     ApplyTarget(item, /*propagated=*/!has_targets_);
-    if (const auto key = key_of_(item.name)) seen.insert(*key);
+    const auto key = key_of_(item.name);
+    if (key && !HasOtherName(*key, item.name)) seen.insert(*key);
   }
   std::vector<TargetKey> vanished;
   targets_.ForEach([&](const EdgeTarget& target) {
@@ -195,23 +196,6 @@
   }
 }
 
-void EdgeView::ReleaseRemovedNames(const std::vector<TargetItem>& items,
-                                   StoreRevision revision) {
-  spare_entries_.Clear();
-  std::unordered_set<std::string_view> names;
-  for (const TargetItem& item : items) names.insert(item.name);
-  for (const TargetItem& item : items) {
-    const auto key = key_of_(item.name);
-    if (!key || !HasOtherName(*key, item.name)) continue;
-    if (names.contains(targets_.Find(*key)->record.name)) continue;
-    EraseTarget(
-        *key,
-        {.name = {}, .revision = revision, .deleted = true, .record = {}});
-    // The revision of the other entry may be lower.
-    targets_.Remove(*key);
-  }
-}
-
 StoreRevision EdgeView::HeldRevision(TargetKey key) {
   const EdgeTarget* const target = targets_.Find(key);
   return target == nullptr ? StoreRevision{} : target->revision;
--- a/test/edge_io/edge_view_targets_test.cc
+++ b/test/edge_io/edge_view_targets_test.cc
@@ -137,10 +137,23 @@
 BOOST_AUTO_TEST_CASE(a_list_without_the_entry_in_use_replaces_it) {
   observer().OnSnapshot({Item(1, 1)}, At(1));
   observer().OnSnapshot({Foreign(2)}, At(3));
+  view.UseSpareEntries();
   BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
   BOOST_TEST((AddressOf(1) == foreign));
 }
 
+// The copy that the store was restored from had only the entry of another
+// writer, and open flows of the target were reset by probes of its address.
+BOOST_AUTO_TEST_CASE(a_restored_list_without_the_entry_keeps_the_target) {
+  observer().OnSnapshot({Item(1, 1)}, At(1));
+  CollectionItem<TargetRecord> other = Foreign(1);
+  other.revision.era = StoreEra{2};
+  observer().OnSnapshot({other}, {StoreEra{2}, 1});
+  view.UseSpareEntries();
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
+  BOOST_TEST((AddressOf(1) == own));
+}
+
 BOOST_AUTO_TEST_CASE(the_entry_in_use_stays_in_use_through_lists) {
   observer().OnSnapshot({Item(1, 2)}, At(2));
   observer().OnSnapshot({Foreign(1), Item(1, 2)}, At(3));
