Take an entry that was written after a restoration for what it is

Cause: the first entry of a target in a new era counted as the copy of a restored store, also if the target had written it since. If the target was gone and any later target named its address, a copy does not bring it back. That later target could be an entry of another writer, or be gone itself. No further entry followed, since the target had nothing new to say.

Change: entries with a revision after the first list of their era are no copies. A copy is no longer compared with other targets at its address: address_claim decides between them, with a probe.

--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -22,15 +22,15 @@
 };
 
 // `target` is default-constructed if it is new.
-EntryChange ChangeOf(const EdgeTarget& target, bool is_new,
-                     const TargetRecord& record, StoreRevision revision) {
-  const bool was_listed = target.presence == TargetPresence::kListed;
+EntryChange ChangeOf(const EdgeTarget& target, bool is_new, bool is_copy,
+                     const TargetRecord& record) {
+  const bool was_listed = target.listing == TargetPresence::kListed;
   EntryChange change;
-  change.is_copy = !is_new && target.revision.era < revision.era;
+  change.is_copy = is_copy;
   change.restarted = is_new || target.record.incarnation != record.incarnation;
   change.registered_again = !was_listed && !change.is_copy;
   change.is_copy_of_gone =
-      change.is_copy && target.presence == TargetPresence::kGone;
+      change.is_copy && target.listing == TargetPresence::kGone;
   change.moved = target.record.address != record.address;
   change.affects_flows = change.restarted || !was_listed || change.moved ||
                          target.record.draining != record.draining ||
@@ -38,6 +38,15 @@
   return change;
 }
 
+// Whether an entry of a restored store is an older copy of what is known.
+bool IsSuperseded(const TargetRecord& copy, const EdgeTarget& held) {
+  if (copy.incarnation != held.record.incarnation) {
+    return copy.incarnation < held.record.incarnation;
+  }
+  return held.record.draining &&
+         (!copy.draining || held.listing == TargetPresence::kGone);
+}
+
 }  // namespace
 
 std::string_view Name(TargetPresence presence) noexcept {
@@ -56,16 +65,17 @@
                                      TimePoint now) {
   const auto [it, is_new] = targets_.try_emplace(record.key);
   EdgeTarget& target = it->second;
+  const bool is_copy = !is_new && IsCopy(target, revision);
   if (!is_new) {
     if (revision == target.revision) return EntryOutcome::kUnchanged;
     if (revision < target.revision) return EntryOutcome::kOutdated;
-    if (target.revision.era < revision.era && IsSuperseded(record, target)) {
+    if (is_copy && IsSuperseded(record, target)) {
       target.revision = revision;
       return EntryOutcome::kOldCopy;
     }
     RemoveFromIndexes(target);
   }
-  const EntryChange change = ChangeOf(target, is_new, record, revision);
+  const EntryChange change = ChangeOf(target, is_new, is_copy, record);
   const V4Endpoint former_address = target.record.address;
   if (change.restarted || change.registered_again || change.moved) {
     target.health = TargetHealth(now);
@@ -104,23 +114,11 @@
       cut_off == cut_off_.end() ? TimePoint{} : cut_off->second;
 }
 
-bool TargetDirectory::IsSuperseded(const TargetRecord& copy,
-                                   const EdgeTarget& held) const {
-  if (copy.incarnation != held.record.incarnation) {
-    return copy.incarnation < held.record.incarnation;
-  }
-  if (held.record.draining) {
-    return !copy.draining || held.presence == TargetPresence::kGone;
-  }
-  return held.presence == TargetPresence::kGone && HasLaterOwner(held.record);
-}
-
-bool TargetDirectory::HasLaterOwner(const TargetRecord& record) const {
-  const auto [begin, end] = by_address_.equal_range(record.address);
-  return std::any_of(begin, end, [&record](const auto& entry) {
-    const TargetRecord& other = entry.second->record;
-    return other.key != record.key && record.incarnation < other.incarnation;
-  });
+bool TargetDirectory::IsCopy(const EdgeTarget& held,
+                             StoreRevision revision) const noexcept {
+  const bool is_later =
+      first_list_.era == revision.era && first_list_.number < revision.number;
+  return held.revision.era < revision.era && !is_later;
 }
 
 void TargetDirectory::UpdateClaim(EdgeTarget& target, StoreRevision revision,
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -120,13 +120,18 @@
         entry_lifetime_(entry_lifetime),
         address_reuse_delay_(address_reuse_delay) {}
 
+  // The first list since the store was restored was read. Entries of its era
+  // with a later revision have been written since; the others may be copies.
+  void OnFirstListOfEra(StoreRevision revision) noexcept {
+    first_list_ = revision;
+  }
   // Adds or updates a target, unless a later revision is known. `propagated`:
   // the other instances know the entry as well. The first entry after the store
   // was restored may be a copy from before what is known: it does not bring
-  // back a target that has drained, restarted or lost its address, and a target
-  // that was gone gets new flows only if its entry has not expired until then.
-  // The health of a target that registers, or registers again, is unknown: what
-  // was observed before says nothing about it any more.
+  // back a target that has drained or restarted, and a target that was gone
+  // gets new flows only if its entry has not expired until then. The health of
+  // a target that registers, or registers again, is unknown: what was observed
+  // before says nothing about it any more.
   EntryOutcome Upsert(const TargetRecord& record, StoreRevision revision,
                       bool propagated, TimePoint now);
   // Marks a target's entry as removed. `store_was_unavailable`: the entry may
@@ -217,11 +222,9 @@
                 StoreRevision revision);
   void AddToIndexes(EdgeTarget& target);
   void RemoveFromIndexes(EdgeTarget& target);
-  // Whether an entry of a restored store is an older copy of what is known.
-  [[nodiscard]] bool IsSuperseded(const TargetRecord& copy,
-                                  const EdgeTarget& held) const;
-  // Whether a target that started later has the same address.
-  [[nodiscard]] bool HasLaterOwner(const TargetRecord& record) const;
+  // Whether an entry may be from the copy that the store was restored from.
+  [[nodiscard]] bool IsCopy(const EdgeTarget& held,
+                            StoreRevision revision) const noexcept;
   // Updates a target's claim of its address after its entry has changed.
   static void UpdateClaim(EdgeTarget& target, StoreRevision revision,
                           bool is_new_claim, bool is_copy, TimePoint now);
@@ -243,6 +246,7 @@
   std::unordered_multimap<FlowToken, EdgeTarget*> by_token_;
   std::unordered_map<ServiceNumber, std::vector<EdgeTarget*>> by_service_;
   std::unordered_multimap<V4Endpoint, EdgeTarget*, V4EndpointHash> by_address_;
+  StoreRevision first_list_;
   std::set<TargetKey> unconfirmed_;
   std::vector<ClaimChange> claim_changes_;
 };
--- a/src/sapphirestream/edge_io/edge_view_targets.cc
+++ b/src/sapphirestream/edge_io/edge_view_targets.cc
@@ -24,7 +24,10 @@
     StoreRevision revision) {
   if (has_targets_) ReportList("targets", items.size(), revision);
   const bool is_first_of_era = IsFirstListOf(revision.era);
-  if (is_first_of_era) recovered_at_ = clock_.Now();
+  if (is_first_of_era) {
+    recovered_at_ = clock_.Now();
+    targets_.OnFirstListOfEra(revision);
+  }
   targets_era_ = revision.era;
   spare_entries_.Clear();
   std::unordered_set<TargetKey> seen;
--- a/test/edge/target_directory_test.cc
+++ b/test/edge/target_directory_test.cc
@@ -324,6 +324,31 @@
   BOOST_TEST(targets.unconfirmed().empty());
 }
 
+// After an outage a target wrote its entry in the restored store; it was taken
+// for a copy, and the target got no flows any more.
+BOOST_AUTO_TEST_CASE(an_entry_written_after_the_first_list_is_no_copy) {
+  Add(sample::Target(1, "a"), 90);
+  targets.Erase(TargetKey{1}, At(91), /*store_was_unavailable=*/false, now);
+  Add(WithAddressOf(1, 7), 92);
+  targets.OnFirstListOfEra(AfterRestoration(50));
+  BOOST_TEST((targets.Upsert(sample::Target(1, "a"), AfterRestoration(51),
+                             false, now) == EntryOutcome::kApplied));
+  const EdgeTarget& target = *targets.Find(TargetKey{1});
+  BOOST_TEST((target.listing == TargetPresence::kListed));
+  BOOST_TEST((target.usable_from <= now));
+}
+
+// An entry of another writer must not make it an outdated one.
+BOOST_AUTO_TEST_CASE(a_copy_at_an_address_that_is_claimed_is_not_superseded) {
+  Add(sample::Target(1, "a"), 90);
+  targets.Erase(TargetKey{1}, At(91), /*store_was_unavailable=*/false, now);
+  Add(WithAddressOf(1, 7), 92);
+  targets.Upsert(sample::Target(1, "a"), AfterRestoration(21), false, now);
+  BOOST_TEST(targets.unconfirmed().contains(TargetKey{1}));
+  targets.OnAnswer(*targets.Find(TargetKey{1}), now + 10ms);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
+}
+
 // The same entry, written again and again.
 BOOST_AUTO_TEST_CASE(an_entry_written_again_does_not_take_the_address_back) {
   Add(sample::Target(1, "a"));
