Soak: entries of another writer that name the addresses and keys of targets

Cause: the soak had entries that cannot be decoded, and one of an unknown service; none that could be taken for a target.

Targets identify themselves in health checks, and start later than those before them at their address.

--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -49,6 +49,7 @@
     schedule.LoseAnyEntry();
     world.RunFor(kLostEntryLead);
     world.ExpectAllAnswered();
+    schedule.ClaimAddresses();
     schedule.DrainAnyTarget();
     schedule.EvacuateAnyDomain();
     schedule.RemoveReturningRoute();
--- a/testing/soak/soak_domains.cc
+++ b/testing/soak/soak_domains.cc
@@ -16,7 +16,6 @@
 using testing::FlowPacket;
 
 constexpr const char* kEvacuationKind = "evacuations";
-constexpr const char* kTargetKind = "servers";
 constexpr std::array<const char*, 2> kServices{"desk", "intake"};
 constexpr const char* kLimitedService = "desk";
 // Covers packets in flight and late timers.
@@ -75,15 +74,12 @@
 void SoakWorld::ConfirmEntries() {
   timer_.After(kHeartbeat, [this] { ConfirmEntries(); });
   if (store_fault_ != StoreFault::kNone) return;
-  const std::vector<std::string> names = store_->Names(kTargetKind);
   for (const Target& target : targets_) {
     const SoakTarget& process = *target.process;
-    const bool has_entry =
-        std::find(names.begin(), names.end(),
-                  EntryName(process.record().key)) != names.end();
     const bool has_news = evacuations_.contains(process.record().domain) ||
                           clock_.Now() < process.cold_until() + kHeartbeat;
-    if (process.is_serving() && has_entry && has_news) WriteEntry(process);
+    if (process.is_serving() && HasEntry(process) && has_news)
+      WriteEntry(process);
   }
 }
 
--- a/testing/soak/soak_faults.cc
+++ b/testing/soak/soak_faults.cc
@@ -1,12 +1,10 @@
 // Faults and changes that the soak test injects.
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <csignal>
 #include <string>
 #include <utility>
 
-#include "testing/odd_target_specs.h"
 #include "testing/soak/soak_world.h"
 
 namespace sapphirestream::soak {
@@ -86,6 +84,7 @@
 
 void SoakWorld::ExpireEntries() {
   Log("target entries expire");
+  RemoveNameClaims();
   ++open_faults_;
   for (const Target& target : targets_) {
     store_->Delete("servers", EntryName(target.process->record().key));
@@ -109,6 +108,7 @@
       " ms old");
   ++open_faults_;
   store_->Restore(age);
+  RemoveNameClaims();
   SetStoreFault(StoreFault::kNone);
   // The copy may have them.
   RegainEntries();
@@ -125,25 +125,6 @@
   }
 }
 
-void SoakWorld::WriteOddEntry(Random& random) {
-  // First, in the middle and last in a list; the last one cannot be decoded.
-  constexpr std::array<const char*, 4> names{"a", "i-00001003a", "z",
-                                             R"(z\udcff)"};
-  static const std::array odd_specs{testing::UndecodableTargetSpecs(),
-                                    testing::OutOfRangeTargetSpecs()};
-  const std::string name = names.at(random.Below(names.size()));
-  Log("another writer leaves the entry " + name);
-  const std::uint64_t kind = random.Below(odd_specs.size() + 1);
-  if (kind < odd_specs.size()) {
-    const std::vector<std::string>& specs = odd_specs.at(kind);
-    return store_->Put("servers", name, specs.at(random.Below(specs.size())));
-  }
-  TargetRecord record = targets_.front().process->record();
-  record.service = "nobody";
-  record.incarnation = Incarnation{Value(record.incarnation) + 1};
-  store_->Put("servers", "i-9", SpecOf(record));
-}
-
 void SoakWorld::CrashTarget(std::size_t index) {
   Log("crash target " + std::to_string(index + 1));
   ++open_faults_;
@@ -161,6 +142,7 @@
 
 void SoakWorld::ExpireEntry(std::size_t index) {
   Log("entry of target " + std::to_string(index + 1) + " expires");
+  RemoveNameClaims();
   store_->Delete("servers",
                  EntryName(targets_.at(index).process->record().key));
 }
@@ -222,6 +204,7 @@
 
 void SoakWorld::ReplaceTarget(std::size_t index) {
   Log("replace target " + std::to_string(index + 1));
+  RemoveNameClaims();
   Target& target = targets_.at(index);
   store_->Delete("servers", EntryName(target.process->record().key));
   target.process->Crash();
--- a/testing/soak/soak_schedule.cc
+++ b/testing/soak/soak_schedule.cc
@@ -44,20 +44,12 @@
 constexpr Duration kCutExpiryDelay = 1500ms;
 constexpr Duration kCutTime = 2500ms;
 constexpr Duration kCutReturnDelay = 3200ms;
-// Entries of another writer.
 constexpr std::uint64_t kEntrySeed = 0xd1b54a32d192ed03;
-constexpr std::uint64_t kMaxEntryGapMs = 2000;
 constexpr std::uint64_t kEvacuationSeed = 0xa0761d6478bd642f;
 constexpr std::uint64_t kLoadSeed = 0xe7037ed1a0b428db;
 constexpr std::uint64_t kRouteSeed = 0x1d8e4e27c47d124f;
-// Living targets that lose their entry: time between two, time from the reset
-// of connections until then, and time until it is written again.
+constexpr std::uint64_t kClaimSeed = 0xbf58476d1ce4e5b9;
 constexpr std::uint64_t kLostEntrySeed = 0xc2b2ae3d27d4eb4f;
-constexpr Duration kMinLostEntryGap = 2s;
-constexpr std::uint64_t kMaxLostEntryGapMs = 5000;
-constexpr std::uint64_t kMinResetLeadMs = 200;
-constexpr std::uint64_t kMaxResetLeadMs = 1000;
-constexpr Duration kLostEntryTime = 6s;
 // Routes that are removed and added again: time between two removals, time
 // until the addition, and time from then until an instance is stopped.
 constexpr std::uint64_t kMaxReturningGapMs = 1500;
@@ -75,7 +67,8 @@
       evacuation_random_(world.seed() ^ kEvacuationSeed),
       load_random_(world.seed() ^ kLoadSeed),
       route_random_(world.seed() ^ kRouteSeed),
-      lost_entry_random_(world.seed() ^ kLostEntrySeed) {}
+      lost_entry_random_(world.seed() ^ kLostEntrySeed),
+      claim_random_(world.seed() ^ kClaimSeed) {}
 
 SoakSchedule::~SoakSchedule() { EndAllFaults(); }
 
@@ -88,6 +81,7 @@
   ScheduleLoadFault();
   ScheduleReturningRoute();
   ScheduleLostEntry();
+  ScheduleClaims();
 }
 
 void SoakSchedule::ScheduleNext() {
@@ -109,6 +103,7 @@
   world_.timer().Cancel(next_odd_entry_);
   world_.timer().Cancel(next_returning_route_);
   world_.timer().Cancel(next_lost_entry_);
+  world_.timer().Cancel(next_claims_);
   EndEvacuation();
   EndLoadFault();
   for (ActiveFault& fault : std::exchange(active_faults_, {})) {
@@ -290,44 +285,6 @@
                        [this, index] { world_.RestoreEntry(index); });
 }
 
-void SoakSchedule::ScheduleOddEntry() {
-  next_odd_entry_ = world_.timer().After(
-      std::chrono::milliseconds(100 + entry_random_.Below(kMaxEntryGapMs)),
-      [this] {
-        world_.WriteOddEntry(entry_random_);
-        ScheduleOddEntry();
-      });
-}
-
-void SoakSchedule::ScheduleLostEntry() {
-  next_lost_entry_ = world_.timer().After(
-      kMinLostEntryGap + std::chrono::milliseconds(
-                             lost_entry_random_.Below(kMaxLostEntryGapMs)),
-      [this] {
-        LoseAnyEntry();
-        ScheduleLostEntry();
-      });
-}
-
-void SoakSchedule::LoseAnyEntry() {
-  const std::size_t first = lost_entry_random_.Below(world_.targets());
-  const std::chrono::milliseconds delay(
-      kMinResetLeadMs + lost_entry_random_.Below(kMaxResetLeadMs));
-  for (std::size_t i = 0; i < world_.instances(); ++i) {
-    if (lost_entry_random_.Below(2) == 0) world_.ResetConnections(i);
-  }
-  world_.timer().After(delay, [this, first] {
-    for (std::size_t i = 0; i < world_.targets(); ++i) {
-      const std::size_t index = (first + i) % world_.targets();
-      if (!IsDispensable(index)) continue;
-      world_.LoseEntry(index);
-      world_.timer().After(kLostEntryTime,
-                           [this, index] { world_.RestoreEntry(index); });
-      return;
-    }
-  });
-}
-
 void SoakSchedule::ScheduleReturningRoute() {
   next_returning_route_ = world_.timer().After(
       std::chrono::milliseconds(100 + route_random_.Below(kMaxReturningGapMs)),
--- a/testing/soak/soak_schedule.h
+++ b/testing/soak/soak_schedule.h
@@ -27,6 +27,9 @@
   // Drains a target until the end. While no fault is active, each instance must
   // learn of it.
   void DrainAnyTarget();
+  // Another writer names the addresses of targets until the end. While no fault
+  // is active, each flow must be answered.
+  void ClaimAddresses() { world_.ClaimAddresses(claim_random_); }
   // Evacuates a failure domain until the end, if another one can serve.
   void EvacuateAnyDomain();
   // Resets connections to the store, and then removes the entry of a target
@@ -76,6 +79,9 @@
   // And so have living targets that lose their entry just after connections to
   // the store were reset.
   void ScheduleLostEntry();
+  // And so have entries of another writer that name the addresses of targets.
+  void ScheduleClaims();
+  void InjectClaims();
   // And so have routes that are removed and added again at the same address.
   // Instances are stopped soon after the addition.
   void ScheduleReturningRoute();
@@ -102,6 +108,7 @@
   SeededRandom load_random_;
   SeededRandom route_random_;
   SeededRandom lost_entry_random_;
+  SeededRandom claim_random_;
   TimerId next_ = kNoTimer;
   TimerId next_restoration_ = kNoTimer;
   TimerId next_view_fault_ = kNoTimer;
@@ -110,6 +117,7 @@
   TimerId next_load_fault_ = kNoTimer;
   TimerId next_returning_route_ = kNoTimer;
   TimerId next_lost_entry_ = kNoTimer;
+  TimerId next_claims_ = kNoTimer;
   std::list<ActiveFault> active_faults_;
   bool store_fault_active_ = false;
   bool packet_loss_active_ = false;
--- a/testing/soak/soak_target.cc
+++ b/testing/soak/soak_target.cc
@@ -1,9 +1,13 @@
 #include "testing/soak/soak_target.h"
 
 #include <boost/asio/buffer.hpp>
+#include <cstdio>
 #include <stdexcept>
 #include <utility>
 
+#include "platform/edge_platform.h"
+#include "sapphirestream/base/id.h"
+
 namespace sapphirestream::soak {
 
 namespace asio = boost::asio;
@@ -16,6 +20,13 @@
 
 }  // namespace
 
+std::string EntryName(TargetKey key) {
+  std::array<char, 24> name{};
+  std::snprintf(name.data(), name.size(), "i-%08llx",
+                static_cast<unsigned long long>(Value(key)));
+  return name.data();
+}
+
 SoakTarget::SoakTarget(asio::io_context& context, const TargetRecord& record,
                        const Udp::endpoint& clients, Timer& timer,
                        testing::FlowTarget::Observer& observer)
@@ -38,7 +49,7 @@
             health_, HttpServer::Open(context_, ToEndpoint(record_.address),
                                       [this](const HttpRequest& /*request*/,
                                              const HttpServer::Reply& reply) {
-                                        if (!frozen_) return reply({});
+                                        if (!frozen_) return AnswerCheck(reply);
                                         queued_checks_.push_back(reply);
                                       }));
         return {};
@@ -72,11 +83,18 @@
 void SoakTarget::Thaw() {
   frozen_ = false;
   for (const HttpServer::Reply& reply : std::exchange(queued_checks_, {})) {
-    reply({});
+    AnswerCheck(reply);
   }
   for (const Datagram& datagram : std::exchange(queued_, {})) Handle(datagram);
 }
 
+void SoakTarget::AnswerCheck(const HttpServer::Reply& reply) const {
+  HttpResponse response;
+  response.fields.emplace_back(platform::MakeEdgePlatform()->identity_field(),
+                               EntryName(record_.key));
+  reply(std::move(response));
+}
+
 void SoakTarget::Drain() {
   record_.draining = true;
   if (flows_) flows_->Drain();
--- a/testing/soak/soak_target.h
+++ b/testing/soak/soak_target.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "sapphirestream/admin/http_server.h"
@@ -16,6 +17,9 @@
 
 namespace sapphirestream::soak {
 
+// Returns the name of a target's entry in the store.
+[[nodiscard]] std::string EntryName(TargetKey key);
+
 class SoakTarget {
  public:
   using Udp = boost::asio::ip::udp;
@@ -73,6 +77,8 @@
     testing::Bytes bytes;
   };
 
+  // Answers a health check, naming the target.
+  void AnswerCheck(const HttpServer::Reply& reply) const;
   void Read();
   void Handle(const Datagram& datagram);
 
--- a/testing/soak/soak_world.cc
+++ b/testing/soak/soak_world.cc
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <csignal>
-#include <cstdio>
 #include <iostream>
 #include <stdexcept>
 #include <utility>
@@ -88,6 +87,10 @@
           port};
 }
 
+V4Endpoint SoakWorld::UnusedTargetAddress() const {
+  return Address(kTargetGroup, kCheckTarget + 1, kTargetPort);
+}
+
 void SoakWorld::AddInstance(std::size_t index) {
   const V4Endpoint link = Address(kLinkGroup, index, kStorePort);
   const V4Endpoint ready = Address(kInstanceGroup, index, kReadyPort);
@@ -118,6 +121,8 @@
   const V4Endpoint clients = Address(kClientGroup, 0, kDataPort);
   TargetRecord record;
   record.key = TargetKey{++last_key_};
+  record.incarnation = Incarnation{static_cast<std::uint64_t>(
+      (clock_.Now() - start_) / std::chrono::milliseconds(1))};
   record.service = ServiceOf(index);
   record.address = Address(kTargetGroup, index, kTargetPort);
   record.domain = index == kCheckTarget ? "c" : DomainOf(index);
@@ -134,13 +139,6 @@
   targets_.at(index) = {std::move(process), TimePoint{}};
 }
 
-std::string SoakWorld::EntryName(TargetKey key) {
-  std::array<char, 24> name{};
-  std::snprintf(name.data(), name.size(), "i-%08llx",
-                static_cast<unsigned long long>(Value(key)));
-  return name.data();
-}
-
 std::string SoakWorld::SpecOf(const TargetRecord& record) {
   return R"({"Service":")" + record.service + R"(","Address":")" +
          ToString(record.address) + R"(","Zone":")" + record.domain +
--- a/testing/soak/soak_world.h
+++ b/testing/soak/soak_world.h
@@ -99,6 +99,10 @@
   // Another writer leaves an entry that must not matter: one that cannot be
   // used, or one of an unknown service with the address of a target.
   void WriteOddEntry(Random& random);
+  // Another writer leaves entries that name the addresses of one or of all
+  // targets, or that have their keys.
+  void ClaimAddresses(Random& random);
+  void RemoveClaims();
   void CrashTarget(std::size_t index);
   void RestartTarget(std::size_t index);
   // Removes or writes the entry of one target that is alive.
@@ -214,9 +218,15 @@
 
   void AddInstance(std::size_t index);
   void AddTarget(std::size_t index);
-  [[nodiscard]] static std::string EntryName(TargetKey key);
   [[nodiscard]] static std::string SpecOf(const TargetRecord& record);
   void WriteEntry(const SoakTarget& target);
+  // Writes one of the entries of ClaimAddresses.
+  void WriteClaim(const SoakTarget& target, Random& random);
+  // Whether the store has the target's own entry.
+  [[nodiscard]] bool HasEntry(const SoakTarget& target) const;
+  // Removes the entries that have the key of a target: without the target's own
+  // entry, nothing tells that they are another writer's.
+  void RemoveNameClaims();
   // Writes the routes as a new version.
   void WriteRoutes(Random& random);
   void PutRoutes();
@@ -292,6 +302,8 @@
   [[nodiscard]] SoakTarget* Find(TargetKey key);
   [[nodiscard]] V4Endpoint Address(unsigned group, std::size_t index,
                                    std::uint16_t port) const;
+  // Returns an address at which no target is.
+  [[nodiscard]] V4Endpoint UnusedTargetAddress() const;
 
   SoakOptions options_;
   boost::asio::io_context context_{1};
@@ -307,6 +319,9 @@
   // When the set of targets last changed.
   TimePoint targets_changed_;
   std::uint64_t last_key_ = 0x1000;
+  // Names of the entries of ClaimAddresses.
+  std::vector<std::string> claims_;
+  std::uint64_t last_claim_ = 0x900000;
 
   boost::asio::ip::udp::socket clients_socket_{context_};
   boost::asio::ip::udp::endpoint from_;
