--- a/src/sapphirestream/edge/address_claim.h
+++ b/src/sapphirestream/edge/address_claim.h
@@ -44,10 +44,11 @@
 
 [[nodiscard]] std::string_view Name(ClaimStatus status) noexcept;
 
-// `rivals`: the claims of the other targets that name the address, without
-// those that are gone. `reuse_delay`: shortest time between the end of a target
-// and the start of the next one at its address. Without further evidence, the
-// target that started later and wrote its entry later is taken for the holder.
+// `rivals`: the claims of the targets that name the address, without those that
+// are gone; the claim itself may be among them. `reuse_delay`: shortest time
+// between the end of a target and the start of the next one at its address.
+// Without further evidence, the target that started later and wrote its entry
+// later is taken for the holder.
 [[nodiscard]] ClaimStatus StatusOf(const AddressClaim& claim,
                                    std::span<const AddressClaim> rivals,
                                    Duration reuse_delay) noexcept;
--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -139,25 +139,23 @@
 void TargetDirectory::UpdateClaimsAt(V4Endpoint address) {
   const auto [begin, end] = by_address_.equal_range(address);
   std::vector<EdgeTarget*> claimants;
+  std::vector<AddressClaim> claims;
   for (auto it = begin; it != end; ++it) {
-    if (it->second->listing == TargetPresence::kGone) {
-      it->second->is_contested = false;
-      SetClaimStatus(*it->second, ClaimStatus::kHeld);
-    } else {
-      claimants.push_back(it->second);
+    EdgeTarget& target = *it->second;
+    if (target.listing == TargetPresence::kGone) {
+      target.is_contested = false;
+      SetClaimStatus(target, ClaimStatus::kHeld);
+      continue;
     }
+    claimants.push_back(&target);
+    // Any writer may name any address under a service of its own.
+    if (routes_.IsConfigured(target.service)) claims.push_back(target.claim);
   }
   for (EdgeTarget* const target : claimants) {
-    std::vector<AddressClaim> rivals;
-    for (const EdgeTarget* const other : claimants) {
-      // Any writer may name any address under a service of its own.
-      if (other != target && routes_.IsConfigured(other->service)) {
-        rivals.push_back(other->claim);
-      }
-    }
-    target->is_contested = !rivals.empty() || target->claim.IsDenied();
+    const std::size_t own = routes_.IsConfigured(target->service) ? 1 : 0;
+    target->is_contested = claims.size() > own || target->claim.IsDenied();
     SetClaimStatus(*target,
-                   StatusOf(target->claim, rivals, address_reuse_delay_));
+                   StatusOf(target->claim, claims, address_reuse_delay_));
   }
 }
 
