Findings of the linter in the code about claimed addresses

Cause: three places without braces or attributes that the linter asks for.

Change: written so that it passes; no change of behaviour.

Result: lint of the changed files clean; edge_test and edge_io_test pass.

--- a/src/sapphirestream/edge_io/edge_view_targets.cc
+++ b/src/sapphirestream/edge_io/edge_view_targets.cc
@@ -194,8 +194,8 @@
   };
   for (const TargetKey key : spare_entries_.targets()) {
     const EdgeTarget* const target = targets_.Find(key);
-    if (target == nullptr || !is_used(*target))
-      ApplySpare(key, *spare_entries_.TakeFirst(key));
+    if (target != nullptr && is_used(*target)) continue;
+    ApplySpare(key, *spare_entries_.TakeFirst(key));
   }
 }
 
--- a/test/edge/address_claim_test.cc
+++ b/test/edge/address_claim_test.cc
@@ -15,10 +15,10 @@
 
 // A target that started early, and one that started later at its address.
 struct Fixture {
-  ClaimStatus First() const {
+  [[nodiscard]] ClaimStatus First() const {
     return StatusOf(first, std::vector{second}, kReuseDelay);
   }
-  ClaimStatus Second() const {
+  [[nodiscard]] ClaimStatus Second() const {
     return StatusOf(second, std::vector{first}, kReuseDelay);
   }
 
--- a/testing/soak/soak_domains.cc
+++ b/testing/soak/soak_domains.cc
@@ -78,8 +78,8 @@
     const SoakTarget& process = *target.process;
     const bool has_news = evacuations_.contains(process.record().domain) ||
                           clock_.Now() < process.cold_until() + kHeartbeat;
-    if (process.is_serving() && HasEntry(process) && has_news)
-      WriteEntry(process);
+    const bool writes = process.is_serving() && HasEntry(process) && has_news;
+    if (writes) WriteEntry(process);
   }
 }
 
