Let a reply that keeps arriving outlast the deadline of its call

Cause (one of several): the deadline of a call covered the transfer of its reply, whatever that weighed. A check of the routes has 1 s; a reply of 1.1 MB takes 0.9 s on a link of 10 Mbit/s by itself, and 1.8 s beside another one. What had arrived was thrown away and asked for again, on a new connection.

Change: the deadline of HttpChannel is that of the first byte. From then on a call fails if no byte arrives for 1 s, or if the reply takes longer than 10 s as a whole; so a connection that goes silent during a reply is found sooner than before. A call may have a limit of its own on the size of the reply, and the channel tells whether a reply is arriving; both are for the changes that follow.

--- a/src/sapphirestream/store/http_channel.cc
+++ b/src/sapphirestream/store/http_channel.cc
@@ -51,20 +51,25 @@
       era_field_(era_field),
       socket_(context) {}
 
-void HttpChannel::Call(Request request, Duration deadline, Done done) {
+void HttpChannel::Call(Request request, const CallLimits& limits, Done done) {
   if (closed_) return;
   auto pending = std::make_shared<Pending>(context_);
   pending->request = std::move(request);
+  pending->max_bytes = std::min(limits.max_bytes, max_reply_bytes_);
   pending->done = std::move(done);
+  ArmTimer(pending, limits.deadline);
+  queue_.push_back(std::move(pending));
+  // Posted, so that `done` is never invoked from within this function.
+  asio::post(context_, [self = shared_from_this()] { self->StartNext(); });
+}
+
+void HttpChannel::ArmTimer(const PendingPtr& pending, Duration time) {
   pending->timer.expires_after(
-      std::chrono::duration_cast<asio::steady_timer::duration>(deadline));
+      std::chrono::duration_cast<asio::steady_timer::duration>(time));
   pending->timer.async_wait(
       [self = shared_from_this(), pending](const error_code& error) {
         if (!error) self->OnDeadline(pending);
       });
-  queue_.push_back(std::move(pending));
-  // Posted, so that `done` is never invoked from within this function.
-  asio::post(context_, [self = shared_from_this()] { self->StartNext(); });
 }
 
 void HttpChannel::Cancel() {
@@ -73,6 +78,7 @@
   // The pending operation fails, and its handler starts the next call.
   current_->done = [](const HttpReply&) {};
   current_->timed_out = true;
+  current_->reply_began = {};
   CloseSocket();
 }
 
@@ -142,27 +148,41 @@
 
 void HttpChannel::Read() {
   parser_.emplace();
-  parser_->body_limit(max_reply_bytes_);
-  http::async_read(
+  parser_->body_limit(current_->max_bytes);
+  ReadSome();
+}
+
+void HttpChannel::ReadSome() {
+  http::async_read_some(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](const error_code& error, std::size_t) {
         if (self->closed_) return;
-        if (error) {
-          self->FinishFailed(error);
-          return;
-        }
-        auto& message = self->parser_->get();
-        HttpReply reply;
-        reply.outcome = HttpOutcome::kAnswered;
-        reply.status = message.result_int();
-        reply.etag = std::string(message[http::field::etag]);
-        reply.era = ParseEra(message[self->era_field_]);
-        reply.body = std::move(message.body());
-        if (!message.keep_alive()) self->CloseSocket();
-        self->Finish(std::move(reply));
+        if (error) return self->FinishFailed(error);
+        if (self->parser_->is_done()) return self->FinishAnswered();
+        self->OnReplyProgress();
+        self->ReadSome();
       });
 }
 
+void HttpChannel::OnReplyProgress() {
+  const TimePoint now = asio::steady_timer::clock_type::now();
+  if (current_->reply_began == TimePoint{}) current_->reply_began = now;
+  const Duration left = current_->reply_began + kMaxReplyTime - now;
+  if (!current_->timed_out) ArmTimer(current_, std::min(kMaxSilence, left));
+}
+
+void HttpChannel::FinishAnswered() {
+  auto& message = parser_->get();
+  HttpReply reply;
+  reply.outcome = HttpOutcome::kAnswered;
+  reply.status = message.result_int();
+  reply.etag = std::string(message[http::field::etag]);
+  reply.era = ParseEra(message[era_field_]);
+  reply.body = std::move(message.body());
+  if (!message.keep_alive()) CloseSocket();
+  Finish(std::move(reply));
+}
+
 void HttpChannel::OnDeadline(const PendingPtr& pending) {
   pending->timed_out = true;
   if (pending == current_) {
@@ -179,17 +199,18 @@
 void HttpChannel::FinishFailed(const error_code& error) {
   CloseSocket();
   HttpReply reply;
-  if (current_->timed_out) {
-    reply.outcome =
-        current_->sending ? HttpOutcome::kTimedOut : HttpOutcome::kNotSent;
-  } else if (error == http::error::body_limit) {
-    reply.outcome = HttpOutcome::kTooLarge;
-  } else if (current_->sending) {
-    reply.outcome = HttpOutcome::kConnectionFailed;
-  }
+  reply.outcome = OutcomeOfFailure(error);
   Finish(std::move(reply));
 }
 
+HttpOutcome HttpChannel::OutcomeOfFailure(const error_code& error) const {
+  if (!current_->sending) return HttpOutcome::kNotSent;
+  if (error == http::error::body_limit) return HttpOutcome::kTooLarge;
+  const bool has_no_reply =
+      current_->timed_out && current_->reply_began == TimePoint{};
+  return has_no_reply ? HttpOutcome::kTimedOut : HttpOutcome::kConnectionFailed;
+}
+
 void HttpChannel::Finish(HttpReply reply) {
   reply.was_reused = has_answered_;
   has_answered_ = socket_.is_open();
--- a/src/sapphirestream/store/http_channel.h
+++ b/src/sapphirestream/store/http_channel.h
@@ -1,5 +1,6 @@
 // Persistent HTTP connection to the object API that processes queued calls one
-// at a time.
+// at a time. A call fails if its reply does not begin in time, or if the
+// connection goes silent while it arrives.
 #ifndef SAPPHIRESTREAM_STORE_HTTP_CHANNEL_H_
 #define SAPPHIRESTREAM_STORE_HTTP_CHANNEL_H_
 
@@ -8,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <cstddef>
 #include <deque>
 #include <functional>
@@ -18,6 +20,7 @@
 
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/store_revision.h"
+#include "sapphirestream/store/call_limits.h"
 #include "sapphirestream/store/object_store.h"
 
 namespace sapphirestream::internal {
@@ -25,8 +28,9 @@
 enum class HttpOutcome : std::uint8_t {
   kAnswered,
   kNotSent,           // nothing was sent, so the request had no effect
-  kConnectionFailed,  // connection error or invalid response after sending
-  kTimedOut,          // deadline exceeded after sending
+  kConnectionFailed,  // connection error or invalid response after sending, or
+                      // the connection went silent during the reply
+  kTimedOut,          // no reply began before the deadline
   kTooLarge,          // the reply exceeds the limit
 };
 
@@ -57,21 +61,35 @@
               boost::asio::ip::tcp::endpoint server,
               std::size_t max_reply_bytes, std::string_view era_field = {});
 
+  // Longest time without a byte of a reply that has begun to arrive.
+  static constexpr Duration kMaxSilence = std::chrono::seconds(1);
+  // Longest time in which a reply arrives.
+  static constexpr Duration kMaxReplyTime = std::chrono::seconds(10);
+
   // Queues a request. The deadline starts now and includes the time in the
   // queue.
-  void Call(Request request, Duration deadline, Done done);
+  void Call(Request request, const CallLimits& limits, Done done);
   // Drops all pending calls without invoking their callbacks. Later calls do
   // not wait for a response to a dropped one.
   void Cancel();
   // Drops all pending and later calls without invoking their callbacks.
   void Close();
+  // Whether the reply to a call has begun to arrive, and has not ended yet.
+  [[nodiscard]] bool IsReceiving() const noexcept {
+    return current_ && current_->reply_began != TimePoint{};
+  }
 
  private:
   struct Pending {
     explicit Pending(boost::asio::io_context& context) : timer(context) {}
     Request request;
+    std::size_t max_bytes = 0;
     Done done;
+    // Expires at the deadline, or when the reply that arrives has been silent
+    // for too long.
     boost::asio::steady_timer timer;
+    // When the first byte of the reply arrived; unset before.
+    TimePoint reply_began{};
     bool timed_out = false;
     bool sending = false;
   };
@@ -82,11 +100,18 @@
   void Connect();
   void Write();
   void Read();
+  void ReadSome();
+  // Bytes of the reply have arrived.
+  void OnReplyProgress();
+  void FinishAnswered();
+  void ArmTimer(const PendingPtr& pending, Duration time);
   void OnDeadline(const PendingPtr& pending);
   void Finish(HttpReply reply);
   // Finishes the current call after its connection failed, its deadline passed
   // or its reply was too large.
   void FinishFailed(const boost::system::error_code& error);
+  [[nodiscard]] HttpOutcome OutcomeOfFailure(
+      const boost::system::error_code& error) const;
   // Whether the server has closed the idle connection.
   [[nodiscard]] bool IsStale();
   void CloseSocket();
--- a/src/sapphirestream/store/http_object_store.cc
+++ b/src/sapphirestream/store/http_object_store.cc
@@ -163,7 +163,8 @@
 
 void HttpObjectStore::Get(const std::string& name, Duration deadline,
                           GetCallback done) {
-  gets_->Call(MakeRequest(http::verb::get, "/objects/" + name, host_), deadline,
+  gets_->Call(MakeRequest(http::verb::get, "/objects/" + name, host_),
+              {.deadline = deadline},
               [done = std::move(done)](HttpReply reply) {
                 done(ToObject(std::move(reply)));
               });
@@ -180,7 +181,7 @@
     target += "&era=" + std::to_string(Value(known.era));
   }
   watches_->Call(MakeRequest(http::verb::get, target, host_),
-                 deadline + kWatchGracePeriod,
+                 {.deadline = deadline + kWatchGracePeriod},
                  [done = std::move(done)](HttpReply reply) {
                    // kTimedOut means that the server reported no change, which
                    // a missing response does not show.
@@ -211,14 +212,15 @@
   }
   request.body() = std::move(value);
   request.prepare_payload();
-  puts_->Call(std::move(request), deadline,
+  puts_->Call(std::move(request), {.deadline = deadline},
               [done = std::move(done)](const HttpReply& reply) {
                 done(ToVersion(reply));
               });
 }
 
 void HttpObjectStore::ListInstances(Duration deadline, ListCallback done) {
-  lists_->Call(MakeRequest(http::verb::get, "/instances", host_), deadline,
+  lists_->Call(MakeRequest(http::verb::get, "/instances", host_),
+               {.deadline = deadline},
                [done = std::move(done)](const HttpReply& reply) {
                  done(ToInstances(reply));
                });
--- a/testing/soak/ready_check.cc
+++ b/testing/soak/ready_check.cc
@@ -37,7 +37,8 @@
   internal::HttpChannel::Request request(http::verb::get, path_, http11);
   request.set(http::field::host, ToString(address_));
   channel_->Call(
-      std::move(request), kTimeout, [this](const internal::HttpReply& reply) {
+      std::move(request), {.deadline = kTimeout},
+      [this](const internal::HttpReply& reply) {
         OnResponse(reply.outcome == internal::HttpOutcome::kAnswered &&
                    reply.status == ok);
       });
