Repeat an attempt to connect to the store after half a second

Cause (one of several): the first packet of a connection that is tried during a cut is lost. The kernel repeats it after 1 s and more, and the probe that waits for it fails at its deadline, 2.5 s at a bound of 5 s, although the cut is over.

Change: HttpChannel gives an attempt up after 0.5 s and tries again, within the deadline of its call. An attempt is no call that the store counts.

--- a/src/sapphirestream/store/http_channel.cc
+++ b/src/sapphirestream/store/http_channel.cc
@@ -49,7 +49,8 @@
       server_(std::move(server)),
       max_reply_bytes_(max_reply_bytes),
       era_field_(era_field),
-      socket_(context) {}
+      socket_(context),
+      connect_timer_(context) {}
 
 void HttpChannel::Call(Request request, const CallLimits& limits, Done done) {
   if (closed_) return;
@@ -91,6 +92,7 @@
   closed_ = true;
   CancelQueued();
   if (current_) current_->timer.cancel();
+  connect_timer_.cancel();
   CloseSocket();
 }
 
@@ -118,18 +120,36 @@
 
 void HttpChannel::Connect() {
   has_answered_ = false;
-  socket_.async_connect(
-      server_, [self = shared_from_this()](const error_code& error) {
-        if (self->closed_) return;
-        if (error || self->current_->timed_out) {
-          self->FinishFailed(error);
-          return;
-        }
-        error_code ignored;
-        self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
-        EnableKeepAlive(self->socket_);
-        self->Write();
+  is_connecting_ = true;
+  is_connect_late_ = false;
+  connect_timer_.expires_after(
+      std::chrono::duration_cast<asio::steady_timer::duration>(
+          kConnectTimeout));
+  connect_timer_.async_wait(
+      [self = shared_from_this()](const error_code& error) {
+        if (!error) self->OnConnectTimeout();
       });
+  socket_.async_connect(server_,
+                        [self = shared_from_this()](const error_code& error) {
+                          if (!self->closed_) self->OnConnected(error);
+                        });
+}
+
+void HttpChannel::OnConnectTimeout() {
+  if (closed_ || !is_connecting_) return;
+  is_connect_late_ = true;
+  CloseSocket();
+}
+
+void HttpChannel::OnConnected(const error_code& error) {
+  connect_timer_.cancel();
+  is_connecting_ = false;
+  if (error && is_connect_late_ && !current_->timed_out) return Connect();
+  if (error || current_->timed_out) return FinishFailed(error);
+  error_code ignored;  // works without it, with more delay
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  EnableKeepAlive(socket_);
+  Write();
 }
 
 void HttpChannel::Write() {
--- a/src/sapphirestream/store/http_channel.h
+++ b/src/sapphirestream/store/http_channel.h
@@ -61,6 +61,10 @@
               boost::asio::ip::tcp::endpoint server,
               std::size_t max_reply_bytes, std::string_view era_field = {});
 
+  // Time after which an attempt to connect is repeated, within the deadline of
+  // the call. The opening packet may have been lost in a partition, and the
+  // kernel repeats it after 1 s and more.
+  static constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
   // Longest time without a byte of a reply that has begun to arrive.
   static constexpr Duration kMaxSilence = std::chrono::seconds(1);
   // Longest time in which a reply arrives.
@@ -98,6 +102,8 @@
   void CancelQueued();
   void StartNext();
   void Connect();
+  void OnConnected(const boost::system::error_code& error);
+  void OnConnectTimeout();
   void Write();
   void Read();
   void ReadSome();
@@ -121,6 +127,10 @@
   std::size_t max_reply_bytes_;
   std::string era_field_;
   boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer connect_timer_;
+  bool is_connecting_ = false;
+  // Whether the attempt to connect was given up and has to be repeated.
+  bool is_connect_late_ = false;
   boost::beast::flat_buffer buffer_;
   std::optional<
       boost::beast::http::response_parser<boost::beast::http::string_body>>
--- a/test/store/http_channel_test.cc
+++ b/test/store/http_channel_test.cc
@@ -179,6 +179,34 @@
   BOOST_TEST((outcome == HttpOutcome::kAnswered));
 }
 
+// A connection that was tried during a partition was only tried again after 1 s
+// and more, and the call failed at its deadline although the partition was
+// over.
+BOOST_AUTO_TEST_CASE(a_lost_attempt_to_connect_is_repeated) {
+  // Its queue of new connections is full: further ones stay unanswered.
+  boost::asio::ip::tcp::acceptor full(
+      context, {boost::asio::ip::address_v4::loopback(), 0});
+  full.listen(0);
+  boost::asio::ip::tcp::socket first(context);
+  first.connect(full.local_endpoint());
+  Connect(full.local_endpoint().port());
+  Call("/any");
+  bool is_accepted = false;
+  boost::asio::steady_timer partition(context,
+                                      HttpChannel::kConnectTimeout / 2);
+  partition.async_wait([&](auto) {
+    boost::asio::ip::tcp::socket waiting(context);
+    full.accept(waiting);  // makes room
+    full.async_accept([&](auto error, boost::asio::ip::tcp::socket) {
+      is_accepted = !error;
+      context.stop();
+    });
+  });
+  // The kernel would repeat the opening packet after 1 s.
+  context.run_for(std::chrono::milliseconds(950));
+  BOOST_TEST(is_accepted);
+}
+
 // On a slow link a check of the view failed at its deadline while its reply was
 // arriving, and was repeated from the start.
 BOOST_AUTO_TEST_CASE(a_reply_that_keeps_arriving_outlasts_the_deadline) {
