Read the list in place of changes that are larger

Cause (one of several): after a pause, a reader asks for all changes since its view. Each missed version of an object is a change of its own, so that 26 configurations of 275 KB are 7 MB, of which only the last 275 KB matter. A list was read only beyond 4 MiB, or when the history was lost.

Change: a call that reads changes is limited to one and a half times the size of the last list, 256 KiB at least.

A line changes_too_large and a counter tell how often it happens.

--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -150,6 +150,9 @@
     void OnOutdatedReply(StoreRevision held, StoreRevision offered) override {
       view_.ReportOutdatedReply(collection_, held, offered);
     }
+    void OnChangesTooLarge() override {
+      view_.ReportChangesTooLarge(collection_);
+    }
     void OnReplyUnusable(ErrorKind error) override {
       view_.ReportReplyUnusable(collection_, error);
     }
@@ -181,6 +184,7 @@
   void ReportStoreRegained(std::string_view collection, Duration away);
   void ReportCacheOutdated(std::string_view collection);
   void ReportCheckFailed(std::string_view collection, ErrorKind error);
+  void ReportChangesTooLarge(std::string_view collection);
   void ReportReplyUnusable(std::string_view collection, ErrorKind error);
   void ReportRefused(std::string_view collection);
   void ReportEraChanged(std::string_view collection, StoreRevision held,
@@ -231,6 +235,7 @@
   Counter& refused_;
   Counter& malformed_;
   Counter& unusable_replies_;
+  Counter& large_changes_;
   Counter& config_version_;
   Counter& listed_;
   Counter& era_;
--- a/src/sapphirestream/edge_io/edge_view_store.cc
+++ b/src/sapphirestream/edge_io/edge_view_store.cc
@@ -71,6 +71,12 @@
               {"era", Value(revision.era)}});
 }
 
+void EdgeView::ReportChangesTooLarge(std::string_view collection) {
+  large_changes_.Add();
+  log_.Write(LogLevel::kInfo, "changes_too_large",
+             {{"collection", collection}});
+}
+
 void EdgeView::ReportReplyUnusable(std::string_view collection,
                                    ErrorKind error) {
   unusable_replies_.Add();
--- a/src/sapphirestream/store/collection.h
+++ b/src/sapphirestream/store/collection.h
@@ -3,6 +3,7 @@
 #ifndef SAPPHIRESTREAM_STORE_COLLECTION_H_
 #define SAPPHIRESTREAM_STORE_COLLECTION_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -12,6 +13,7 @@
 #include "sapphirestream/base/clock.h"
 #include "sapphirestream/base/error.h"
 #include "sapphirestream/base/store_revision.h"
+#include "sapphirestream/store/call_limits.h"
 
 namespace sapphirestream {
 
@@ -36,6 +38,8 @@
   // Whether more items follow after the name of the last one.
   bool has_more = false;
   std::vector<CollectionItem<Record>> items;
+  // Size of the reply's body.
+  std::size_t bytes = 0;
 };
 
 template <typename Record>
@@ -61,11 +65,11 @@
   virtual ~CollectionClient() = default;
   // Reads one page of the items whose names are greater than `after`.
   virtual void List(const std::string& after, Freshness freshness,
-                    Duration deadline, Done done) = 0;
+                    const CallLimits& limits, Done done) = 0;
   // Reads the changes since a revision. If there are none, waits up to `wait`
   // for the first one.
   virtual void Watch(std::uint64_t since, Duration wait, Freshness freshness,
-                     Duration deadline, Done done) = 0;
+                     const CallLimits& limits, Done done) = 0;
   // Abandons pending calls without invoking their callbacks, so that a later
   // call does not wait behind a watch that the store holds.
   virtual void Cancel() = 0;
@@ -98,6 +102,8 @@
   // A reply is from an earlier era than the view and was ignored.
   virtual void OnOutdatedReply(StoreRevision /*held*/,
                                StoreRevision /*offered*/) {}
+  // The changes since the view are larger than the list, which is read instead.
+  virtual void OnChangesTooLarge() {}
   // The store answered, but the reply cannot be used. An item that cannot be
   // decoded does not make its reply unusable.
   virtual void OnReplyUnusable(ErrorKind /*error*/) {}
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -7,6 +7,7 @@
 #define SAPPHIRESTREAM_STORE_COLLECTION_READER_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <utility>
@@ -31,6 +32,10 @@
  public:
   using Reply = CollectionReply<Record>;
 
+  // Changes of up to this size are read, however small the list is: that takes
+  // 0.2 s on a link of 10 Mbit/s, and a list costs another call.
+  static constexpr std::size_t kMinChangeBytes = std::size_t{256} * 1024;
+
   // `check_client` has a connection of its own. The references must outlive the
   // reader.
   CollectionReader(CollectionClient<Record>& client,
@@ -93,7 +98,7 @@
   void Check(Freshness freshness, Duration deadline, CheckDone done) override {
     const Freshness used = freshness_.Select(freshness, Now());
     check_client_.Watch(
-        revision_.number, Duration::zero(), used, deadline,
+        revision_.number, Duration::zero(), used, ChangeLimits(deadline),
         checks_.Bind([used, begun = Now(), done = std::move(done)](
                          CollectionReader& self, Reply reply) {
           done(self.OnCheck(std::move(reply), used, begun));
@@ -133,6 +138,11 @@
   // Notes whether the store answered a call of client_.
   void ObserveConnection(const Reply& reply);
   void ReadList(Freshness freshness);
+  // Reads the list because it is smaller than the changes: each version that
+  // was missed is a change, and the list has the last one only.
+  void ReadListOfChanges(Freshness freshness);
+  // Limits of a call that reads changes.
+  [[nodiscard]] CallLimits ChangeLimits(Duration deadline) const;
   // Replaces the view. A cached list can be older than the history that the
   // store has kept, so that the watch after it would fail again.
   void ReadCurrentList();
@@ -182,6 +192,8 @@
   // Pages read so far. All are from era_.
   PagedList<Record> list_;
   Freshness list_freshness_ = Freshness::kCurrent;
+  // Size of the last list.
+  std::size_t list_bytes_ = 0;
   // The view contains all changes up to this revision.
   StoreRevision revision_;
   EraTracker era_;
--- a/src/sapphirestream/store/collection_reader_impl.h
+++ b/src/sapphirestream/store/collection_reader_impl.h
@@ -28,6 +28,12 @@
   ReadList(Freshness::kCurrent);
 }
 
+template <typename Record>
+void CollectionReader<Record>::ReadListOfChanges(Freshness freshness) {
+  observer_.OnChangesTooLarge();
+  ReadList(freshness);
+}
+
 template <typename Record>
 void CollectionReader<Record>::CancelCall() {
   if (!std::exchange(call_in_flight_, false)) return;
@@ -51,9 +57,15 @@
                        : deadline;
 }
 
+template <typename Record>
+CallLimits CollectionReader<Record>::ChangeLimits(Duration deadline) const {
+  const std::size_t bytes = list_bytes_ + list_bytes_ / 2;
+  return {deadline, std::max(kMinChangeBytes, bytes)};
+}
+
 template <typename Record>
 void CollectionReader<Record>::ReadPage() {
-  client_.List(list_.last_name(), list_freshness_, ListDeadline(),
+  client_.List(list_.last_name(), list_freshness_, {.deadline = ListDeadline()},
                OnReply([](CollectionReader& self, Reply reply) {
                  self.OnPage(std::move(reply));
                }));
@@ -93,7 +105,7 @@
 template <typename Record>
 void CollectionReader<Record>::ConfirmList() {
   client_.Watch(list_.revision().number, Duration::zero(), Freshness::kCurrent,
-                outage_.call_deadline(),
+                {.deadline = outage_.call_deadline()},
                 OnReply([](CollectionReader& self, Reply reply) {
                   self.OnListConfirmed(std::move(reply));
                 }));
@@ -127,6 +139,7 @@
   has_list_ = true;
   is_replacing_ = false;
   outage_.SetBackoff(options_.backoff);
+  list_bytes_ = list_.bytes();
   const auto items = list_.Take();
   ScheduleWatch();
   observer_.OnSnapshot(items, revision_);
@@ -136,7 +149,8 @@
 template <typename Record>
 void CollectionReader<Record>::Probe() {
   client_.Watch(revision_.number, Duration::zero(), Freshness::kCurrent,
-                std::min(outage_.call_deadline(), options_.max_probe_deadline),
+                ChangeLimits(std::min(outage_.call_deadline(),
+                                      options_.max_probe_deadline)),
                 OnReply([](CollectionReader& self, Reply reply) {
                   self.OnChanges(std::move(reply), Freshness::kCurrent);
                 }));
@@ -146,11 +160,12 @@
 void CollectionReader<Record>::Watch() {
   last_watch_ = Now();
   const Freshness freshness = freshness_.Select(Now());
-  client_.Watch(revision_.number, options_.watch_timeout, freshness,
-                options_.watch_timeout + options_.max_call_deadline,
-                OnReply([freshness](CollectionReader& self, Reply reply) {
-                  self.OnChanges(std::move(reply), freshness);
-                }));
+  client_.Watch(
+      revision_.number, options_.watch_timeout, freshness,
+      ChangeLimits(options_.watch_timeout + options_.max_call_deadline),
+      OnReply([freshness](CollectionReader& self, Reply reply) {
+        self.OnChanges(std::move(reply), freshness);
+      }));
   reply_due_ = last_watch_ + options_.watch_timeout;
 }
 
@@ -166,10 +181,8 @@
     return ReadCurrentList();
   }
   if (reply.error == ErrorKind::kReplyTooLarge) {
-    // Each missed version of an object is a change; a list has the last one.
-    observer_.OnReplyUnusable(reply.error);
     OnSuccess();
-    return ReadCurrentList();
+    return ReadListOfChanges(freshness);
   }
   if (IsUnusable(reply.error)) {
     return Retry(reply.error, &CollectionReader::ReadCurrentList);
@@ -193,13 +206,15 @@
   const EraCheck check = CheckEra(reply);
   if (check == EraCheck::kOutdated || is_replacing_) return ErrorKind::kNone;
   const bool is_lost = reply.error == ErrorKind::kHistoryLost;
-  const bool is_too_large = reply.error == ErrorKind::kReplyTooLarge;
-  if (is_too_large) observer_.OnReplyUnusable(reply.error);
-  if (check == EraCheck::kRestored || is_too_large ||
+  if (check == EraCheck::kRestored ||
       (is_lost && freshness == Freshness::kCurrent)) {
     ReadCurrentList();
     return ErrorKind::kNone;
   }
+  if (reply.error == ErrorKind::kReplyTooLarge) {
+    ReadListOfChanges(freshness);
+    return ErrorKind::kNone;
+  }
   if (is_lost) return ErrorKind::kNone;
   if (reply.error != ErrorKind::kNone) {
     observer_.OnCheckFailed(reply.error);
--- a/src/sapphirestream/store/paged_list.h
+++ b/src/sapphirestream/store/paged_list.h
@@ -3,6 +3,7 @@
 #define SAPPHIRESTREAM_STORE_PAGED_LIST_H_
 
 #include <algorithm>
+#include <cstddef>
 #include <iterator>
 #include <optional>
 #include <string>
@@ -22,6 +23,7 @@
     items_.clear();
     last_name_.clear();
     revision_.reset();
+    bytes_ = 0;
   }
   // Adds the next page. Precondition: it is from the era of the pages before.
   // Returns whether it has a name after which another page can be read.
@@ -32,6 +34,7 @@
     }
     std::move(page.items.begin(), page.items.end(), std::back_inserter(items_));
     revision_ = std::min(revision_.value_or(page.revision), page.revision);
+    bytes_ += page.bytes;
     return last_name_ != before;
   }
   // Applies a change that was made after the list.
@@ -60,6 +63,8 @@
   // returns changes made while the pages were read and changes missing from
   // cached pages. Precondition: there is a page.
   [[nodiscard]] StoreRevision revision() const noexcept { return *revision_; }
+  // Size of the replies that contained the pages.
+  [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
   // Whether no page has been added yet.
   [[nodiscard]] bool is_empty() const noexcept { return !revision_; }
 
@@ -69,6 +74,7 @@
   std::string last_name_;
   // Empty before the first page.
   std::optional<StoreRevision> revision_;
+  std::size_t bytes_ = 0;
 };
 
 }  // namespace sapphirestream
--- a/test/store/collection_reader_fixture.h
+++ b/test/store/collection_reader_fixture.h
@@ -19,15 +19,16 @@
   explicit FakeClient(testing::VirtualTime& virtual_time)
       : time(virtual_time) {}
 
-  void List(const std::string& after, Freshness freshness, Duration deadline,
-            Done done) override {
-    deadlines.push_back(deadline);
+  void List(const std::string& after, Freshness freshness,
+            const CallLimits& limits, Done done) override {
+    deadlines.push_back(limits.deadline);
     calls.push_back(
         (freshness == Freshness::kCached ? "cached list " : "list ") + after);
     Answer(std::move(done));
   }
   void Watch(std::uint64_t since, Duration wait, Freshness freshness,
-             Duration /*deadline*/, Done done) override {
+             const CallLimits& limits, Done done) override {
+    change_limits.push_back(limits.max_bytes);
     const char* const call = wait > Duration::zero() ? "watch " : "check ";
     calls.push_back((freshness == Freshness::kCached ? "cached " : call) +
                     std::to_string(since));
@@ -52,6 +53,8 @@
   int cancelled = 0;
   // Deadlines of the lists.
   std::vector<Duration> deadlines;
+  // Limits of the size of changes.
+  std::vector<std::size_t> change_limits;
 };
 
 inline StoreRevision At(std::uint64_t number) { return {StoreEra{1}, number}; }
@@ -101,6 +104,9 @@
     events.emplace_back(error == ErrorKind::kReplyTooLarge ? "too large"
                                                            : "malformed");
   }
+  void OnChangesTooLarge() override {
+    events.emplace_back("changes too large");
+  }
   void OnRateLimited() override { events.emplace_back("refused"); }
 
   static CollectionReaderOptions Options() {
--- a/test/store/collection_reader_list_test.cc
+++ b/test/store/collection_reader_list_test.cc
@@ -185,8 +185,9 @@
                     Reply(9, {"b"})};
   Start(CachedOptions());
   time.RunFor(50ms);
-  BOOST_TEST(events == (Strings{"snapshot@7 a", "too large", "snapshot@9 b"}),
-             boost::test_tools::per_element());
+  BOOST_TEST(
+      events == (Strings{"snapshot@7 a", "changes too large", "snapshot@9 b"}),
+      boost::test_tools::per_element());
   check_client.replies = {Failure(ErrorKind::kReplyTooLarge)};
   client.replies = {Reply(12, {"c"})};
   Check();
@@ -195,6 +196,43 @@
   BOOST_TEST(!reader->IsAway());
 }
 
+// In a storm of large configurations an instance with a slow link read each
+// version that it had missed, and fell behind by 10 s and more.
+BOOST_AUTO_TEST_CASE(changes_are_read_only_up_to_the_size_of_a_list) {
+  CollectionReply<int> list = Reply(7, {"a"});
+  list.bytes = 1'000'000;
+  client.replies = {list, Failure(ErrorKind::kReplyTooLarge), Reply(9, {"b"})};
+  Start(CachedOptions());
+  time.RunFor(50ms);
+  BOOST_TEST(client.change_limits.back() == 1'500'000U);
+  // As fresh as the changes would have been.
+  BOOST_TEST(client.calls == (Strings{"list ", "cached 7", "cached list "}),
+             boost::test_tools::per_element());
+  // The second list was small, so that the changes cost less than a list.
+  time.RunFor(2s);
+  BOOST_TEST(client.calls.back() == "cached 9");
+  BOOST_TEST(client.change_limits.back() ==
+             CollectionReader<int>::kMinChangeBytes);
+  check_client.replies = {Failure(ErrorKind::kReplyTooLarge)};
+  client.replies = {Reply(12, {"c"})};
+  const std::size_t calls = client.calls.size();
+  Check(Freshness::kCurrent);
+  time.RunFor(50ms);
+  BOOST_TEST(client.calls.at(calls) == "list ");
+  BOOST_TEST(events.back() == "snapshot@12 c");
+}
+
+BOOST_AUTO_TEST_CASE(the_size_of_a_list_is_that_of_all_its_pages) {
+  CollectionReply<int> first = Reply(7, {"a"}, /*has_more=*/true);
+  CollectionReply<int> second = Reply(7, {"b"});
+  first.bytes = 600'000;
+  second.bytes = 200'000;
+  client.replies = {first, second};
+  Start();
+  time.RunFor(1500ms);
+  BOOST_TEST(client.change_limits.back() == 1'200'000U);
+}
+
 // The last name of a page cannot be decoded: the next page starts after the one
 // before it.
 BOOST_AUTO_TEST_CASE(a_page_that_ends_with_an_odd_name_is_continued) {
--- a/test/store/model_store.h
+++ b/test/store/model_store.h
@@ -76,15 +76,16 @@
         collection_(std::move(collection)) {}
 
   void List(const std::string& /*after*/, Freshness freshness,
-            Duration deadline, Done done) override {
+            const CallLimits& limits, Done done) override {
     Begin(freshness);
-    Reply(0, freshness, deadline, std::move(done));
+    Reply(0, freshness, limits.deadline, std::move(done));
   }
   void Watch(std::uint64_t since, Duration wait, Freshness freshness,
-             Duration deadline, Done done) override {
+             const CallLimits& limits, Done done) override {
     Begin(freshness);
     const TimePoint now = store_.time.Now();
-    AnswerWatch(since, freshness, now + wait, now + deadline, std::move(done));
+    AnswerWatch(since, freshness, now + wait, now + limits.deadline,
+                std::move(done));
   }
   void Cancel() override { Disconnect(); }
 
