Check no view while the reply that completes it is arriving

Cause (one of several): the checker did not know that the reader was receiving changes. Its check asked for the same ones on another connection; on a slow link both took twice as long, the check failed at its deadline and the reader gave up its own call.

Change: a view whose reply has begun to arrive is not checked until it ends.

--- a/src/sapphirestream/store/checked_collection.h
+++ b/src/sapphirestream/store/checked_collection.h
@@ -23,7 +23,8 @@
   // Whether the store is unavailable and is being probed already.
   [[nodiscard]] virtual bool IsAway() const = 0;
   // Whether a check can complete the view: it exists, is not being replaced by
-  // a list, and the store is not away.
+  // a list, and the store is not away. A check beside a reply that is arriving
+  // would fetch the same changes, and slow it down.
   [[nodiscard]] virtual bool IsCheckable() const = 0;
   // Reads the changes that the view lacks, on a connection of its own: the
   // connection of the pending watch may be silent.
--- a/src/sapphirestream/store/collection.h
+++ b/src/sapphirestream/store/collection.h
@@ -73,6 +73,9 @@
   // Abandons pending calls without invoking their callbacks, so that a later
   // call does not wait behind a watch that the store holds.
   virtual void Cancel() = 0;
+  // Whether the reply to a call has begun to arrive, and has not ended yet. A
+  // connection that goes silent meanwhile is not receiving for long.
+  [[nodiscard]] virtual bool IsReceiving() const = 0;
 };
 
 template <typename Record>
--- a/src/sapphirestream/store/collection_reader.h
+++ b/src/sapphirestream/store/collection_reader.h
@@ -93,7 +93,8 @@
   }
   [[nodiscard]] bool IsAway() const override { return outage_.is_away(); }
   [[nodiscard]] bool IsCheckable() const override {
-    return has_list_ && !is_replacing_ && !outage_.is_away();
+    return has_list_ && !is_replacing_ && !outage_.is_away() &&
+           !client_.IsReceiving();
   }
   void Check(Freshness freshness, Duration deadline, CheckDone done) override {
     const Freshness used = freshness_.Select(freshness, Now());
--- a/test/store/collection_reader_fixture.h
+++ b/test/store/collection_reader_fixture.h
@@ -35,6 +35,7 @@
     Answer(std::move(done));
   }
   void Cancel() override { ++cancelled; }
+  [[nodiscard]] bool IsReceiving() const override { return is_receiving; }
   void Answer(Done done) {
     if (replies.empty()) {
       unanswered.push_back(std::move(done));
@@ -51,6 +52,7 @@
   std::vector<Done> unanswered;
   std::vector<std::string> calls;
   int cancelled = 0;
+  bool is_receiving = false;
   // Deadlines of the lists.
   std::vector<Duration> deadlines;
   // Limits of the size of changes.
--- a/test/store/collection_reader_list_test.cc
+++ b/test/store/collection_reader_list_test.cc
@@ -222,6 +222,19 @@
   BOOST_TEST(events.back() == "snapshot@12 c");
 }
 
+// A check fetched the changes that a watch was receiving. Both took twice as
+// long on a slow link, so that the check failed.
+BOOST_AUTO_TEST_CASE(a_view_is_not_checked_while_its_changes_arrive) {
+  client.replies = {Reply(7, {"a"})};
+  Start();
+  time.RunFor(1100ms);
+  BOOST_TEST(reader->IsCheckable());
+  client.is_receiving = true;
+  BOOST_TEST(!reader->IsCheckable());
+  client.is_receiving = false;
+  BOOST_TEST(reader->IsCheckable());
+}
+
 BOOST_AUTO_TEST_CASE(the_size_of_a_list_is_that_of_all_its_pages) {
   CollectionReply<int> first = Reply(7, {"a"}, /*has_more=*/true);
   CollectionReply<int> second = Reply(7, {"b"});
--- a/test/store/model_store.h
+++ b/test/store/model_store.h
@@ -113,6 +113,9 @@
                  std::move(done)});
   }
   void Cancel() override { Disconnect(); }
+  [[nodiscard]] bool IsReceiving() const override {
+    return connection_.is_receiving;
+  }
 
   int current_calls = 0;
   int cached_calls = 0;
