Soak: storms of large configurations over slow links, and cuts while targets lapse

Cause: the soak had no configuration above 2 KB and no link with a rate, and its check of removals excused the 4 s before the removal instead of the 4 s before the flow, that is the fault of the last case.

Change: two series, each with a random source of its own, and each once after the other faults have ended. The links of the instances have a rate. The check of removals asks for an instance that was undisturbed for 4 s before the flow was sent, as the promise has it. Routes and limits of the soak have a header of their own.

--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -45,6 +45,7 @@
     world.RunFor(options.length);
     schedule.EndAllFaults();
     world.Log("all faults have ended");
+    schedule.CutOffAnyInstance();
     world.RunFor(kRecoveryTime - kLostEntryLead);
     schedule.LoseAnyEntry();
     world.RunFor(kLostEntryLead);
@@ -53,6 +54,7 @@
     schedule.DrainAnyTarget();
     schedule.EvacuateAnyDomain();
     schedule.RemoveReturningRoute();
+    schedule.WriteStorm();
     world.RunFor(kVerificationTime);
     schedule.EndEvacuation();
     world.RunFor(kColdStart);
--- a/testing/soak/soak_domains.cc
+++ b/testing/soak/soak_domains.cc
@@ -112,12 +112,7 @@
   if (!target.is_unlisted() || sent <= removed + kDrainLimit) return;
   ++counts_.removal_checks;
   const auto sender = InstanceAt(target.sender());
-  // A disturbance of a heartbeat or more before the removal makes it look like
-  // one that an outage has caused.
-  if (!sender ||
-      !IsHealthyFor(*sender, clock_.Now() - removed + kStableWindow)) {
-    return;
-  }
+  if (!sender || !WasUndisturbed(*sender, sent)) return;
   AddViolation("edge-" + std::to_string(*sender + 1) +
                " placed a flow at target " + ToString(target.record().key) +
                ", whose entry was removed");
--- a/testing/soak/soak_faults.cc
+++ b/testing/soak/soak_faults.cc
@@ -54,6 +54,10 @@
   instance.healthy_since = clock_.Now();
 }
 
+void SoakWorld::SetLinkRate(std::uint64_t bytes_per_s) {
+  for (Instance& instance : instances_) instance.link->SetRate(bytes_per_s);
+}
+
 void SoakWorld::SetStoreFault(StoreFault fault) {
   Log("store: " + std::string(Name(fault)));
   store_fault_ = fault;
--- a/testing/soak/soak_routes.cc
+++ b/testing/soak/soak_routes.cc
@@ -35,6 +35,17 @@
   PutRoutes();
 }
 
+void SoakWorld::WriteLargeRoutes(std::size_t unused, Random& random) {
+  unused_routes_.clear();
+  for (std::size_t i = 0; i < unused; ++i) {
+    const V4Endpoint address{
+        kUnusedRoutes.address + static_cast<std::uint32_t>(i),
+        kUnusedRoutes.port};
+    unused_routes_ += "," + RouteJson(address, "safe", "checks");
+  }
+  WriteRoutes(random);
+}
+
 void SoakWorld::PutRoutes() {
   std::string routes = RouteJson(kFeed, "safe", "desk") + "," +
                        RouteJson(kOrders, "unsafe", "desk") + "," +
@@ -52,7 +63,7 @@
   }
   store_->Put("config", "main",
               R"({"Version":)" + std::to_string(version_) + R"(,"Routes":[)" +
-                  routes +
+                  routes + unused_routes_ +
                   R"(],"Services":[{"Name":"desk","HealthPath":"/health",)"
                   R"("ColdStartS":)" +
                   std::to_string(kColdStart.count()) + R"(,"ColdPerS":)" +
@@ -62,7 +73,7 @@
                   R"({"Name":"intake","HealthPath":"/health"}]})");
 }
 
-void SoakWorld::ChangeRoutes() {
+void SoakWorld::ChangeRoutes(Random& random) {
   const TimePoint now = clock_.Now();
   if (added_.size() == kMaxAddedRoutes) {
     Log("remove route " + ToString(added_.front().address));
@@ -73,7 +84,7 @@
                            kExtraRoutes.port};
   added_.push_back({address, now});
   Log("add route " + ToString(address));
-  WriteRoutes(random_);
+  WriteRoutes(random);
 }
 
 void SoakWorld::ToggleReturningRoute(std::size_t index, Random& random) {
--- a/testing/soak/soak_schedule.cc
+++ b/testing/soak/soak_schedule.cc
@@ -50,6 +50,8 @@
 constexpr std::uint64_t kRouteSeed = 0x1d8e4e27c47d124f;
 constexpr std::uint64_t kClaimSeed = 0xbf58476d1ce4e5b9;
 constexpr std::uint64_t kLostEntrySeed = 0xc2b2ae3d27d4eb4f;
+constexpr std::uint64_t kCutSeed = 0x94d049bb133111eb;
+constexpr std::uint64_t kStormSeed = 0x2545f4914f6cdd1d;
 // Routes that are removed and added again: time between two removals, time
 // until the addition, and time from then until an instance is stopped.
 constexpr std::uint64_t kMaxReturningGapMs = 1500;
@@ -68,7 +70,9 @@
       load_random_(world.seed() ^ kLoadSeed),
       route_random_(world.seed() ^ kRouteSeed),
       lost_entry_random_(world.seed() ^ kLostEntrySeed),
-      claim_random_(world.seed() ^ kClaimSeed) {}
+      claim_random_(world.seed() ^ kClaimSeed),
+      cut_random_(world.seed() ^ kCutSeed),
+      storm_random_(world.seed() ^ kStormSeed) {}
 
 SoakSchedule::~SoakSchedule() { EndAllFaults(); }
 
@@ -82,6 +86,8 @@
   ScheduleReturningRoute();
   ScheduleLostEntry();
   ScheduleClaims();
+  ScheduleLoneCut();
+  ScheduleStorm();
 }
 
 void SoakSchedule::ScheduleNext() {
@@ -104,6 +110,9 @@
   world_.timer().Cancel(next_returning_route_);
   world_.timer().Cancel(next_lost_entry_);
   world_.timer().Cancel(next_claims_);
+  world_.timer().Cancel(next_lone_cut_);
+  world_.timer().Cancel(next_storm_);
+  EndStorm();
   EndEvacuation();
   EndLoadFault();
   for (ActiveFault& fault : std::exchange(active_faults_, {})) {
@@ -137,7 +146,7 @@
       &SoakSchedule::DrainAndReplaceRandomTarget};
   const std::uint64_t choice = world_.random().Below(actions.size() + 1);
   if (choice == actions.size()) {
-    world_.ChangeRoutes();
+    world_.ChangeRoutes(world_.random());
   } else {
     (this->*actions.at(choice))();
   }
--- a/testing/soak/soak_schedule.h
+++ b/testing/soak/soak_schedule.h
@@ -41,8 +41,22 @@
   void RemoveReturningRoute();
   // Ends the evacuation that is in force, if there is one.
   void EndEvacuation();
+  // Cuts one instance off from the store for some seconds. Entries that are
+  // removed soon after it must be treated as at any other time.
+  void CutOffAnyInstance();
+  // Writes large configurations in quick succession over the slowest links, and
+  // changes a route with the last one. While no fault is active, each instance
+  // must apply it.
+  void WriteStorm();
 
  private:
+  // A succession of large configurations.
+  struct Storm {
+    std::uint64_t bytes_per_s = 0;  // of the link of each instance
+    std::size_t unused_routes = 0;
+    unsigned versions = 0;
+  };
+
   struct ActiveFault {
     TimerId timer = kNoTimer;
     std::function<void()> end;
@@ -79,9 +93,22 @@
   // And so have living targets that lose their entry just after connections to
   // the store were reset.
   void ScheduleLostEntry();
+  // Takes the entry of the first target from this one on that can be spared.
+  void LoseEntryFrom(std::size_t first);
   // And so have entries of another writer that name the addresses of targets.
   void ScheduleClaims();
   void InjectClaims();
+  // And so have targets that lapse while one instance is cut off from the
+  // store, or soon after.
+  void ScheduleLoneCut();
+  void InjectLoneCut();
+  // Does nothing if the instance's link has a fault.
+  void CutOff(std::size_t instance, LinkFault fault, Duration length);
+  // And so have large configurations in quick succession, over slow links.
+  void ScheduleStorm();
+  void BeginStorm(const Storm& storm);
+  void ContinueStorm(Storm storm);
+  void EndStorm();
   // And so have routes that are removed and added again at the same address.
   // Instances are stopped soon after the addition.
   void ScheduleReturningRoute();
@@ -109,6 +136,8 @@
   SeededRandom route_random_;
   SeededRandom lost_entry_random_;
   SeededRandom claim_random_;
+  SeededRandom cut_random_;
+  SeededRandom storm_random_;
   TimerId next_ = kNoTimer;
   TimerId next_restoration_ = kNoTimer;
   TimerId next_view_fault_ = kNoTimer;
@@ -118,9 +147,12 @@
   TimerId next_returning_route_ = kNoTimer;
   TimerId next_lost_entry_ = kNoTimer;
   TimerId next_claims_ = kNoTimer;
+  TimerId next_lone_cut_ = kNoTimer;
+  TimerId next_storm_ = kNoTimer;
   std::list<ActiveFault> active_faults_;
   bool store_fault_active_ = false;
   bool packet_loss_active_ = false;
+  bool storm_active_ = false;
   // The failure domain that is evacuated; empty if there is none.
   std::string evacuated_;
   std::optional<std::size_t> slow_target_;
--- a/testing/soak/soak_schedule_entries.cc
+++ b/testing/soak/soak_schedule_entries.cc
@@ -52,16 +52,18 @@
   for (std::size_t i = 0; i < world_.instances(); ++i) {
     if (lost_entry_random_.Below(2) == 0) world_.ResetConnections(i);
   }
-  world_.timer().After(delay, [this, first] {
-    for (std::size_t i = 0; i < world_.targets(); ++i) {
-      const std::size_t index = (first + i) % world_.targets();
-      if (!IsDispensable(index)) continue;
-      world_.LoseEntry(index);
-      world_.timer().After(kLostEntryTime,
-                           [this, index] { world_.RestoreEntry(index); });
-      return;
-    }
-  });
+  world_.timer().After(delay, [this, first] { LoseEntryFrom(first); });
+}
+
+void SoakSchedule::LoseEntryFrom(std::size_t first) {
+  for (std::size_t i = 0; i < world_.targets(); ++i) {
+    const std::size_t index = (first + i) % world_.targets();
+    if (!IsDispensable(index)) continue;
+    world_.LoseEntry(index);
+    world_.timer().After(kLostEntryTime,
+                         [this, index] { world_.RestoreEntry(index); });
+    return;
+  }
 }
 
 void SoakSchedule::ScheduleClaims() {
--- a/testing/soak/soak_world.h
+++ b/testing/soak/soak_world.h
@@ -25,6 +25,7 @@
 #include "testing/soak/edge_process.h"
 #include "testing/soak/ready_check.h"
 #include "testing/soak/returning_routes.h"
+#include "testing/soak/soak_limits.h"
 #include "testing/soak/soak_options.h"
 #include "testing/soak/soak_target.h"
 #include "testing/soak/split_flow.h"
@@ -33,27 +34,6 @@
 
 namespace sapphirestream::soak {
 
-// Permanent routes. Requests of kFeed are idempotent.
-inline constexpr V4Endpoint kFeed{0xc6120001, 8443};
-inline constexpr V4Endpoint kOrders{0xc6120001, 8080};
-inline constexpr V4Endpoint kPhotos{0xc6120002, 8443};
-// Temporary routes have the addresses after this one.
-inline constexpr V4Endpoint kExtraRoutes{0xc6130000, 80};
-
-// Time after which an evacuated domain must get no new flows; in the settings
-// of the instances.
-inline constexpr std::chrono::milliseconds kEvacuationBound{3000};
-// Configuration of the service that limits the flows of cold targets.
-inline constexpr std::chrono::seconds kColdStart{3};
-inline constexpr unsigned kColdFlowsPerS = 2;
-// An accepted configuration change must be applied within this time.
-inline constexpr std::chrono::seconds kConfigLimit{3};
-// A target that drains, or whose entry was removed, must get no new flows after
-// this time.
-inline constexpr std::chrono::seconds kDrainLimit{3};
-// The limits hold at an instance that was undisturbed for this time.
-inline constexpr std::chrono::seconds kStableWindow{4};
-
 class SoakWorld final : public testing::FlowTarget::Observer {
  public:
   explicit SoakWorld(const SoakOptions& options);
@@ -81,6 +61,15 @@
   void ResumeInstance(std::size_t index);
   void ReloadInstance(std::size_t index, bool with_signal);
   void SetLinkFault(std::size_t index, LinkFault fault);
+  // Whether the instance's link to the store has a fault.
+  [[nodiscard]] bool HasLinkFault(std::size_t index) const {
+    return instances_.at(index).link->fault() != LinkFault::kNone;
+  }
+  // Each instance's link to the store carries this much; zero is no limit.
+  void SetLinkRate(std::uint64_t bytes_per_s);
+  // The configuration has this many routes beside those that are used, and each
+  // call writes another version of it.
+  void WriteLargeRoutes(std::size_t unused, Random& random);
   void SetStoreFault(StoreFault fault);
   // Cached reads of the store return the state of this long ago.
   void SetCacheLag(Duration lag);
@@ -117,7 +106,7 @@
   void DrainTarget(std::size_t index);
   // Stops a drained target and starts a new one at its address.
   void ReplaceTarget(std::size_t index);
-  void ChangeRoutes();
+  void ChangeRoutes(Random& random);
   // Removes a route, or adds it again at the same address.
   void ToggleReturningRoute(std::size_t index, Random& random);
   // Asks for no new flows at the targets of a failure domain, and allows them
@@ -345,6 +334,8 @@
   // Version of the route configuration.
   std::uint64_t version_ = 0;
   std::uint32_t extra_routes_ = 0;
+  // The routes of WriteLargeRoutes.
+  std::string unused_routes_;
   std::deque<ExtraRoute> added_;
   std::deque<ExtraRoute> removed_;
   ReturningRoutes returning_;
--- a/testing/soak/tcp_proxy.cc
+++ b/testing/soak/tcp_proxy.cc
@@ -1,11 +1,13 @@
 #include "testing/soak/tcp_proxy.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <cstddef>
+#include <ratio>
 #include <utility>
 
 namespace sapphirestream::soak {
@@ -75,11 +77,7 @@
                                   const error_code& error, std::size_t size) {
                                 if (error) return self->Reset();
                                 pump.size = size;
-                                if (self->proxy_.fault_ == LinkFault::kDelay) {
-                                  self->WriteAfter(pump, kDelay);
-                                } else {
-                                  self->Write(pump);
-                                }
+                                self->WriteAfter(pump, self->DelayOf(pump));
                               });
   }
 
@@ -88,7 +86,14 @@
            (proxy_.fault_ == LinkFault::kNoAnswers && &pump == &responses_);
   }
 
-  void WriteAfter(Pump& pump, std::chrono::milliseconds wait) {
+  [[nodiscard]] std::chrono::microseconds DelayOf(const Pump& pump) {
+    if (proxy_.fault_ == LinkFault::kDelay) return kDelay;
+    return &pump == &responses_ ? proxy_.SendTime(pump.size)
+                                : std::chrono::microseconds{};
+  }
+
+  void WriteAfter(Pump& pump, std::chrono::microseconds wait) {
+    if (wait == std::chrono::microseconds{}) return Write(pump);
     pump.timer.expires_after(wait);
     pump.timer.async_wait(
         [self = shared_from_this(), &pump](const error_code& error) {
@@ -131,6 +136,14 @@
   connections_.clear();
 }
 
+std::chrono::microseconds TcpProxy::SendTime(std::size_t size) {
+  if (rate_ == 0) return {};
+  const auto now = std::chrono::steady_clock::now();
+  const std::chrono::microseconds own(size * std::micro::den / rate_);
+  busy_until_ = std::max(busy_until_, now) + own;
+  return std::chrono::ceil<std::chrono::microseconds>(busy_until_ - now);
+}
+
 void TcpProxy::SilenceOpenConnections() {
   for (const auto& weak : connections_) {
     if (const auto connection = weak.lock()) connection->Silence();
