Use no first list of pages of different revisions until it is confirmed

Cause: a current list takes several calls. The pages of this one were 16 revisions or more apart, since the link had held the first answer back. Between them another writer's entry with the key of a target had come and gone, and the target's own entry had gone as well. The view began with the second page, which lacked the target, and the changes since the first, from a cache that lagged 481 ms, had the other entry but not its end: a state that the store never had. Pages from the cache were confirmed by a current read of the changes, current ones were not.

--- a/src/sapphirestream/store/collection_reader_impl.h
+++ b/src/sapphirestream/store/collection_reader_impl.h
@@ -96,9 +96,9 @@
     return Retry(ErrorKind::kMalformedJson, &CollectionReader::ReadCurrentList);
   }
   if (has_more) return ReadPage();
-  if (!has_list_ && list_freshness_ == Freshness::kCached) {
-    return ConfirmList();
-  }
+  const bool is_consistent =
+      list_freshness_ == Freshness::kCurrent && !list_.is_mixed();
+  if (!has_list_ && !is_consistent) return ConfirmList();
   CompleteList(list_.revision());
 }
 
--- a/src/sapphirestream/store/paged_list.h
+++ b/src/sapphirestream/store/paged_list.h
@@ -23,6 +23,7 @@
     items_.clear();
     last_name_.clear();
     revision_.reset();
+    is_mixed_ = false;
     bytes_ = 0;
   }
   // Adds the next page. Precondition: it is from the era of the pages before.
@@ -33,6 +34,7 @@
       if (!item.name.empty()) last_name_ = item.name;
     }
     std::move(page.items.begin(), page.items.end(), std::back_inserter(items_));
+    if (revision_ && *revision_ != page.revision) is_mixed_ = true;
     revision_ = std::min(revision_.value_or(page.revision), page.revision);
     bytes_ += page.bytes;
     return last_name_ != before;
@@ -65,6 +67,9 @@
   [[nodiscard]] StoreRevision revision() const noexcept { return *revision_; }
   // Size of the replies that contained the pages.
   [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
+  // Whether the pages are of different revisions: an item of the one may have
+  // been replaced by one that the other does not have yet.
+  [[nodiscard]] bool is_mixed() const noexcept { return is_mixed_; }
   // Whether no page has been added yet.
   [[nodiscard]] bool is_empty() const noexcept { return !revision_; }
 
@@ -74,6 +79,7 @@
   std::string last_name_;
   // Empty before the first page.
   std::optional<StoreRevision> revision_;
+  bool is_mixed_ = false;
   std::size_t bytes_ = 0;
 };
 
