Ask for the read that ends an evacuation whose entry a restored store lacks

The entry may be written again within 2.5 s, and the read that decides after that was the next usual check.

Change: the read is requested when it is due, and limits are applied when a read ends.

Result: edge_test and edge_io_test pass; evacuations/a_read_is_due_when_it_decides.

--- a/src/sapphirestream/edge/evacuations.cc
+++ b/src/sapphirestream/edge/evacuations.cc
@@ -59,6 +59,13 @@
   return changes;
 }
 
+bool Evacuations::IsReadDue(TimePoint now) const {
+  return std::any_of(entries_.begin(), entries_.end(), [now](const auto& item) {
+    const TimePoint since = item.second.missing_since;
+    return since != TimePoint{} && now - since >= kRewriteTime;
+  });
+}
+
 bool Evacuations::Update(const std::string& domain, Entry& entry,
                          bool evacuated, StoreRevision revision, TimePoint at) {
   entry.revision = revision;
--- a/src/sapphirestream/edge/evacuations.h
+++ b/src/sapphirestream/edge/evacuations.h
@@ -46,6 +46,8 @@
   // Ends evacuations whose entry was not written again. `complete_until`: the
   // view contains every change acknowledged before.
   Changes Expire(TimePoint complete_until);
+  // Whether a read that begins now decides about a missing entry.
+  [[nodiscard]] bool IsReadDue(TimePoint now) const;
 
   // Makes the next entry of each domain count, whatever its revision; for use
   // when another store is read.
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -211,10 +211,9 @@
   // Flows may wait although no read has been requested.
   steering_.OnRoutesRead(view_.RoutesConfirmedUntil(), now);
   OnViewChanged();
-  ExpireTargets();
+  ExpireEntries();
   steering_.OnTargetsRead(now);
   ArmSteering();
-  view_.ExpireEvacuations();
   if (now - last_settings_check_ >= kSettingsCheckPeriod) {
     last_settings_check_ = now;
     ReloadSettings("file");
@@ -253,7 +252,7 @@
       target_reader_->CompleteUntil(), route_reader_->CompleteUntil(),
       evacuation_reader_ ? evacuation_reader_->CompleteUntil() : TimePoint{});
   steering_.OnRoutesRead(view_.RoutesConfirmedUntil(), clock_.Now());
-  ExpireTargets();
+  ExpireEntries();
   steering_.OnTargetsRead(clock_.Now());
   ArmSteering();
   checker_->Run();
@@ -364,11 +363,15 @@
   checker_->RequestCheck(*route_reader_, routes_.version());
 }
 
-void EdgeInstance::ExpireTargets() {
+void EdgeInstance::ExpireEntries() {
   const TimePoint now = clock_.Now();
   targets_.Expire(now, view_.targets_age().complete_until());
   view_.UseSpareEntries();
   if (targets_.IsReadDue(now)) checker_->RequestCheck(*target_reader_, 0);
+  view_.ExpireEvacuations();
+  if (evacuation_reader_ && view_.IsEvacuationReadDue()) {
+    checker_->RequestCheck(*evacuation_reader_, 0);
+  }
 }
 
 }  // namespace sapphirestream
--- a/src/sapphirestream/edge_io/edge_instance.h
+++ b/src/sapphirestream/edge_io/edge_instance.h
@@ -110,9 +110,9 @@
   void ArmSteering();
   // Periodic tasks; run every kHousekeepingPeriod.
   void Housekeep();
-  // Gives up the targets that have not registered again, and requests the read
-  // that decides about the others.
-  void ExpireTargets();
+  // Gives up the targets and evacuations that have not been written again, and
+  // requests the reads that decide about the others.
+  void ExpireEntries();
   void WatchSignals();
   void OnSignal(int number);
   void ReloadSettings(std::string_view cause);
--- a/src/sapphirestream/edge_io/edge_view.h
+++ b/src/sapphirestream/edge_io/edge_view.h
@@ -107,6 +107,10 @@
   [[nodiscard]] bool AreEvacuationsUnconfirmed() const noexcept;
   // Ends evacuations whose entry a restored store has lost.
   void ExpireEvacuations();
+  // Whether a read of the evacuations that begins now decides about one.
+  [[nodiscard]] bool IsEvacuationReadDue() const {
+    return evacuations_.IsReadDue(clock_.Now());
+  }
   // Marks the view as outdated until all collections have been read again,
   // because the process was paused: a target may have left or a route may have
   // been withdrawn meanwhile.
--- a/test/edge/evacuations_test.cc
+++ b/test/edge/evacuations_test.cc
@@ -107,6 +107,18 @@
   BOOST_TEST(!IsEvacuated(1));
 }
 
+// The read that ends an evacuation came with the next usual check, seconds
+// after the entry could have been written again.
+BOOST_AUTO_TEST_CASE(a_read_is_due_when_it_decides) {
+  evacuations.Set("a", true, At(5), now);
+  evacuations.Replace({}, {StoreEra{2}, 3}, now);
+  const TimePoint due = now + Evacuations::kRewriteTime;
+  BOOST_TEST(!evacuations.IsReadDue(due - 1ms));
+  BOOST_TEST(evacuations.IsReadDue(due));
+  evacuations.Expire(due);
+  BOOST_TEST(!evacuations.IsReadDue(due));
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_that_is_written_again_does_not_expire) {
   evacuations.Set("a", true, At(5), now);
   evacuations.Replace({}, {StoreEra{2}, 3}, now);
