Soak: time for recovery after the cut of an instance that ends the faults

Cause: the series cut one instance off for 4 s when all other faults had ended, within the 7 s after which each flow must be answered, so that this instance had 3 s. The promise is 7 s after the last fault.

Change: the 7 s begin with the end of the cut; the check is the same. A target of the series' own lapses 0.8 to 2.2 s after it.

--- a/testing/soak/main.cc
+++ b/testing/soak/main.cc
@@ -46,6 +46,7 @@
     schedule.EndAllFaults();
     world.Log("all faults have ended");
     schedule.CutOffAnyInstance();
+    world.RunFor(SoakSchedule::kQuietCut);
     world.RunFor(kRecoveryTime - kLostEntryLead);
     schedule.LoseAnyEntry();
     world.RunFor(kLostEntryLead);
--- a/testing/soak/soak_schedule.h
+++ b/testing/soak/soak_schedule.h
@@ -15,6 +15,8 @@
 
 class SoakSchedule {
  public:
+  static constexpr Duration kQuietCut = std::chrono::seconds(4);
+
   // `world` must outlive the schedule.
   explicit SoakSchedule(SoakWorld& world);
   ~SoakSchedule();
@@ -41,8 +43,8 @@
   void RemoveReturningRoute();
   // Ends the evacuation that is in force, if there is one.
   void EndEvacuation();
-  // Cuts one instance off from the store for some seconds. Entries that are
-  // removed soon after it must be treated as at any other time.
+  // Cuts one instance off from the store for kQuietCut. A target loses its
+  // entry soon after it, which must be treated as at any other time.
   void CutOffAnyInstance();
   // Writes large configurations in quick succession over the slowest links, and
   // changes a route with the last one. While no fault is active, each instance
--- a/testing/soak/soak_schedule_store.cc
+++ b/testing/soak/soak_schedule_store.cc
@@ -19,8 +19,10 @@
 constexpr std::uint64_t kMinCutMs = 1200;
 constexpr std::uint64_t kMaxCutMs = 5500;
 constexpr std::uint64_t kMaxLapseDelayMs = 2400;
-// Cut of an instance while no other fault is active.
-constexpr Duration kQuietCut = 4000ms;
+// Time from the cut of an instance while no other fault is active until a
+// target loses its entry.
+constexpr std::uint64_t kMinQuietLapseMs = 800;
+constexpr std::uint64_t kMaxQuietLapseMs = 2200;
 // Time between two storms, and between two versions in one.
 constexpr std::uint64_t kMinStormGapMs = 1000;
 constexpr std::uint64_t kMaxStormGapMs = 3000;
@@ -66,7 +68,12 @@
 }
 
 void SoakSchedule::CutOffAnyInstance() {
-  CutOff(cut_random_.Below(world_.instances()), LinkFault::kSilence, kQuietCut);
+  const std::size_t instance = cut_random_.Below(world_.instances());
+  const std::size_t target = cut_random_.Below(world_.targets());
+  const auto delay = RandomMs(cut_random_, kMinQuietLapseMs, kMaxQuietLapseMs);
+  CutOff(instance, LinkFault::kSilence, kQuietCut);
+  world_.timer().After(kQuietCut + delay,
+                       [this, target] { LoseEntryFrom(target); });
 }
 
 void SoakSchedule::CutOff(std::size_t instance, LinkFault fault,
