Give missing targets the time to register again after each outage

Callers saw: nothing yet; found by reading the last change as a newcomer. If the store is lost again before the targets that an outage took have registered, the first read after the second outage would give all of them up, and callers would be refused for up to 2 s.

Cause: a missing target was given up by any read 2.5 s after the first return (before: after its removal), though it could not write its entry in between.

Evidence: edge_view_outages/a_second_outage_gives_missing_targets_the_time_anew failed before.

Change: the end of an outage that can make entries expire starts the time anew for all missing targets.

Result: edge_test, edge_io_test and session_test pass.

--- a/src/sapphirestream/edge/target_directory.cc
+++ b/src/sapphirestream/edge/target_directory.cc
@@ -285,6 +285,13 @@
   return EntryOutcome::kApplied;
 }
 
+void TargetDirectory::OnStoreReturned(TimePoint returned_at) noexcept {
+  for (auto& [key, target] : targets_) {
+    target.returns_by =
+        std::max(target.returns_by, returned_at + kReregistrationGrace);
+  }
+}
+
 void TargetDirectory::Remove(TargetKey key) {
   const auto it = targets_.find(key);
   if (it == targets_.end()) return;
--- a/src/sapphirestream/edge/target_directory.h
+++ b/src/sapphirestream/edge/target_directory.h
@@ -144,6 +144,9 @@
   // kApplied if the target was listed.
   EntryOutcome Erase(TargetKey key, StoreRevision revision,
                      std::optional<TimePoint> store_returned_at, TimePoint now);
+  // The store has returned after an outage. Missing targets get the time to
+  // register again anew.
+  void OnStoreReturned(TimePoint returned_at) noexcept;
   // Decides the claims of services that were unknown when they were read.
   void OnServicesConfigured();
   // Sets whether a failure domain is evacuated. When an evacuation ends, the
--- a/test/edge_io/edge_view_outages_test.cc
+++ b/test/edge_io/edge_view_outages_test.cc
@@ -85,6 +85,21 @@
   BOOST_TEST(targets.listed() == 4U);
 }
 
+// The store is lost again before the targets have registered.
+BOOST_AUTO_TEST_CASE(a_second_outage_gives_missing_targets_the_time_anew) {
+  Outage(kOutage);
+  List({});
+  RunFor(1s);
+  Outage(kOutage);
+  List({});
+  RunFor(kGrace - kStep);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kMissing));
+  Change(Item(1, ++revision));
+  RunFor(kStep);
+  BOOST_TEST((PresenceOf(1) == TargetPresence::kListed));
+  BOOST_TEST((PresenceOf(2) == TargetPresence::kGone));
+}
+
 // A shorter outage: the last entries expire after it.
 BOOST_AUTO_TEST_CASE(an_entry_that_expires_after_the_return_may_come_back) {
   Outage(kOutage);
