--- a/src/sapphirestream/edge/address_probes.h
+++ b/src/sapphirestream/edge/address_probes.h
@@ -20,7 +20,7 @@
   static constexpr Duration kMinPause = std::chrono::milliseconds(400);
   static constexpr Duration kMaxPause = std::chrono::milliseconds(3200);
 
-  // Forgets the targets that need no probe any more.
+  // Removes the targets that need no probe any more.
   void Retain(const std::set<TargetKey>& targets) {
     std::erase_if(probes_, [&targets](const auto& entry) {
       return !targets.contains(entry.first);
--- a/src/sapphirestream/edge_io/edge_instance.cc
+++ b/src/sapphirestream/edge_io/edge_instance.cc
@@ -367,10 +367,14 @@
   const TimePoint now = clock_.Now();
   targets_.Expire(now, view_.targets_age().complete_until());
   view_.UseSpareEntries();
-  if (targets_.IsReadDue(now)) checker_->RequestCheck(*target_reader_, 0);
+  // The reads do not depend on a version of the view.
+  constexpr std::uint64_t no_version = 0;
+  if (targets_.IsReadDue(now)) {
+    checker_->RequestCheck(*target_reader_, no_version);
+  }
   view_.ExpireEvacuations();
   if (evacuation_reader_ && view_.IsEvacuationReadDue()) {
-    checker_->RequestCheck(*evacuation_reader_, 0);
+    checker_->RequestCheck(*evacuation_reader_, no_version);
   }
 }
 
--- a/src/sapphirestream/edge_io/edge_view_store.cc
+++ b/src/sapphirestream/edge_io/edge_view_store.cc
@@ -17,9 +17,9 @@
 void EdgeView::ReportStoreRegained(std::string_view collection, Duration away) {
   // An entry that is removed after a shorter outage has not expired because of
   // it.
-  const bool matters = targets_.MayExpireDuring(away);
-  store_return_.OnRegained(collection, away, matters, clock_.Now());
-  if (matters) targets_.OnStoreReturned(*store_return_.time());
+  const bool may_expire_entries = targets_.MayExpireDuring(away);
+  store_return_.OnRegained(collection, away, may_expire_entries, clock_.Now());
+  if (may_expire_entries) targets_.OnStoreReturned(*store_return_.time());
   if (collection == kEvacuations) evacuations_lost_at_.reset();
   log_.Write(
       LogLevel::kInfo, "store_regained",
--- a/src/sapphirestream/edge_io/edge_view_targets.cc
+++ b/src/sapphirestream/edge_io/edge_view_targets.cc
@@ -209,7 +209,7 @@
                              StoreRevision held, const TargetItem& offered) {
   if (outcome == EntryOutcome::kUnchanged) return;
   const EdgeTarget& target = *targets_.Find(key);
-  // Lists repeat entries; only one that says something else is worth a line.
+  // Lists repeat entries; only one that says something else is reported.
   const bool is_same =
       offered.record &&
       offered.record->incarnation == target.record.incarnation &&
--- a/src/sapphirestream/edge_io/store_return.h
+++ b/src/sapphirestream/edge_io/store_return.h
@@ -24,16 +24,16 @@
     }
   }
   // The reader of a collection has reached the store after it was `away`.
-  // `matters`: whether entries can expire because of an outage of this length.
-  void OnRegained(std::string_view collection, Duration away, bool matters,
-                  TimePoint now) {
+  // `may_expire_entries`: whether an outage of this length is long enough.
+  void OnRegained(std::string_view collection, Duration away,
+                  bool may_expire_entries, TimePoint now) {
     TimePoint returned = now;
     for (const auto& [name, answered] : answered_) {
       const bool is_same_outage = answered > now - away;
       if (is_same_outage) returned = std::min(returned, answered);
     }
     answered_.insert_or_assign(std::string(collection), now);
-    if (matters) Set(returned);
+    if (may_expire_entries) Set(returned);
   }
   // Something else has shown that the store was away until `time`.
   void Set(TimePoint time) noexcept {
