--- a/test/store/configuration_storm_test.cc
+++ b/test/store/configuration_storm_test.cc
@@ -14,10 +14,9 @@
 // The phase of the checks at which the storm begins.
 Duration LongestTime(StormOptions options) {
   Duration longest{};
-  for (int i = 0; i < 20; ++i) {
-    options.lead = 7s + i * 210ms;
-    const StormResult result =
-        PlayStorm(options, /*seed=*/static_cast<std::uint64_t>(i + 1));
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    options.lead = 7s + (seed - 1) * 210ms;
+    const StormResult result = PlayStorm(options, seed);
     longest = std::max(longest, result.in_force);
   }
   return longest;
